--- a/shorerack/__init__.py
+++ /dev/null
@@ -1,6 +0,0 @@
-"""shorerack: the decisions of a query gateway, after Niño-Mora's marginal productivity index."""
-
-from shorerack.policy import Gateway, mpi_table
-
-__all__ = ["Gateway", "mpi_table"]
-__version__ = "0.1.0"
--- a/shorerack/adapter.py
+++ b/tealwing/adapter.py
@@ -6,8 +6,8 @@
 import traceback
 from typing import BinaryIO
 
-from shorerack import wire
-from shorerack.policy import Gateway
+from tealwing import wire
+from tealwing.policy import Gateway
 
 
 class Host:
@@ -49,7 +49,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except (wire.WireError, ValueError) as error:
-        print(f"shorerack: {' '.join(str(error).split())}", file=sys.stderr)
+        print(f"tealwing: {' '.join(str(error).split())}", file=sys.stderr)
         return 1
     return 0
 
--- a/shorerack/policy.py
+++ b/tealwing/policy.py
@@ -1,4 +1,4 @@
-"""Every decision of a query gateway; its records are those of shorerack/interface.py.
+"""Every decision of a query gateway; its records are those of tealwing/interface.py.
 
 A gateway keeps, per engine and class, Niño-Mora's marginal productivity index (MPI) of sending one more query
 there. A query goes to the engine with the smallest index, or is refused at once when no index is below the
@@ -11,8 +11,8 @@
 from collections import deque
 from math import ceil, exp, inf, log, sqrt
 
-from shorerack import interface as api
-from shorerack.interface import Effect, Group, Health, ListKind, Result
+from tealwing import interface as api
+from tealwing.interface import Effect, Group, Health, ListKind, Result
 
 # Constants: unit, reason; (d) is the design's value, (o) ours.
 REBUILD = 1.0  # s between rebuilds of what is learned (d)
--- a/shorerack/wire.py
+++ b/tealwing/wire.py
@@ -1,4 +1,4 @@
-"""The binary wire: frames and records to the records of shorerack.interface, and back. Decides nothing."""
+"""The binary wire: frames and records to the records of tealwing.interface, and back. Decides nothing."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import Any, BinaryIO
 
-from shorerack import interface as api
+from tealwing import interface as api
 
 NS = 1_000_000_000
 COST_UNIT = 4096  # an answer's cost note: milliseconds of work times this, plus memory
--- a/tests/build.py
+++ b/tests/build.py
@@ -5,7 +5,7 @@
 import dataclasses
 from typing import Any
 
-from shorerack import interface as api
+from tealwing import interface as api
 
 
 def request_class(**changes: Any) -> api.RequestClass:
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from shorerack import wire
-from shorerack.adapter import Host
+from tealwing import wire
+from tealwing.adapter import Host
 from tests.test_wire import FACTS
 
 INSTANCES = (1, 2, 3)
@@ -42,7 +42,7 @@
 
 
 def run(data: bytes) -> subprocess.CompletedProcess[bytes]:
-    return subprocess.run([sys.executable, "-m", "shorerack.adapter"], input=data, capture_output=True)
+    return subprocess.run([sys.executable, "-m", "tealwing.adapter"], input=data, capture_output=True)
 
 
 def batches(instances: tuple[int, ...]) -> list[bytes]:
@@ -118,7 +118,7 @@
 def test_bad_input_gets_one_line_and_a_failure(data: bytes) -> None:
     got = run(data)
     assert got.returncode != 0
-    assert got.stderr.startswith(b"shorerack: ") and got.stderr.count(b"\n") == 1
+    assert got.stderr.startswith(b"tealwing: ") and got.stderr.count(b"\n") == 1
 
 
 def test_an_exception_in_a_gateway_is_told(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -126,6 +126,6 @@
         raise RuntimeError("a fault")
 
     host = Host()
-    monkeypatch.setattr("shorerack.policy.Gateway.handle", fails)
+    monkeypatch.setattr("tealwing.policy.Gateway.handle", fails)
     reply = host.reply(1.0, 3, frame(1.0, start(1))[16:])
     assert reply[8] == 100 and b"a fault" in reply
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -6,11 +6,11 @@
 
 import pytest
 
-from shorerack import interface as api
-from shorerack.policy import Engine, Gateway
+from tealwing import interface as api
+from tealwing.policy import Engine, Gateway
 from tests.build import bad, delta, entry, listing, make_settings, ok, request_class, sends
 
-POLICY = Path(__file__).parent.parent / "shorerack" / "policy.py"
+POLICY = Path(__file__).parent.parent / "tealwing" / "policy.py"
 
 
 class Bench:
--- a/tests/test_mpi.py
+++ b/tests/test_mpi.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from shorerack.policy import mpi_table
+from tealwing.policy import mpi_table
 
 rates = st.floats(0.2, 5.0)
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,8 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from shorerack import interface as api
-from shorerack.policy import Gateway
+from tealwing import interface as api
+from tealwing.policy import Gateway
 from tests.build import entry, make_settings, request_class
 
 PROVES_UNRUN = {api.Result.FULL, api.Result.CONNECT_FAILED, api.Result.MOOT}
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from shorerack import interface as api
-from shorerack import wire
+from tealwing import interface as api
+from tealwing import wire
 
 FACTS: dict[str, Any] = {
     "Allowed": {
