--- /dev/null
+++ b/tealwing/__main__.py
@@ -0,0 +1,58 @@
+"""The program: one gateway, from its configuration to the end of its drain."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+import threading
+import time
+
+from tealwing import log
+from tealwing.config import Config, ConfigError, load
+from tealwing.gateway.daemon import Daemon
+from tealwing.mysql.server import Server
+
+STACK = 256 * 1024  # bytes a thread
+STOP = {signal.SIGTERM, signal.SIGINT}
+STILL_COMING = 0.7  # s after SIGTERM for which clients still connect and ask
+LONGEST_WAIT = 3.0  # s that the platform waits for the longest deadline at most, and STILL_COMING more
+LAST_WORDS = 0.4  # s before the platform's SIGKILL at which what is open fails
+
+
+def serve(config: Config) -> None:
+    """Serve until SIGTERM, then finish all that was taken."""
+    daemon = Daemon(config)
+    server = Server(config.listen, config.most_clients, config.settings, daemon.open)
+    daemon.start()
+    server.start()
+    log.event("started", gateway=config.name, listen=config.listen)
+
+    signal.sigwait(STOP)
+    stopped = time.monotonic()
+    log.event("draining")
+    time.sleep(STILL_COMING)
+    server.stop_listening()
+    longest = min(max(cls.deadline for cls in config.settings.classes), LONGEST_WAIT)
+    end = stopped + longest + STILL_COMING - LAST_WORDS
+    if not server.finish(end - time.monotonic()):
+        log.event("drain_cut_short", failed=daemon.fail_open())
+        server.finish(LAST_WORDS / 2)
+    log.event("stopped", after=time.monotonic() - stopped)
+
+
+def main() -> int:
+    """Start the program; bad configuration ends it with one line on standard error."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, STOP)  # for sigwait, and before any thread starts
+    threading.stack_size(STACK)
+    try:
+        config = load(os.environ)
+        serve(config)
+    except (ConfigError, OSError) as error:
+        print(f"tealwing: {' '.join(str(error).split())}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tealwing/config.py
@@ -0,0 +1,98 @@
+"""Where the gateway's configuration is read, checked and given its defaults: LB_* and the file LB_CONFIG."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from tealwing import interface, wire
+from tealwing.coordinator import news
+from tealwing.sockets import Address
+
+CLIENT_SHARE = 3  # clients hold at most one in so many descriptors
+SOCKETS = 1024  # descriptors, where the file names no limit
+
+
+class ConfigError(ValueError):
+    """A configuration that can't be used; the message names the key."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that a gateway is told at its start."""
+
+    name: str
+    listen: Address
+    coordinator: Address
+    seed: int
+    sockets: int
+    settings: interface.Settings
+    known: tuple[news.Update, ...]
+    index: int
+
+    @property
+    def most_clients(self) -> int:
+        """Client connections held at once: the clients' share of the descriptors, and a tenth for KILLs."""
+        return max(1, self.sockets * 11 // (10 * CLIENT_SHARE))
+
+
+def address(text: Any, key: str) -> Address:
+    """HOST:PORT as a pair."""
+    try:
+        return news.address(text)
+    except news.NewsError as error:
+        raise ConfigError(f"{key}: {error}") from None
+
+
+def _section(data: Any, key: str) -> dict[str, Any]:
+    if not isinstance(data, dict):
+        raise ConfigError(f"{key}: missing or not an object")
+    return data
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """The configuration; LB_NAME and LB_LISTEN, where set, go before the file."""
+    if not environ.get("LB_CONFIG"):
+        raise ConfigError("LB_CONFIG: not set")
+    path = Path(environ["LB_CONFIG"])
+    try:
+        data = _section(orjson.loads(path.read_bytes()), "LB_CONFIG")
+    except OSError as error:
+        raise ConfigError(f"LB_CONFIG: {path}: {error.strerror}") from None
+    except orjson.JSONDecodeError as error:
+        raise ConfigError(f"LB_CONFIG: {path} is not JSON: {error}") from None
+    name = environ.get("LB_NAME") or data.get("name")
+    if not isinstance(name, str) or not name:
+        raise ConfigError("name: missing, in LB_NAME and in the file")
+    listen = environ.get("LB_LISTEN") or data.get("listen")
+    seed = data.get("seed", "")
+    try:
+        number = int(seed, 16)
+    except (TypeError, ValueError):
+        raise ConfigError(f"seed: {seed!r} is not a hexadecimal number") from None
+    sockets = _section(data.get("limits", {}), "limits").get("sockets", SOCKETS)
+    if not isinstance(sockets, int) or isinstance(sockets, bool) or sockets < 64:
+        raise ConfigError(f"limits.sockets: {sockets!r} is not a whole number of 64 or more")
+    facts = _section(data.get("settings"), "settings")
+    try:
+        settings = wire.settings(orjson.dumps(facts))
+    except (ValueError, wire.WireError) as error:
+        raise ConfigError(f"settings: {error}") from None
+    try:
+        index, updates = news.known(data.get("known"), settings)
+    except news.NewsError as error:
+        raise ConfigError(f"known: {error}") from None
+    return Config(
+        name=name,
+        listen=address(listen, "listen"),
+        coordinator=address(data.get("coordinator"), "coordinator"),
+        seed=number,
+        sockets=sockets,
+        settings=settings,
+        known=updates,
+        index=index,
+    )
--- /dev/null
+++ b/tealwing/coordinator/follower.py
@@ -0,0 +1,60 @@
+"""The coordinator's thread: follows the events from the last one known, over reconnects."""
+
+from __future__ import annotations
+
+import random
+import socket
+import threading
+from collections.abc import Callable
+
+from tealwing import interface, log
+from tealwing.coordinator import news
+
+CONNECT_LIMIT = 1.0  # s
+SILENCE = 3.0  # s without a line, each second brings one: the connection is lost
+RETRY = (0.1, 0.5)  # s between connects, at random
+
+
+class Follower:
+    """Hands each event on once and in turn; what is known stays while the coordinator is away."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        index: int,
+        settings: interface.Settings,
+        tell: Callable[[news.Update], None],
+    ) -> None:
+        self._address, self._settings, self._tell = address, settings, tell
+        self.index = index  # of the last event handed on
+
+    def start(self) -> None:
+        """Follow, in a thread of its own."""
+        threading.Thread(target=self._run, name="coordinator", daemon=True).start()
+
+    def _run(self) -> None:
+        stop = threading.Event()
+        while True:
+            try:
+                with socket.create_connection(self._address, CONNECT_LIMIT) as sock:
+                    sock.settimeout(SILENCE)
+                    self._follow(sock)
+            except (OSError, news.NewsError) as error:
+                log.event("coordinator_lost", error=str(error), index=self.index)
+            stop.wait(random.uniform(*RETRY))
+
+    def _follow(self, sock: socket.socket) -> None:
+        sock.sendall(b"follow %d\n" % self.index)
+        lines = news.Lines()
+        while data := sock.recv(64 * 1024):
+            for text in lines.feed(data):
+                self.take(news.line(text, self._settings))
+
+    def take(self, item: news.Update | int) -> None:
+        """One line. A repeat is dropped; a gap ends the connection, and the next asks for what is missing."""
+        if isinstance(item, int) or item.index <= self.index:
+            return
+        if item.index != self.index + 1:
+            raise news.NewsError(f"event {item.index} came after {self.index}")
+        self._tell(item)
+        self.index = item.index
--- /dev/null
+++ b/tealwing/coordinator/news.py
@@ -0,0 +1,142 @@
+"""The coordinator's lines, read into engine lists; pure. Malformed news is a NewsError."""
+
+from __future__ import annotations
+
+import math
+import zlib
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from tealwing import interface
+
+LONGEST_LINE = 1 << 20  # bytes: some thousand engines
+STATES = {
+    "up": interface.Health.READY,
+    "draining": interface.Health.DRAINING,
+    "removed": interface.Health.GONE,
+}
+
+
+class NewsError(ValueError):
+    """A line that can't be read."""
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One engine as told: its name and address, and its entry in the module's list."""
+
+    name: str
+    host: str
+    port: int
+    entry: interface.ListEntry
+
+
+@dataclass(frozen=True, slots=True)
+class Update:
+    """One numbered event."""
+
+    index: int
+    revision: int
+    complete: bool
+    members: tuple[Member, ...]
+
+
+def engine_number(name: str) -> int:
+    """The engine's number for the module: from its id alone, so that all gateways use the same."""
+    return zlib.crc32(name.encode())
+
+
+def address(text: Any) -> tuple[str, int]:
+    """HOST:PORT as a pair."""
+    host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not colon or not host or not (port.isascii() and port.isdigit()) or not 0 < int(port[:6]) < 65536:
+        raise NewsError(f"not HOST:PORT: {text!r}")
+    return host, int(port)
+
+
+def _whole(value: Any, what: str) -> int:
+    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+        raise NewsError(f"{what} is not a whole number: {value!r}")
+    return value
+
+
+def _number(value: Any, what: str) -> float:
+    number = isinstance(value, (int, float)) and not isinstance(value, bool)
+    if not number or not math.isfinite(value) or value < 0:
+        raise NewsError(f"{what} is not a number: {value!r}")
+    return float(value)
+
+
+def _member(data: Any, settings: interface.Settings) -> Member:
+    if not isinstance(data, dict):
+        raise NewsError("a member is not an object")
+    name, state = data.get("id"), data.get("phase")
+    if not isinstance(name, str) or not name:
+        raise NewsError(f"id is not a name: {name!r}")
+    if state not in STATES:
+        raise NewsError(f"phase is unknown: {state!r}")
+    kinds = [kind.name for kind in settings.kinds]
+    if data.get("locality") not in settings.zones:
+        raise NewsError(f"locality is not in the settings: {data.get('locality')!r}")
+    if data.get("flavor") not in kinds:
+        raise NewsError(f"flavor is not in the settings: {data.get('flavor')!r}")
+    entry = interface.ListEntry(
+        engine=engine_number(name),
+        zone=settings.zones.index(data["locality"]),
+        kind=kinds.index(data["flavor"]),
+        cell=_whole(data.get("cell", 0), "cell"),
+        health=STATES[state],
+        weight=_number(data.get("size", 1), "size"),
+        started=_number(data.get("up_since_ms", 0), "up_since_ms") / 1e3,
+    )
+    return Member(name, *address(data.get("host_port")), entry)
+
+
+def update(data: Any, settings: interface.Settings) -> Update:
+    """One event from its JSON object."""
+    if not isinstance(data, dict) or not isinstance(data.get("endpoints"), dict):
+        raise NewsError("an event holds no endpoints")
+    points = data["endpoints"]
+    members = points.get("members")
+    if not isinstance(members, list) or not isinstance(points.get("complete"), bool):
+        raise NewsError("endpoints without members or complete")
+    return Update(
+        _whole(data.get("index"), "index"),
+        _whole(points.get("revision", 0), "revision"),
+        points["complete"],
+        tuple(_member(member, settings) for member in members),
+    )
+
+
+def line(text: bytes, settings: interface.Settings) -> Update | int:
+    """One line: an event, or the last number alone."""
+    try:
+        data = orjson.loads(text)
+    except orjson.JSONDecodeError as error:
+        raise NewsError(f"not JSON: {error}") from None
+    if isinstance(data, dict) and "endpoints" in data:
+        return update(data, settings)
+    return _whole(data.get("index") if isinstance(data, dict) else data, "index")
+
+
+def known(data: Any, settings: interface.Settings) -> tuple[int, tuple[Update, ...]]:
+    """The last number and the events of the configuration's known."""
+    if not isinstance(data, dict) or not isinstance(data.get("updates"), list):
+        raise NewsError("missing, or without updates")
+    return _whole(data.get("index"), "index"), tuple(update(item, settings) for item in data["updates"])
+
+
+class Lines:
+    """Cuts a stream into lines, of bounded length."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """The whole lines, now that data has come."""
+        *whole, self._rest = (self._rest + data).split(b"\n")
+        if len(self._rest) > LONGEST_LINE:
+            raise NewsError(f"a line is longer than {LONGEST_LINE} bytes")
+        return [text for text in whole if text.strip()]
--- /dev/null
+++ b/tealwing/gateway/daemon.py
@@ -0,0 +1,48 @@
+"""The gateway as a whole: what it consists of, and its start."""
+
+from __future__ import annotations
+
+from tealwing import interface as api
+from tealwing import log
+from tealwing.config import Config
+from tealwing.coordinator.follower import Follower
+from tealwing.coordinator.news import Update
+from tealwing.exchange import Query
+from tealwing.gateway.decisions import Decisions
+from tealwing.gateway.life import Life, Word
+from tealwing.resp.fleet import Fleet
+
+
+class Daemon:
+    """Owns the decisions, the engines' connections and the coordinator's thread."""
+
+    def __init__(self, config: Config) -> None:
+        self._settings = config.settings
+        self._fleet = Fleet(config.settings.limits)
+        self._decisions = Decisions(config.settings, config.seed, self._fleet)
+        self._follower = Follower(config.coordinator, config.index, config.settings, self._news)
+        for number, update in enumerate(config.known):
+            self._news(update, cached=number == 0)
+
+    def start(self) -> None:
+        """Follow the coordinator and let timers fire."""
+        self._decisions.start()
+        self._follower.start()
+
+    def open(self, query: Query) -> Life:
+        """The life of a request that has come."""
+        return Life(query, self._settings, self._decisions, self._fleet)
+
+    def fail_open(self) -> int:
+        """Fail all that is still open, as the gateway ends; how many there were."""
+        return self._decisions.tell_all(Word.SHUTDOWN)
+
+    def _news(self, update: Update, cached: bool = False) -> None:
+        """The connections first: the module may choose a new engine as soon as it knows of it."""
+        self._fleet.update(update.members, update.complete)
+        kind = api.ListKind.FULL if update.complete else api.ListKind.DELTA
+        if cached:
+            kind = api.ListKind.CACHED
+        entries = tuple(member.entry for member in update.members)
+        self._decisions.submit(api.EngineList(kind, update.revision, entries))
+        log.event("engine_list", index=update.index, complete=update.complete, members=len(entries))
--- /dev/null
+++ b/tealwing/gateway/decisions.py
@@ -0,0 +1,96 @@
+"""The one lock round the decision module: events go in, its actions go to the mailboxes of the requests."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import threading
+import time
+import traceback
+from queue import SimpleQueue
+from typing import Any
+
+from tealwing import interface as api
+from tealwing import log
+from tealwing.policy import Gateway
+from tealwing.resp.fleet import Fleet
+
+Mailbox = SimpleQueue[Any]  # of the module's actions and the engines' answers for one request
+
+
+class Decisions:
+    """Nothing here waits for a socket while it holds the lock; mailboxes and the timers' heap never block."""
+
+    def __init__(self, settings: api.Settings, seed: int, fleet: Fleet) -> None:
+        self._gateway, self._fleet = Gateway(settings, seed), fleet
+        self._lock = threading.Lock()
+        self._offset = time.time() - time.monotonic()  # Unix time that a step of the clock can't turn back
+        self._mailboxes: dict[int, Mailbox] = {}
+        self._ids = itertools.count(1)
+        self._timers: list[tuple[float, int]] = []  # due (monotonic) and token
+        self._changed = threading.Condition(threading.Lock())
+
+    def start(self) -> None:
+        """Let timers fire from now on."""
+        threading.Thread(target=self._run_timers, name="timers", daemon=True).start()
+
+    def enter(self, mailbox: Mailbox) -> int:
+        """A number for a new request, whose actions go to the mailbox."""
+        with self._lock:
+            number = next(self._ids)
+            self._mailboxes[number] = mailbox
+            return number
+
+    def leave(self, number: int) -> None:
+        """The request has its final answer."""
+        with self._lock:
+            self._mailboxes.pop(number, None)
+
+    def tell_all(self, word: object) -> int:
+        """Put a word into the mailbox of every open request; how many there are."""
+        with self._lock:
+            for mailbox in self._mailboxes.values():
+                mailbox.put(word)
+            return len(self._mailboxes)
+
+    def submit(self, event: api.Event) -> None:
+        """One event; its actions are in the mailboxes when this returns."""
+        idle: list[int] = []
+        with self._lock:
+            now = time.monotonic()
+            try:
+                actions = self._gateway.handle(now + self._offset, event)
+            except Exception:  # a fault in a decision fails its request, not the gateway
+                log.event("decision_failed", of=type(event).__name__, trace=traceback.format_exc(limit=-3))
+                actions = [api.Fail(event.id)] if isinstance(event, api.Request | api.Outcome) else []
+            for action in actions:
+                match action:
+                    case api.SetTimer(delay, token):
+                        self._set(now + delay, token)
+                    case api.Log(text):
+                        log.event("decision_log", text=text)
+                    case api.CloseIdle(engine):
+                        idle.append(engine)
+                    case api.Send() | api.Tune() | api.Cancel() | api.Refuse() | api.Fail():
+                        mailbox = self._mailboxes.get(action.id)
+                        if mailbox is not None:
+                            mailbox.put(action)
+                        log.must_hold(mailbox is not None, "an action names a request that is open")
+                    case _:
+                        log.must_hold(False, f"{type(action).__name__} is not allowed here")
+        for engine in idle:
+            self._fleet.close_idle(engine)
+
+    def _set(self, due: float, token: int) -> None:
+        with self._changed:
+            heapq.heappush(self._timers, (due, token))
+            if self._timers[0] == (due, token):
+                self._changed.notify()
+
+    def _run_timers(self) -> None:
+        while True:
+            with self._changed:
+                while not self._timers or self._timers[0][0] > time.monotonic():
+                    self._changed.wait(self._timers[0][0] - time.monotonic() if self._timers else None)
+                _, token = heapq.heappop(self._timers)
+            self.submit(api.TimerFired(token))
--- /dev/null
+++ b/tealwing/gateway/life.py
@@ -0,0 +1,234 @@
+"""The life of one request, from its arrival to its one final answer."""
+
+from __future__ import annotations
+
+import time
+from enum import Enum
+from math import ceil
+from queue import Empty, SimpleQueue
+
+from tealwing import interface as api
+from tealwing import log
+from tealwing.exchange import Abandoned, Failed, Query, Refused, Reply, Served
+from tealwing.gateway.decisions import Decisions, Mailbox
+from tealwing.resp import messages
+from tealwing.resp.engine import Answer, Broken, ConnectFailed, Lost, Stream
+from tealwing.resp.fleet import Fleet
+
+MARGIN = 0.02  # s of a client's ttl kept for the way of the query and of its answer
+OVERDUE = 0.1  # s past the deadline at which the module's answer is missed
+USUAL_PRIORITY = 1
+MOST_PAGES = 64  # a result has at most 48,000 bytes in pages of up to 6,000
+COLUMNS = 3
+NOTES = {"frac": api.NoteKind.PROGRESS, "missing": api.NoteKind.SPILLS, "parked": api.NoteKind.WAITS}
+
+
+class Word(Enum):
+    """What others put into a request's mailbox, beside actions and answers."""
+
+    ABANDONED = "the client gave the request up"
+    SHUTDOWN = "the gateway ends"
+
+
+class Attempt:
+    """One send to an engine, and the pages of its result so far."""
+
+    def __init__(self, number: int, engine: int, timeout: float) -> None:
+        self.number, self.engine = number, engine
+        self.sent = time.monotonic()
+        self.due = self.sent + timeout
+        self.stream: Stream | None = None
+        self.pages: list[bytes | None] = []  # None: asked for, not come; empty before page 0
+        self.report: tuple[float, ...] = ()
+
+    def give_up(self) -> None:
+        """Tell the engine that nothing more is wanted."""
+        if self.stream is None:
+            return
+        if self.pages:
+            self.stream.shut()
+        else:
+            self.stream.never_mind()
+
+
+class Life:
+    """One request under way."""
+
+    def __init__(self, query: Query, settings: api.Settings, decisions: Decisions, fleet: Fleet) -> None:
+        self._query, self._settings, self._decisions, self._fleet = query, settings, decisions, fleet
+        self._mailbox: Mailbox = SimpleQueue()
+        self._deadline = time.monotonic() + max(query.ttl - MARGIN, query.ttl / 2)
+        self._id = decisions.enter(self._mailbox)
+
+    def abandon(self) -> None:
+        """The client has given the request up."""
+        self._mailbox.put(Word.ABANDONED)
+
+    def run(self) -> Reply:
+        """See the request through: submit it, then do what the module says until its final answer."""
+        attempt: Attempt | None = None  # the one that is out
+        sends, priority = 0, USUAL_PRIORITY
+        self._decisions.submit(self._request())
+        try:
+            while True:
+                match self._next(attempt):
+                    case api.Tune(_, priority, _):
+                        if attempt is not None and attempt.stream is not None:
+                            attempt.stream.hurry(priority)
+
+                    case api.Send(_, engine, timeout):
+                        log.must_hold(attempt is None, "one attempt out at a time")
+                        attempt = Attempt(sends, engine, timeout)
+                        sends += 1
+                        failure = self._send(attempt, priority)
+                        if failure is not None:
+                            self._outcome(attempt, failure)
+                            attempt = None
+
+                    case Answer() as answer:
+                        if attempt is None or answer.stream is not attempt.stream:
+                            continue  # late: that attempt has its outcome
+                        result = self._take(attempt, answer)
+                        if result is None:
+                            continue  # not over yet
+                        served = result is api.Result.OK
+                        self._outcome(attempt, result, over=served)
+                        pages, attempt = attempt.pages, None
+                        if served:
+                            return Served(tuple(page for page in pages if page is not None))
+
+                    case Lost(stream):
+                        if attempt is not None and stream is attempt.stream:
+                            self._outcome(attempt, api.Result.RESET)
+                            attempt = None
+
+                    case api.Cancel(_, number):
+                        if attempt is not None and attempt.number == number:
+                            attempt.give_up()
+                            self._outcome(attempt, api.Result.CANCELLED)
+                            attempt = None
+
+                    case None:  # the attempt's time is over
+                        if attempt is None:
+                            log.must_hold(False, "the module answers by the deadline")
+                            self._decisions.submit(api.HungUp(self._id))
+                            return Failed()
+                        attempt.give_up()
+                        self._outcome(attempt, api.Result.TIMEOUT)
+                        attempt = None
+
+                    case api.Refuse(_, retry_after):
+                        return Refused(retry_after)
+
+                    case api.Fail():
+                        return Failed()
+
+                    case Word() as word:
+                        self._decisions.submit(api.HungUp(self._id))  # what is out ends below
+                        return Abandoned() if word is Word.ABANDONED else Failed()
+        finally:
+            if attempt is not None:
+                attempt.give_up()
+                self._outcome(attempt, api.Result.CANCELLED, over=True)
+            self._decisions.leave(self._id)
+
+    def _request(self) -> api.Request:
+        query = self._query
+        return api.Request(
+            id=self._id,
+            cls=query.cls,
+            time_left=self._deadline - time.monotonic(),
+            dataset=float(query.tables),
+            cost=query.cost,
+            tenant=query.tenant,
+            need=query.need,
+        )
+
+    def _next(self, attempt: Attempt | None) -> object:
+        """The next thing in the mailbox; None when the attempt's time, or the request's, has passed."""
+        due = attempt.due if attempt is not None else self._deadline + OVERDUE
+        try:
+            return self._mailbox.get(timeout=max(0.0, due - time.monotonic()))
+        except Empty:
+            return None
+
+    def _send(self, attempt: Attempt, priority: int) -> api.Result | None:
+        """Hand the request to the engine; how that failed, or None."""
+        left = min(attempt.due, self._deadline) - time.monotonic()
+        if left <= 0:
+            return api.Result.MOOT  # never sent: its time had run out
+        query = self._query
+        fields = b"lane=%b,ttl=%d" % (self._settings.classes[query.cls].name.encode(), ceil(left * 1e3))
+        if query.dedupe:
+            fields += b",dedupe=" + query.dedupe
+        if priority != USUAL_PRIORITY:
+            fields += b",urgency=%d" % priority
+        try:
+            attempt.stream = self._fleet.send(
+                attempt.engine, query.call, fields, query.statement, self._mailbox.put, left
+            )
+        except ConnectFailed:
+            return api.Result.CONNECT_FAILED
+        except Broken:
+            return api.Result.RESET
+        return None
+
+    def _take(self, attempt: Attempt, answer: Answer) -> api.Result | None:
+        """What an answer of the engine makes of the attempt; None while it goes on."""
+        try:
+            if answer.word == b"status":
+                self._note(attempt, answer)
+                return None
+            attempt.report = messages.report(answer.fields, self._settings.report_fields) or attempt.report
+            if answer.word == b"503":
+                return self._ended(attempt, api.Result.FULL)
+            if answer.word == b"504":
+                return self._ended(attempt, api.Result.MOOT)
+            if answer.word == b"500":
+                return self._ended(attempt, api.Result.ERROR)
+            if answer.word == b"200" and not attempt.pages:
+                sheets = messages.count(answer.fields.get("sheets", "1"), MOST_PAGES)
+                attempt.pages = [_page(answer.body), *[None] * (sheets - 1)]
+                if sheets > 1:
+                    answer.stream.turn(range(1, sheets))
+            elif answer.word == b"chunk" and attempt.pages:
+                sheet = messages.count(answer.fields.get("sheet"), len(attempt.pages) - 1)
+                attempt.pages[sheet] = _page(answer.body)
+            else:
+                raise messages.RespError(f"an answer out of place: {answer.word[:20]!r}")
+        except messages.RespError as error:
+            log.event("engine_answer_unusable", error=str(error))
+            attempt.give_up()
+            return api.Result.ERROR
+        if None in attempt.pages:
+            return None
+        if len(attempt.pages) > 1:
+            answer.stream.shut()
+        return self._ended(attempt, api.Result.OK)
+
+    def _ended(self, attempt: Attempt, result: api.Result) -> api.Result:
+        if attempt.stream is not None:
+            attempt.stream.ended()
+        return result
+
+    def _note(self, attempt: Attempt, answer: Answer) -> None:
+        kind, amount = NOTES.get(answer.fields.get("why", "")), answer.fields.get("val", "")
+        if kind is not None:
+            value = messages.number(amount, 0.0)
+            self._decisions.submit(api.Note(self._id, attempt.number, attempt.engine, kind, value))
+
+    def _outcome(self, attempt: Attempt, result: api.Result, over: bool = False) -> None:
+        elapsed = time.monotonic() - attempt.sent
+        self._decisions.submit(
+            api.Outcome(
+                self._id, attempt.number, attempt.engine, result, elapsed, over, report=attempt.report
+            )
+        )
+
+
+def _page(body: bytes) -> bytes:
+    """A page that holds whole rows; anything else can't be passed on."""
+    rows = body.split(b"\n")
+    if rows[-1] or any(row.count(b"\t") != COLUMNS - 1 for row in rows[:-1]):
+        raise messages.RespError("a page without whole rows")
+    return body
--- a/tealwing/interface.py
+++ b/tealwing/interface.py
@@ -119,8 +119,14 @@
     retry_after: bool
     max_attempts: int
     max_retry_after: float
+    connect_timeout: float = 1.0
+    idle_time: float = 30.0
+    multiplex: int = 100
 
     def __post_init__(self) -> None:
+        _need(self.connect_timeout > 0, "connect timeout", self.connect_timeout)
+        _need(self.idle_time > 0, "connection idle time", self.idle_time)
+        _need(self.multiplex >= 1, "multiplex", self.multiplex)
         _need(self.max_attempts >= 1, "max attempts", self.max_attempts)
         _need(self.max_retry_after >= 0, "max retry-after", self.max_retry_after)
 
@@ -181,6 +187,7 @@
     when_short: str
     marks_retry: bool
     tick: float
+    tenants: tuple[str, ...] = ()
 
     def __post_init__(self) -> None:
         _need(self.gateways >= 1, "gateways", self.gateways)
--- /dev/null
+++ b/tealwing/mysql/packets.py
@@ -0,0 +1,147 @@
+"""MySQL client protocol 4.1: packets, login and answers; pure. Malformed input is a PacketError."""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+VERSION = b"8.0.0-tealwing"
+LARGEST = 0xFFFFFF  # bytes of one packet; a longer message goes on in the next
+MOST_MESSAGE = 128 * 1024  # max_allowed_packet: a third of the descriptors times this must fit the memory
+PLUGIN = b"mysql_native_password"
+
+# capability flags
+CONNECT_WITH_DB, PROTOCOL_41, SSL, PLUGIN_AUTH = 0x8, 0x200, 0x800, 0x80000
+SECURE_CONNECTION, LENENC_AUTH, LONG_PASSWORD, LONG_FLAG, TRANSACTIONS = 0x8000, 0x200000, 0x1, 0x4, 0x2000
+CAPABILITIES = (
+    CONNECT_WITH_DB | PROTOCOL_41 | PLUGIN_AUTH | SECURE_CONNECTION | LONG_PASSWORD | LONG_FLAG | TRANSACTIONS
+)
+AUTOCOMMIT = 0x2  # status flag
+UTF8MB4 = 45  # the character set
+VAR_STRING = 0xFD  # the columns' type
+WIDEST = 0xFFFF  # the columns' stated length
+
+
+class PacketError(ValueError):
+    """Bytes that are no packet of this protocol; code and state are the error that a server sends."""
+
+    def __init__(self, text: str, code: int = 1043, state: str = "08S01", sequence: int = 0) -> None:
+        super().__init__(text)
+        self.code, self.state, self.sequence = code, state, sequence
+
+
+@dataclass(frozen=True, slots=True)
+class Login:
+    """What a client says of itself."""
+
+    user: bytes
+    auth: bytes
+    database: bytes
+
+
+class Parser:
+    """Cuts a stream into messages with the sequence number of their last packet, of bounded size."""
+
+    def __init__(self) -> None:
+        self._data = bytearray()
+        self._message = bytearray()
+        self._begun = False
+        self._sequence = 0
+
+    def feed(self, data: bytes) -> None:
+        """Take in what has come."""
+        self._data += data
+
+    def next(self) -> tuple[int, bytes] | None:
+        """The next whole message, if there is one."""
+        while len(self._data) >= 4:
+            length, sequence = int.from_bytes(self._data[:3], "little"), self._data[3]
+            if self._begun and sequence != (self._sequence + 1) % 256:
+                raise PacketError("Got packets out of order", 1156, "08S01", sequence)
+            if len(self._message) + length > MOST_MESSAGE:  # known before its bytes are kept
+                text = "Got a packet bigger than 'max_allowed_packet' bytes"
+                raise PacketError(text, 1153, "08S01", sequence)
+            if len(self._data) < 4 + length:
+                return None
+            self._message += self._data[4 : 4 + length]
+            del self._data[: 4 + length]
+            self._begun, self._sequence = length == LARGEST, sequence
+            if not self._begun:
+                message, self._message = bytes(self._message), bytearray()
+                return sequence, message
+        return None
+
+
+def packet(sequence: int, payload: bytes) -> bytes:
+    """One payload, below 16 MB as all here are, as a packet."""
+    return len(payload).to_bytes(3, "little") + bytes([sequence % 256]) + payload
+
+
+def greeting(connection: int, scramble: bytes) -> bytes:
+    """The first payload of a server; the scramble has 20 bytes."""
+    head = b"\x0a" + VERSION + b"\0" + struct.pack("<I", connection) + scramble[:8] + b"\0"
+    flags = struct.pack("<HBHHB", CAPABILITIES & 0xFFFF, UTF8MB4, AUTOCOMMIT, CAPABILITIES >> 16, 21)
+    return head + flags + bytes(10) + scramble[8:] + b"\0" + PLUGIN + b"\0"
+
+
+def login(payload: bytes) -> Login:
+    """The client's answer to the greeting."""
+    if len(payload) < 32:
+        raise PacketError("Bad handshake")
+    flags = int.from_bytes(payload[:4], "little")
+    if not flags & PROTOCOL_41 or flags & SSL:
+        raise PacketError("Bad handshake")
+    user, at = _until_nul(payload, 32)
+    if flags & (SECURE_CONNECTION | LENENC_AUTH):
+        if at >= len(payload) or payload[at] > 250 or at + 1 + payload[at] > len(payload):
+            raise PacketError("Bad handshake")
+        auth, at = payload[at + 1 : at + 1 + payload[at]], at + 1 + payload[at]
+    else:
+        auth, at = _until_nul(payload, at)
+    database = _until_nul(payload, at)[0] if flags & CONNECT_WITH_DB and at < len(payload) else b""
+    return Login(user, auth, database)
+
+
+def _until_nul(payload: bytes, at: int) -> tuple[bytes, int]:
+    end = payload.find(b"\0", at)
+    if end < 0:
+        raise PacketError("Bad handshake")
+    return payload[at:end], end + 1
+
+
+def ok() -> bytes:
+    """The OK payload."""
+    return b"\0\0\0" + struct.pack("<HH", AUTOCOMMIT, 0)
+
+
+def eof() -> bytes:
+    """The EOF payload."""
+    return b"\xfe" + struct.pack("<HH", 0, AUTOCOMMIT)
+
+
+def error(code: int, state: str, text: str) -> bytes:
+    """An error payload."""
+    return b"\xff" + struct.pack("<H", code) + b"#" + state.encode() + text.encode()[:512]
+
+
+def _string(data: bytes) -> bytes:
+    """A length-encoded string."""
+    if len(data) < 251:
+        return bytes([len(data)]) + data
+    if len(data) < 1 << 16:
+        return b"\xfc" + len(data).to_bytes(2, "little") + data
+    return b"\xfd" + len(data).to_bytes(3, "little") + data
+
+
+def result_set(columns: Iterable[bytes], rows: Iterable[Iterable[bytes]], sequence: int) -> bytes:
+    """A whole result set of text columns as packets, with EOF after the columns and after the rows."""
+    payloads = [
+        b"".join(map(_string, (b"def", b"", b"", b"", name, name)))
+        + struct.pack("<BHIBHBH", 12, UTF8MB4, WIDEST, VAR_STRING, 0, 0, 0)
+        for name in columns
+    ]
+    payloads = [bytes([len(payloads)]), *payloads, eof()]
+    payloads += [b"".join(map(_string, row)) for row in rows]
+    payloads.append(eof())
+    return b"".join(packet(sequence + number, payload) for number, payload in enumerate(payloads))
--- /dev/null
+++ b/tealwing/mysql/server.py
@@ -0,0 +1,247 @@
+"""The MySQL server: one accepting thread, one thread a session."""
+
+from __future__ import annotations
+
+import contextlib
+import itertools
+import os
+import socket
+import threading
+import time
+
+from tealwing import interface, log
+from tealwing.exchange import Abandoned, Exchange, Failed, Open, Refused, Reply, Served
+from tealwing.mysql import packets, statements
+from tealwing.sockets import Address, set_limit
+
+USER, DATABASE = b"app", b"reports"
+COLUMNS = (b"column_1", b"column_2", b"column_3")  # engines send no names
+IDLE_LIMIT = 60  # s: clients close idle connections after 4
+WRITE_LIMIT = 5  # s that a client may take nothing
+BACKLOG = 256
+ACCEPT_PERIOD = 0.1  # s between looks at whether to stop
+READ_SIZE = 16 * 1024
+
+QUIT, INIT_DB, QUERY, PROCESS_KILL, PING, RESET_CONNECTION = 0x01, 0x02, 0x03, 0x0C, 0x0E, 0x1F
+
+UNKNOWN_COMMAND = packets.error(1047, "08S01", "Unknown command")
+UNKNOWN_THREAD = packets.error(1094, "HY000", "Unknown thread id")
+INTERRUPTED = packets.error(1317, "70100", "Query execution was interrupted")
+TOO_MANY = packets.error(1040, "08004", "Too many connections")
+FAILED = packets.error(1105, "HY000", "The query failed; it may have run")
+
+
+class Session:
+    """One client connection."""
+
+    def __init__(self, server: Server, sock: socket.socket, number: int) -> None:
+        self.server, self.number = server, number
+        self._sock = sock
+        self._parser = packets.Parser()
+        self._lock = threading.Lock()
+        self._exchange: Exchange | None = None  # the request that is open, under the lock
+
+    def run(self) -> None:
+        """Serve the client until it goes."""
+        try:
+            self._sock.sendall(packets.packet(0, packets.greeting(self.number, _scramble())))
+            if self._login():
+                while (message := self._receive()) is not None:
+                    sequence, payload = message
+                    if sequence != 0:
+                        raise packets.PacketError("Got packets out of order", 1156, "08S01", sequence)
+                    if payload[:1] == bytes([QUIT]):
+                        break
+                    self._sock.sendall(self._command(payload))
+        except packets.PacketError as error:  # malformed input ends this connection only
+            text = packets.error(error.code, error.state, str(error))
+            self._last_words(packets.packet(error.sequence + 1, text))
+        except OSError as error:
+            log.event("client_lost", error=str(error))
+        finally:
+            self.server.ended(self)
+            self._sock.close()
+
+    def kill(self, query_only: bool) -> None:
+        """KILL: give the open request up, and end the session unless only the query was meant."""
+        with self._lock:
+            exchange = self._exchange
+        if exchange is not None:
+            exchange.abandon()
+        if not query_only:
+            self.stop()
+
+    def stop(self) -> None:
+        """Take no more from the client than has come."""
+        with contextlib.suppress(OSError):  # it may have gone by itself
+            self._sock.shutdown(socket.SHUT_RD)
+
+    def _receive(self) -> tuple[int, bytes] | None:
+        while (message := self._parser.next()) is None:
+            try:
+                data = self._sock.recv(READ_SIZE)
+            except BlockingIOError:  # the idle limit has passed
+                return None
+            if not data:
+                return None
+            self._parser.feed(data)
+        return message
+
+    def _login(self) -> bool:
+        message = self._receive()
+        if message is None:
+            return False
+        sequence, payload = message
+        login = packets.login(payload)
+        answer = packets.ok()
+        if login.user != USER or login.auth:
+            user = login.user.decode("utf-8", "replace")
+            answer = packets.error(1045, "28000", f"Access denied for user '{user}'")
+        elif login.database not in (b"", DATABASE):
+            answer = self._no_database(login.database)
+        self._sock.sendall(packets.packet(sequence + 1, answer))
+        return answer == packets.ok()
+
+    def _no_database(self, name: bytes) -> bytes:
+        return packets.error(1049, "42000", f"Unknown database '{name.decode('utf-8', 'replace')}'")
+
+    def _command(self, payload: bytes) -> bytes:
+        """The whole answer to one command, as packets."""
+        command, body = payload[0] if payload else 0, payload[1:]
+        if command == QUERY:
+            killed = statements.kill(body)
+            return packets.packet(1, self._kill(killed)) if killed else self._query(body)
+        if command in (PING, RESET_CONNECTION):
+            return packets.packet(1, packets.ok())
+        if command == INIT_DB:
+            return packets.packet(1, packets.ok() if body == DATABASE else self._no_database(body))
+        if command == PROCESS_KILL and len(body) == 4:
+            return packets.packet(1, self._kill(statements.Kill(int.from_bytes(body, "little"), False)))
+        return packets.packet(1, UNKNOWN_COMMAND)
+
+    def _kill(self, killed: statements.Kill) -> bytes:
+        other = self.server.session(killed.connection)
+        if other is None:
+            return UNKNOWN_THREAD
+        other.kill(killed.query_only)
+        return packets.ok()
+
+    def _query(self, text: bytes) -> bytes:
+        try:
+            query = statements.query(text, self.server.settings)
+        except statements.FieldError as error:
+            log.event("request_unusable", error=str(error))
+            return packets.packet(1, packets.error(1210, "HY000", f"Incorrect arguments: {error}"))
+        exchange = self.server.open(query)
+        with self._lock:
+            self._exchange = exchange
+        try:
+            return answer(exchange.run())
+        finally:
+            with self._lock:
+                self._exchange = None
+
+    def _last_words(self, data: bytes) -> None:
+        with contextlib.suppress(OSError):  # the client may have gone already
+            self._sock.sendall(data)
+            self._sock.shutdown(socket.SHUT_WR)
+
+
+def answer(reply: Reply) -> bytes:
+    """A reply as packets."""
+    match reply:
+        case Served(pages):
+            rows = (line.split(b"\t") for page in pages for line in page.split(b"\n")[:-1])
+            return packets.result_set(COLUMNS, rows, 1)
+        case Refused(retry_after):
+            text = f"The query was refused, pushback={round(retry_after * 1e3)}"
+            return packets.packet(1, packets.error(1226, "42000", text))
+        case Failed():
+            return packets.packet(1, FAILED)
+        case Abandoned():
+            return packets.packet(1, INTERRUPTED)
+
+
+def _scramble() -> bytes:
+    return bytes(1 + byte % 127 for byte in os.urandom(20))
+
+
+class Server:
+    """Listens, and keeps the sessions by their connection ids."""
+
+    def __init__(self, address: Address, most: int, settings: interface.Settings, open_: Open) -> None:
+        self.settings, self.open = settings, open_
+        self._most = most
+        self._numbers = itertools.count(1)
+        self._changed = threading.Condition()
+        self._sessions: dict[int, Session] = {}
+        self._stopping = threading.Event()
+        self._listener = socket.create_server(address, backlog=BACKLOG)
+        set_limit(self._listener, socket.SO_RCVTIMEO, ACCEPT_PERIOD)
+        self._accepting = threading.Thread(target=self._accept, name="accept", daemon=True)
+
+    def start(self) -> None:
+        """Accept clients from now on."""
+        self._accepting.start()
+
+    def session(self, number: int) -> Session | None:
+        """The session of a connection id."""
+        with self._changed:
+            return self._sessions.get(number)
+
+    def ended(self, session: Session) -> None:
+        """A session is over."""
+        with self._changed:
+            self._sessions.pop(session.number, None)
+            self._changed.notify_all()
+
+    def stop_listening(self) -> None:
+        """Accept no more; what has connected already is still served."""
+        self._stopping.set()
+        self._accepting.join()
+        self._listener.close()
+
+    def finish(self, seconds: float) -> bool:
+        """Let each session end with its open request; whether all did in time."""
+        with self._changed:
+            sessions = list(self._sessions.values())
+        for session in sessions:
+            session.stop()
+        until = time.monotonic() + seconds
+        with self._changed:
+            return self._changed.wait_for(lambda: not self._sessions, max(0.0, until - time.monotonic()))
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except BlockingIOError:  # nobody waits to be let in
+                if self._stopping.is_set():
+                    return
+            except OSError as error:  # that client has gone, or the descriptors have run out for now
+                log.event("accept_failed", error=str(error))
+                self._stopping.wait(ACCEPT_PERIOD)
+            else:
+                self._begin(sock)
+
+    def _begin(self, sock: socket.socket) -> None:
+        sock.setblocking(True)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        set_limit(sock, socket.SO_RCVTIMEO, IDLE_LIMIT)
+        set_limit(sock, socket.SO_SNDTIMEO, WRITE_LIMIT)
+        session = Session(self, sock, next(self._numbers) & 0xFFFFFFFF)
+        with self._changed:
+            full = len(self._sessions) >= self._most
+            if not full:
+                self._sessions[session.number] = session
+        try:
+            if full:
+                log.event("too_many_connections", most=self._most)
+                sock.sendall(packets.packet(0, TOO_MANY))
+                sock.close()
+            else:
+                threading.Thread(target=session.run, name="session", daemon=True).start()
+        except (OSError, RuntimeError) as error:  # RuntimeError: no thread could be started
+            log.event("accept_failed", error=str(error))
+            self.ended(session)
+            sock.close()
--- /dev/null
+++ b/tealwing/mysql/statements.py
@@ -0,0 +1,113 @@
+"""The statements of a session: a request with its fields, or KILL; pure."""
+
+from __future__ import annotations
+
+import math
+import re
+from dataclasses import dataclass
+
+from tealwing import interface
+from tealwing.exchange import Query
+
+MOST_TTL_MS = 24 * 3600 * 1000
+MOST_WORK_MS = 1e9
+MOST_NEED_MB = 1e9
+FIELDS = {"op", "call", "ttl", "org", "dedupe", "work", "heap_mb"}
+
+_HEAD = re.compile(rb"\s*/\*(.*?)\*/\s*", re.DOTALL)
+_KILL = re.compile(rb"\s*KILL\s+(?:(QUERY|CONNECTION)\s+)?(\d{1,10})\s*;?\s*\Z", re.IGNORECASE)
+_CALL = re.compile(r"[0-9a-f]{16}\Z")
+_DEDUPE = re.compile(r"[0-9A-Za-z_.:-]{1,128}\Z")
+_NUMBER = re.compile(r"\d{1,12}(?:\.\d{1,9})?\Z", re.ASCII)
+_QUOTED = re.compile(  # strings, comments and quoted names; one without its end reaches to the last byte
+    rb"""'(?:[^'\\]|\\.|'')*(?:'|\\?\Z)|"(?:[^"\\]|\\.|"")*(?:"|\\?\Z)|`[^`]*`
+    |/\*.*?(?:\*/|\Z)|--(?=\s|\Z)[^\n]*|\#[^\n]*""",
+    re.DOTALL | re.VERBOSE,
+)
+_SCHEMA = re.compile(
+    rb"(?<![\w.$])(?:from|join|into|update|table)\s+(?:`([^`]+)`|([\w$\x80-\xff]+))\s*\.", re.IGNORECASE
+)
+_GROUP = re.compile(rb".*_(\d{1,7})\Z", re.DOTALL)
+
+
+class FieldError(ValueError):
+    """A request whose fields can't be used."""
+
+
+@dataclass(frozen=True, slots=True)
+class Kill:
+    """KILL of a query, or of a whole connection."""
+
+    connection: int
+    query_only: bool
+
+
+def kill(text: bytes) -> Kill | None:
+    """The KILL that a statement is, if it is one."""
+    found = _KILL.match(text)
+    return Kill(int(found[2]), (found[1] or b"").upper() == b"QUERY") if found else None
+
+
+def query(text: bytes, settings: interface.Settings) -> Query:
+    """The request that a statement and the comment ahead of it make."""
+    head = _HEAD.match(text)
+    if head is None:
+        raise FieldError("no comment with the fields stands ahead of the statement")
+    fields = _fields(head[1])
+    names = [cls.name for cls in settings.classes]
+    if fields.get("op") not in names:
+        raise FieldError(f"op is missing or unknown: {fields.get('op')!r}")
+    cls = names.index(fields["op"])
+    call, dedupe = fields.get("call", ""), fields.get("dedupe", "")
+    if not _CALL.match(call):
+        raise FieldError(f"call is not 16 hexadecimal digits: {call!r}")
+    if settings.tenants and fields.get("org") not in settings.tenants:
+        raise FieldError(f"org is missing or unknown: {fields.get('org')!r}")
+    keyed = settings.classes[cls].effect is interface.Effect.KEYED
+    if (keyed or "dedupe" in fields) and not _DEDUPE.match(dedupe):
+        raise FieldError(f"dedupe is missing or out of range: {dedupe!r}")
+    ttl = fields.get("ttl", "")
+    if not (ttl.isascii() and ttl.isdigit()) or not 0 < int(ttl[:12]) <= MOST_TTL_MS:
+        raise FieldError(f"ttl is missing or out of range: {ttl!r}")
+    statement = text[head.end() :]
+    if not statement.strip():
+        raise FieldError("there is no statement")
+    return Query(
+        call=call.encode(),
+        cls=cls,
+        tenant=settings.tenants.index(fields["org"]) if settings.tenants else 0,
+        ttl=int(ttl) / 1e3,
+        statement=statement,
+        dedupe=dedupe.encode(),
+        cost=_number(fields, "work", MOST_WORK_MS) / 1e3 if "work" in fields else None,
+        need=_number(fields, "heap_mb", MOST_NEED_MB) if "heap_mb" in fields else 0.0,
+        tables=tables(statement),
+    )
+
+
+def _fields(comment: bytes) -> dict[str, str]:
+    fields: dict[str, str] = {}
+    for part in comment.decode("utf-8", "replace").split(","):
+        name, equals, value = part.strip().partition("=")
+        if not equals or name not in FIELDS or name in fields:
+            raise FieldError(f"a field is unknown, given twice or without a value: {part.strip()[:40]!r}")
+        fields[name] = value
+    return fields
+
+
+def _number(fields: dict[str, str], name: str, most: float) -> float:
+    value = float(fields[name]) if _NUMBER.match(fields[name]) else math.inf
+    if value > most:
+        raise FieldError(f"{name} is out of range: {fields[name]!r}")
+    return value
+
+
+def tables(statement: bytes) -> int:
+    """The group of tables: the number in the first schema read or written; 0 without one."""
+    bare = _QUOTED.sub(lambda found: found[0] if found[0][:1] == b"`" else b" ", statement)
+    for found in _SCHEMA.finditer(bare):
+        schema = found[1] or found[2]
+        group = _GROUP.match(schema)
+        if group and not schema.lower().startswith(b"staging_"):
+            return int(group[1])
+    return 0
--- /dev/null
+++ b/tealwing/resp/engine.py
@@ -0,0 +1,278 @@
+"""Connections to one engine: opened as needed, shared by many attempts, one reader thread each."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from tealwing import log
+from tealwing.resp import messages
+from tealwing.sockets import Address, set_limit
+
+WRITE_LIMIT = 0.25  # s that a write may wait for an engine which takes nothing
+IDLE_SHARE = 0.8  # of the engine's idle time, after which a connection is not used again
+MOST_CONNECTIONS = 16  # to one engine: clients hold a third of the descriptors, so fewer do
+GIVEN_UP = 1000  # ids given up that a connection remembers, many more than one round trip's
+READ_SIZE = 64 * 1024
+
+
+class ConnectFailed(Exception):
+    """No connection came up in time, or none took a byte: nothing ran."""
+
+
+class Broken(Exception):
+    """The connection failed after a byte had been written."""
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """One message of the engine for an attempt."""
+
+    stream: Stream
+    word: bytes
+    fields: dict[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """The connection ended under an attempt."""
+
+    stream: Stream
+
+
+Sink = Callable[[Answer | Lost], None]
+
+
+@dataclass(eq=False, slots=True)
+class Stream:
+    """One attempt on one connection."""
+
+    connection: Connection
+    call: bytes
+    sink: Sink = field(repr=False)
+
+    def hurry(self, priority: int) -> None:
+        """Tell the new priority."""
+        self.connection.tell(b"hurry", self.call, b"%d" % priority)
+
+    def turn(self, pages: range) -> None:
+        """Ask for pages of the result, all at once."""
+        self.connection.tell(*(part for n in pages for part in (b"turn", self.call, b"%d" % n)), size=3)
+
+    def shut(self) -> None:
+        """Want no more pages."""
+        self.connection.forget(self)
+        self.connection.tell(b"shut", self.call)
+
+    def never_mind(self) -> None:
+        """Give the attempt up; what still comes for it is dropped."""
+        self.connection.forget(self, given_up=True)
+        self.connection.tell(b"never_mind", self.call)
+
+    def ended(self) -> None:
+        """The engine has said its last word."""
+        self.connection.forget(self)
+
+
+class Connection:
+    """One open connection. Its reader thread hands answers to the streams' sinks."""
+
+    def __init__(self, sock: socket.socket, closed: Callable[[Connection], None]) -> None:
+        self._sock, self._closed = sock, closed
+        self._lock, self._writing = threading.Lock(), threading.Lock()
+        self._streams: dict[bytes, Stream] = {}
+        self._given_up: deque[bytes] = deque(maxlen=GIVEN_UP)
+        self._alive = True
+        self.idle_since = time.monotonic()
+        self.reserved = 0  # attempts that hold a place here; the engine's lock guards it
+
+    def start(self) -> None:
+        """Begin to read."""
+        threading.Thread(target=self._read, name="engine-reader", daemon=True).start()
+
+    def takes(self, call: bytes) -> bool:
+        """Whether an attempt of this id may go here: a late answer must not be taken for its own."""
+        with self._lock:
+            return self._alive and call not in self._streams and call not in self._given_up
+
+    @property
+    def streams(self) -> int:
+        """Attempts out here."""
+        return len(self._streams)
+
+    def want(self, stream: Stream, fields: bytes, body: bytes) -> None:
+        """Send the attempt; ConnectFailed where no byte of it left, Broken where some did."""
+        with self._lock:
+            if not self._alive:
+                raise ConnectFailed("the connection has ended")
+            log.must_hold(stream.call not in self._streams, "one attempt of an id on a connection")
+            self._streams[stream.call] = stream
+        try:
+            self._write(messages.encode(b"want", stream.call, fields, body))
+        except (ConnectFailed, Broken):
+            self.forget(stream)
+            raise
+
+    def tell(self, *parts: bytes, size: int = 0) -> None:
+        """Send messages that get no answer, of size parts each; a failure ends the connection, no more."""
+        size = size or len(parts)
+        whole = b"".join(messages.encode(*parts[at : at + size]) for at in range(0, len(parts), size))
+        try:
+            self._write(whole)
+        except (ConnectFailed, Broken):
+            log.event("engine_write_failed", word=parts[0].decode())
+
+    def forget(self, stream: Stream, given_up: bool = False) -> None:
+        """Hand nothing more to the stream."""
+        with self._lock:
+            if given_up:
+                self._given_up.append(stream.call)
+            if self._streams.get(stream.call) is stream:
+                del self._streams[stream.call]
+                self.idle_since = time.monotonic()
+
+    def close(self) -> None:
+        """End the connection; its reader then ends too."""
+        with contextlib.suppress(OSError):  # it may have ended by itself
+            self._sock.shutdown(socket.SHUT_RDWR)
+
+    def _write(self, data: bytes) -> None:
+        with self._writing:
+            sent = 0
+            try:
+                while sent < len(data):
+                    sent += self._sock.send(data[sent:])
+            except OSError as error:  # also when the limit on writes has passed: half a message ends it all
+                self.close()
+                if sent:
+                    raise Broken(str(error)) from None
+                raise ConnectFailed(str(error)) from None
+
+    def _read(self) -> None:
+        parser = messages.Parser()
+        try:
+            while data := self._sock.recv(READ_SIZE):
+                for parts in parser.feed(data):
+                    self._hand_on(parts)
+        except (OSError, messages.RespError) as error:  # malformed input ends this connection only
+            log.event("engine_connection_failed", error=str(error))
+        finally:
+            with self._lock:
+                self._alive = False
+                left = list(self._streams.values())
+                self._streams.clear()
+            self._closed(self)
+            with self._writing:
+                self._sock.close()
+            for stream in left:
+                stream.sink(Lost(stream))
+
+    def _hand_on(self, parts: list[bytes]) -> None:
+        if len(parts) != 4:
+            raise messages.RespError(f"a message of {len(parts)} parts")
+        call, word, fields, body = parts
+        with self._lock:
+            stream = self._streams.get(call)
+        if stream is not None:  # else it was given up: a late answer
+            stream.sink(Answer(stream, word, messages.fields(fields), body))
+
+
+class Engine:
+    """One process of one engine, at one address. A later process gets an Engine of its own."""
+
+    def __init__(self, address: Address, streams: int, connect_limit: float, idle_limit: float) -> None:
+        self.address = address
+        self._streams, self._connect_limit, self._idle_limit = streams, connect_limit, idle_limit
+        self._changed = threading.Condition()
+        self._open: list[Connection] = []
+        self._opening = False
+        self._failures = 0  # connects that failed so far
+        self._retired = False
+
+    def send(self, call: bytes, fields: bytes, body: bytes, sink: Sink, limit: float) -> Stream:
+        """Send one attempt; blocks for a connect's time at most."""
+        connection = self._reserve(call, min(limit, self._connect_limit))
+        try:
+            stream = Stream(connection, call, sink)
+            connection.want(stream, fields, body)
+            return stream
+        finally:
+            with self._changed:
+                connection.reserved -= 1
+
+    def close_idle(self) -> None:
+        """Close what no attempt uses."""
+        with self._changed:
+            idle = [c for c in self._open if not c.streams and not c.reserved]
+        for connection in idle:
+            connection.close()
+
+    def retire(self) -> None:
+        """Send nothing more; attempts that are out run to their end."""
+        with self._changed:
+            self._retired = True
+        self.close_idle()
+
+    def _reserve(self, call: bytes, limit: float) -> Connection:
+        """A place on a connection. One thread opens a new one; the others wait for it and share its fate."""
+        until = time.monotonic() + limit
+        with self._changed:
+            while True:
+                if self._retired:
+                    raise ConnectFailed("the engine is gone")
+                for connection in self._open:
+                    if self._usable(connection, call):
+                        connection.reserved += 1
+                        return connection
+                if not self._opening:
+                    if len(self._open) >= MOST_CONNECTIONS:
+                        raise ConnectFailed("too many connections")
+                    self._opening = True
+                    break
+                failures = self._failures
+                if not self._changed.wait(until - time.monotonic()) or self._failures != failures:
+                    raise ConnectFailed("no connection in time")
+        opened: Connection | None = None
+        try:
+            opened = self._connect(limit)
+            return opened
+        finally:
+            with self._changed:
+                self._opening = False
+                if opened is None:
+                    self._failures += 1
+                else:
+                    opened.reserved += 1
+                    self._open.append(opened)
+                    opened.start()
+                self._changed.notify_all()
+
+    def _usable(self, connection: Connection, call: bytes) -> bool:
+        out = connection.streams + connection.reserved
+        if not out and time.monotonic() > connection.idle_since + IDLE_SHARE * self._idle_limit:
+            connection.close()  # the engine is about to: a request must not cross that
+            return False
+        return out < self._streams and connection.takes(call)
+
+    def _connect(self, limit: float) -> Connection:
+        if limit <= 0:
+            raise ConnectFailed("no time left")
+        try:
+            sock = socket.create_connection(self.address, timeout=limit)
+        except OSError as error:
+            raise ConnectFailed(str(error)) from None
+        sock.settimeout(None)  # blocking from here on; the kernel keeps the limit on writes
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        set_limit(sock, socket.SO_SNDTIMEO, WRITE_LIMIT)
+        return Connection(sock, self._drop)
+
+    def _drop(self, connection: Connection) -> None:
+        with self._changed:
+            if connection in self._open:
+                self._open.remove(connection)
--- /dev/null
+++ b/tealwing/resp/fleet.py
@@ -0,0 +1,64 @@
+"""All engines that the coordinator named, by the module's numbers."""
+
+from __future__ import annotations
+
+import threading
+
+from tealwing import interface, log
+from tealwing.coordinator.news import Member
+from tealwing.resp.engine import ConnectFailed, Engine, Sink, Stream
+
+
+class Fleet:
+    """The engines at their present addresses; an address or a process that changed gets new connections."""
+
+    def __init__(self, limits: interface.Limits) -> None:
+        self._limits = limits
+        self._lock = threading.Lock()
+        self._engines: dict[int, tuple[Member, Engine]] = {}
+
+    def update(self, members: tuple[Member, ...], complete: bool) -> None:
+        """Take in news of the list."""
+        retired: list[Engine] = []
+        with self._lock:
+            named = {member.entry.engine for member in members}
+            gone = [number for number in self._engines if complete and number not in named]
+            for member in members:
+                number = member.entry.engine
+                before = self._engines.get(number)
+                alone = before is None or before[0].name == member.name
+                log.must_hold(alone, "no two engines share a number")
+                if member.entry.health is interface.Health.GONE:
+                    gone.append(number)
+                elif before is None or not _same(before[0], member):
+                    # a reused address or a new process: the old connections must not serve it
+                    retired += [before[1]] if before else []
+                    self._engines[number] = member, self._engine(member)
+                else:
+                    self._engines[number] = member, before[1]
+            retired += [self._engines.pop(number)[1] for number in gone if number in self._engines]
+        for engine in retired:
+            engine.retire()
+
+    def send(self, number: int, call: bytes, fields: bytes, body: bytes, sink: Sink, limit: float) -> Stream:
+        """Send one attempt to an engine."""
+        with self._lock:
+            found = self._engines.get(number)
+        if found is None:
+            raise ConnectFailed("the engine has been removed")
+        return found[1].send(call, fields, body, sink, limit)
+
+    def close_idle(self, number: int) -> None:
+        """Close the engine's idle connections."""
+        with self._lock:
+            found = self._engines.get(number)
+        if found is not None:
+            found[1].close_idle()
+
+    def _engine(self, member: Member) -> Engine:
+        limits = self._limits
+        return Engine((member.host, member.port), limits.multiplex, limits.connect_timeout, limits.idle_time)
+
+
+def _same(one: Member, other: Member) -> bool:
+    return (one.host, one.port, one.entry.started) == (other.host, other.port, other.entry.started)
--- /dev/null
+++ b/tealwing/resp/messages.py
@@ -0,0 +1,117 @@
+"""RESP arrays of bulk strings and the engines' messages; pure. Malformed input is a RespError."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+
+MOST_PARTS = 8  # strings in an array
+LONGEST = 64 * 1024  # bytes of one string: a page holds at most 6,000
+LONGEST_LENGTH = 16  # bytes of a length line
+
+
+class RespError(ValueError):
+    """Bytes that are no message."""
+
+
+def encode(*parts: bytes) -> bytes:
+    """One array of bulk strings."""
+    return b"*%d\r\n" % len(parts) + b"".join(b"$%d\r\n%b\r\n" % (len(part), part) for part in parts)
+
+
+class Parser:
+    """Cuts a stream into arrays of bulk strings, of bounded size."""
+
+    def __init__(self) -> None:
+        self._data = bytearray()
+        self._at = 0
+        self._want = 0  # strings still missing of the array begun
+        self._parts: list[bytes] = []
+
+    def feed(self, data: bytes) -> list[list[bytes]]:
+        """The whole arrays, now that data has come."""
+        self._data += data
+        found = []
+        while (parts := self._next()) is not None:
+            found.append(parts)
+        del self._data[: self._at]
+        self._at = 0
+        return found
+
+    def _next(self) -> list[bytes] | None:
+        if not self._want:
+            count = self._length(b"*")
+            if count is None:
+                return None
+            if not 1 <= count <= MOST_PARTS:
+                raise RespError(f"an array of {count}")
+            self._want, self._parts = count, []
+        while self._want:
+            start = self._at
+            length = self._length(b"$")
+            if length is None:
+                return None
+            if length > LONGEST:
+                raise RespError(f"a string of {length} bytes")
+            end = self._at + length
+            if len(self._data) < end + 2:
+                self._at = start
+                return None
+            if self._data[end : end + 2] != b"\r\n":
+                raise RespError("a string without its end")
+            self._parts.append(bytes(self._data[self._at : end]))
+            self._at, self._want = end + 2, self._want - 1
+        return self._parts
+
+    def _length(self, mark: bytes) -> int | None:
+        """The number on a line that begins with the mark; None while the line is not whole."""
+        end = self._data.find(b"\r\n", self._at, self._at + LONGEST_LENGTH)
+        head = self._data[self._at : self._at + 1]
+        if head and head != mark:
+            raise RespError(f"{bytes(head)!r} where {mark!r} was due")
+        if end < 0:
+            if len(self._data) - self._at >= LONGEST_LENGTH:
+                raise RespError("a length that does not end")
+            return None
+        digits = bytes(self._data[self._at + 1 : end])
+        if not digits.isdigit():
+            raise RespError(f"a length of {digits!r}")
+        self._at = end + 2
+        return int(digits)
+
+
+def fields(data: bytes) -> dict[str, str]:
+    """FIELDS as a table; `-` is none."""
+    if data in (b"-", b""):
+        return {}
+    found = {}
+    for part in data.decode("utf-8", "replace").split(","):
+        name, equals, value = part.partition("=")
+        if not name or not equals:
+            raise RespError(f"a field without a value: {part[:40]!r}")
+        found[name] = value
+    return found
+
+
+def report(found: Mapping[str, str], names: tuple[str, ...]) -> tuple[float, ...]:
+    """The load report among an answer's fields, in the settings' order; empty without one, NaN if absent."""
+    if not found.get("rep"):
+        return ()
+    values = dict(part.partition(":")[::2] for part in found["rep"].split(";"))
+    return tuple(number(values.get(name, ""), math.nan) for name in names)
+
+
+def number(text: str, other: float) -> float:
+    """A number, or the other where the text is none."""
+    try:
+        value = float(text)
+    except ValueError:
+        return other
+    return value if math.isfinite(value) else other
+
+
+def count(text: str | None, most: int) -> int:
+    """A whole number from 0 to most."""
+    if text is None or not (text.isascii() and text.isdigit()) or len(text) > 9 or int(text) > most:
+        raise RespError(f"not a number up to {most}: {text!r}")
+    return int(text)
--- a/tealwing/wire.py
+++ b/tealwing/wire.py
@@ -341,6 +341,7 @@
     family, allowed, rules = facts.sub("FamilyInfo"), facts.sub("Allowed"), facts.sub("Contract")
     prices, report = facts.sub("Prices"), facts.sub("Report")
     grades, kinds = facts.get("Grades", list), facts.get("Kinds", list)
+    accounts = facts.get("Accounts", list, [])
     threads = _listed(family, "WidthByClass", len(grades))
     cores, memory = _listed(family, "CoresByKind", len(kinds)), _listed(family, "RamOfKindMb", len(kinds))
     return api.Settings(
@@ -358,6 +359,9 @@
             retry_after=allowed.get("RetryAfter", bool),
             max_attempts=allowed.get("MaxAttempts", int),
             max_retry_after=allowed.seconds("MaxRetryAfterNs", 0.0),
+            connect_timeout=allowed.seconds("ConnectTimeoutNs", 1.0),
+            idle_time=allowed.seconds("ConnIdleNs", 30.0),
+            multiplex=allowed.get("Multiplex", int, 100),
         ),
         rules=api.Rules(
             answer_slack=rules.seconds("AnswerSlackNs"),
@@ -387,4 +391,5 @@
         when_short=family.get("Overbooked", str, "wait"),
         marks_retry=facts.sub("Clients").get("MarksRetry", bool, False),
         tick=facts.seconds("TickNs"),
+        tenants=tuple(Facts(a, f"Accounts[{i}]").get("Name", str) for i, a in enumerate(accounts)),
     )
