Start the program in tests; settle sends that a KILL overtakes

Seen by reading life.py: a KILL QUERY read from the mailbox ahead of a Send left that send without an outcome, so the module counted it as out at its engine for ever (flows[].out, Engine.queries). Line at fault: the finally of Life.run, which settled only the attempt it had begun. Also: connections of a retired engine end with their last attempt (a vanished machine never closes them); one unusable member no longer hides the rest of the list; the listening port may be 0. Checked: 188 tests, ruff, mypy.

--- a/tealwing/__main__.py
+++ b/tealwing/__main__.py
@@ -26,7 +26,7 @@
     server = Server(config.listen, config.most_clients, config.settings, daemon.open)
     daemon.start()
     server.start()
-    log.event("started", gateway=config.name, listen=config.listen)
+    log.event("started", gateway=config.name, listen=server.address)
 
     signal.sigwait(STOP)
     stopped = time.monotonic()
--- a/tealwing/config.py
+++ b/tealwing/config.py
@@ -40,10 +40,10 @@
         return max(1, self.sockets * 11 // (10 * CLIENT_SHARE))
 
 
-def address(text: Any, key: str) -> Address:
-    """HOST:PORT as a pair."""
+def address(text: Any, key: str, least: int = 1) -> Address:
+    """HOST:PORT as a pair, the port at least so much."""
     try:
-        return news.address(text)
+        return news.address(text, least)
     except news.NewsError as error:
         raise ConfigError(f"{key}: {error}") from None
 
@@ -88,7 +88,7 @@
         raise ConfigError(f"known: {error}") from None
     return Config(
         name=name,
-        listen=address(listen, "listen"),
+        listen=address(listen, "listen", 0),  # port 0: any that is free
         coordinator=address(data.get("coordinator"), "coordinator"),
         seed=number,
         sockets=sockets,
--- a/tealwing/coordinator/follower.py
+++ b/tealwing/coordinator/follower.py
@@ -52,7 +52,11 @@
 
     def take(self, item: news.Update | int) -> None:
         """One line. A repeat is dropped; a gap ends the connection, and the next asks for what is missing."""
-        if isinstance(item, int) or item.index <= self.index:
+        if isinstance(item, int):
+            if item > self.index:
+                log.event("coordinator_ahead", told=item, index=self.index)
+            return
+        if item.index <= self.index:
             return
         if item.index != self.index + 1:
             raise news.NewsError(f"event {item.index} came after {self.index}")
--- a/tealwing/coordinator/news.py
+++ b/tealwing/coordinator/news.py
@@ -41,6 +41,7 @@
     revision: int
     complete: bool
     members: tuple[Member, ...]
+    unusable: tuple[str, ...] = ()  # why members were left out: one of them must not hide the others
 
 
 def engine_number(name: str) -> int:
@@ -48,10 +49,10 @@
     return zlib.crc32(name.encode())
 
 
-def address(text: Any) -> tuple[str, int]:
-    """HOST:PORT as a pair."""
+def address(text: Any, least: int = 1) -> tuple[str, int]:
+    """HOST:PORT as a pair, the port at least so much."""
     host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not colon or not host or not (port.isascii() and port.isdigit()) or not 0 < int(port[:6]) < 65536:
+    if not colon or not host or not (port.isascii() and port.isdigit()) or not least <= int(port[:6]) < 65536:
         raise NewsError(f"not HOST:PORT: {text!r}")
     return host, int(port)
 
@@ -102,11 +103,18 @@
     members = points.get("members")
     if not isinstance(members, list) or not isinstance(points.get("complete"), bool):
         raise NewsError("endpoints without members or complete")
+    usable, unusable = [], []
+    for member in members:
+        try:
+            usable.append(_member(member, settings))
+        except NewsError as error:
+            unusable.append(str(error))
     return Update(
         _whole(data.get("index"), "index"),
         _whole(points.get("revision", 0), "revision"),
         points["complete"],
-        tuple(_member(member, settings) for member in members),
+        tuple(usable),
+        tuple(unusable),
     )
 
 
--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -45,4 +45,7 @@
             kind = api.ListKind.CACHED
         entries = tuple(member.entry for member in update.members)
         self._decisions.submit(api.EngineList(kind, update.revision, entries))
-        log.event("engine_list", index=update.index, complete=update.complete, members=len(entries))
+        states = {member.name: member.entry.health.name for member in update.members}
+        log.event("engine_list", index=update.index, complete=update.complete, members=states)
+        for why in update.unusable:
+            log.event("engine_unusable", why=why)
--- a/tealwing/gateway/decisions.py
+++ b/tealwing/gateway/decisions.py
@@ -41,10 +41,11 @@
             self._mailboxes[number] = mailbox
             return number
 
-    def leave(self, number: int) -> None:
-        """The request has its final answer."""
+    def leave(self, number: int) -> list[object]:
+        """The request has its final answer; what is left in its mailbox."""
         with self._lock:
-            self._mailboxes.pop(number, None)
+            mailbox = self._mailboxes.pop(number)
+            return [mailbox.get_nowait() for _ in range(mailbox.qsize())]
 
     def tell_all(self, word: object) -> int:
         """Put a word into the mailbox of every open request; how many there are."""
--- a/tealwing/gateway/life.py
+++ b/tealwing/gateway/life.py
@@ -130,7 +130,13 @@
             if attempt is not None:
                 attempt.give_up()
                 self._outcome(attempt, api.Result.CANCELLED, over=True)
-            self._decisions.leave(self._id)
+            self._leave(sends)
+
+    def _leave(self, sends: int) -> None:
+        """Forget the request. A send still in the mailbox, which the end overtook, was never sent."""
+        for left in self._decisions.leave(self._id):
+            if isinstance(left, api.Send):
+                self._outcome(Attempt(sends, left.engine, left.timeout), api.Result.MOOT, over=True)
 
     def _request(self) -> api.Request:
         query = self._query
--- a/tealwing/mysql/server.py
+++ b/tealwing/mysql/server.py
@@ -184,6 +184,12 @@
         """Accept clients from now on."""
         self._accepting.start()
 
+    @property
+    def address(self) -> Address:
+        """Where it listens."""
+        host, port = self._listener.getsockname()
+        return host, port
+
     def session(self, number: int) -> Session | None:
         """The session of a connection id."""
         with self._changed:
--- a/tealwing/resp/engine.py
+++ b/tealwing/resp/engine.py
@@ -88,7 +88,7 @@
         self._lock, self._writing = threading.Lock(), threading.Lock()
         self._streams: dict[bytes, Stream] = {}
         self._given_up: deque[bytes] = deque(maxlen=GIVEN_UP)
-        self._alive = True
+        self._alive, self._retired = True, False
         self.idle_since = time.monotonic()
         self.reserved = 0  # attempts that hold a place here; the engine's lock guards it
 
@@ -136,6 +136,17 @@
             if self._streams.get(stream.call) is stream:
                 del self._streams[stream.call]
                 self.idle_since = time.monotonic()
+            last = self._retired and not self._streams
+        if last:
+            self.close()
+
+    def retire(self) -> None:
+        """End the connection once nothing is out on it: its engine has gone, and may never close it."""
+        with self._lock:
+            self._retired = True
+            last = not self._streams
+        if last:
+            self.close()
 
     def close(self) -> None:
         """End the connection; its reader then ends too."""
@@ -217,7 +228,9 @@
         """Send nothing more; attempts that are out run to their end."""
         with self._changed:
             self._retired = True
-        self.close_idle()
+            left = list(self._open)
+        for connection in left:
+            connection.retire()
 
     def _reserve(self, call: bytes, limit: float) -> Connection:
         """A place on a connection. One thread opens a new one; the others wait for it and share its fate."""
@@ -251,6 +264,8 @@
                     opened.reserved += 1
                     self._open.append(opened)
                     opened.start()
+                    if self._retired:
+                        opened.retire()
                 self._changed.notify_all()
 
     def _usable(self, connection: Connection, call: bytes) -> bool:
--- /dev/null
+++ b/tests/peers.py
@@ -0,0 +1,173 @@
+"""The gateway's peers, played by hand over sockets (client, engine, coordinator), and the program."""
+
+from __future__ import annotations
+
+import json
+import queue
+import signal
+import socket
+import subprocess
+import sys
+import threading
+from pathlib import Path
+from typing import Any
+
+from tealwing.mysql import packets
+from tealwing.resp import messages
+from tests.test_wire import FACTS
+
+LIMIT = 30.0  # s after which a test gives up: nothing here waits for a time to pass
+GRADE = {"Credit": 1, "DeadlineNs": 20_000_000_000, "Effect": "repeatable", "TargetNs": 1_000_000_000}
+SETTINGS = FACTS | {
+    "Accounts": [{"Name": "acme", "QuotaRps": 5.0, "Share": 1.0}],
+    "Clients": {"MarksRetry": False},
+    "Grades": [
+        GRADE | {"Name": "lookup"},
+        GRADE | {"Name": "load", "Effect": "by_key", "Group": "all", "WindowNs": 20_000_000_000},
+    ],
+    "FamilyInfo": {"CoresByKind": [8], "RamOfKindMb": [1024.0], "WidthByClass": [1, 2]},
+    "Report": {"Columns": ["queue", "inflight"], "Via": "piggyback"},
+    "Siblings": 1,
+}
+
+
+class Peer:
+    """A listener whose connections' lines or messages come into one queue, with their sockets."""
+
+    def __init__(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.got: queue.Queue[tuple[socket.socket, list[bytes]]] = queue.Queue()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def next(self, word: bytes) -> tuple[socket.socket, list[bytes]]:
+        sock, parts = self.got.get(timeout=LIMIT)
+        assert parts[0] == word
+        return sock, parts
+
+    def parser(self) -> Any:
+        return messages.Parser()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._read, args=(sock,), daemon=True).start()
+
+    def _read(self, sock: socket.socket) -> None:
+        parser = self.parser()
+        try:
+            while data := sock.recv(4096):
+                for parts in parser.feed(data):
+                    self.got.put((sock, parts))
+        except OSError:
+            pass
+
+
+class Coordinator(Peer):
+    """A coordinator; each line comes as its words."""
+
+    def parser(self) -> Any:
+        class Words:
+            def feed(self, data: bytes) -> list[list[bytes]]:
+                return [line.split() for line in data.splitlines()]
+
+        return Words()
+
+
+def say(sock: socket.socket, *parts: bytes) -> None:
+    sock.sendall(messages.encode(*parts))
+
+
+def member(name: str, address: str, **changes: Any) -> dict[str, Any]:
+    plain = {"id": name, "host_port": address, "locality": "z", "flavor": "k", "cell": 0, "phase": "up"}
+    return plain | {"size": 1, "up_since_ms": 0} | changes
+
+
+def event(index: int, *members: dict[str, Any]) -> dict[str, Any]:
+    return {"index": index, "endpoints": {"revision": index, "complete": index == 1, "members": members}}
+
+
+class Program:
+    """The gateway's process."""
+
+    def __init__(self, folder: Path, engine: str, coordinator: str = "127.0.0.1:1", **changes: Any) -> None:
+        known = {"index": 1, "updates": [event(1, member("s-1", engine))]}
+        config = {"name": "n0", "listen": "127.0.0.1:0", "seed": "1f", "coordinator": coordinator}
+        config |= {"known": known, "settings": SETTINGS} | changes
+        path = folder / "config.json"
+        path.write_text(json.dumps(config))
+        command = [sys.executable, "-m", "tealwing"]
+        environ = {"LB_CONFIG": str(path), "PYTHONPATH": str(Path(__file__).parent.parent)}
+        self.process = subprocess.Popen(
+            command, env=environ, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True
+        )
+
+    def wait_for(self, name: str) -> dict[str, Any]:
+        """The log up to an event."""
+        assert self.process.stdout is not None
+        for line in self.process.stdout:
+            found: dict[str, Any] = json.loads(line)
+            if found["event"] == name:
+                return found
+        raise AssertionError(f"the log ends without {name}")
+
+    def address(self) -> tuple[str, int]:
+        host, port = self.wait_for("started")["listen"]
+        return host, port
+
+    def terminate(self) -> None:
+        self.process.send_signal(signal.SIGTERM)
+
+    def end(self) -> str:
+        """End it if it still runs; what it wrote to standard error."""
+        self.process.kill()
+        return self.process.communicate(timeout=LIMIT)[1]
+
+
+class Client:
+    """A MySQL client that writes its login, and whatever else, before it has read the greeting."""
+
+    def __init__(self, address: tuple[str, int], user: bytes = b"app", also: bytes = b"") -> None:
+        self.sock = socket.create_connection(address, LIMIT)
+        login = (0xA20D).to_bytes(4, "little") + bytes(28) + user + b"\0\0reports\0"
+        self.sock.sendall(packets.packet(1, login) + also)
+        self.parser = packets.Parser()
+        self.greeting, self.login = self.read(), self.read()
+        self.id = int.from_bytes(self.greeting[self.greeting.index(b"\0") + 1 :][:4], "little")
+
+    def read(self) -> bytes:
+        while (message := self.parser.next()) is None:
+            data = self.sock.recv(4096)
+            if not data:
+                raise EOFError
+            self.parser.feed(data)
+        return message[1]
+
+    def send(self, command: int, body: bytes = b"") -> None:
+        self.sock.sendall(packets.packet(0, bytes([command]) + body))
+
+    def ask(self, **fields: Any) -> None:
+        self.send(3, request(**fields))
+
+    def rows(self) -> list[bytes]:
+        """The payloads of a result set's rows."""
+        assert self.read() == b"\x03"
+        while self.read() != packets.eof():
+            pass
+        rows = []
+        while (row := self.read()) != packets.eof():
+            rows.append(row)
+        return rows
+
+    def error(self) -> tuple[int, str]:
+        payload = self.read()
+        assert payload[0] == 0xFF
+        return int.from_bytes(payload[1:3], "little"), payload[9:].decode()
+
+
+def request(**changes: Any) -> bytes:
+    fields = {"op": "lookup", "call": "9b1f03aa5c7e2d41", "ttl": 20000, "org": "acme"} | changes
+    return f"/* {','.join(f'{k}={v}' for k, v in fields.items())} */ SELECT a FROM s_7.t".encode()
--- /dev/null
+++ b/tests/test_life.py
@@ -0,0 +1,74 @@
+"""The life of a request beside its sockets, and how the packages hang together."""
+
+from __future__ import annotations
+
+import ast
+from pathlib import Path
+
+from tealwing.coordinator import news
+from tealwing.coordinator.follower import Follower
+from tealwing.exchange import Abandoned, Query
+from tealwing.gateway.decisions import Decisions
+from tealwing.gateway.life import Life
+from tealwing.resp.fleet import Fleet
+from tests.build import entry, listing, make_settings
+
+ROOT = Path(__file__).parent.parent / "tealwing"
+
+
+def test_a_send_overtaken_by_a_kill_gets_its_outcome() -> None:
+    # guards the module's books: a send that nobody carried out counted as out at its engine for ever
+    settings = make_settings()
+    fleet = Fleet(settings.limits)
+    decisions = Decisions(settings, 1, fleet)
+    decisions.submit(listing(entry(7)))
+    life = Life(Query(b"1" * 16, 0, 0, 5.0, b"SELECT 1"), settings, decisions, fleet)
+    life.abandon()  # before the request has met the module
+    assert isinstance(life.run(), Abandoned)
+    module = decisions._gateway
+    assert not module.jobs and module.flows[0].out == 0 and module.engines[7].queries == 0
+
+
+def test_events_come_once_and_in_turn() -> None:
+    # guards the engine list: a repeat must not undo later news, and a gap must be asked for again
+    told: list[int] = []
+    follower = Follower(("127.0.0.1", 1), 4, make_settings(), lambda update: told.append(update.index))
+    for index in (4, 5, 5, 6):
+        follower.take(news.Update(index, index, False, ()))
+    follower.take(7)  # the last number alone
+    try:
+        follower.take(news.Update(8, 8, False, ()))
+        raise AssertionError("a gap was taken")
+    except news.NewsError:
+        assert told == [5, 6] and follower.index == 6
+
+
+def test_one_unusable_member_does_not_hide_the_others() -> None:
+    # guards a new kind of machine: one that the settings do not name must not blind the gateway to the rest
+    member = {"id": "s-1", "host_port": "127.0.0.1:1", "locality": "a", "flavor": "big", "phase": "up"}
+    data = {"index": 2, "endpoints": {"complete": False, "members": [member | {"flavor": "new"}, member]}}
+    got = news.update(data, make_settings())
+    assert [m.name for m in got.members] == ["s-1"] and len(got.unusable) == 1
+
+
+def imports(path: Path) -> set[str]:
+    """The names within tealwing that a file imports, as its packages or modules at the top."""
+    found: set[str] = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.ImportFrom) and node.module and node.module.split(".")[0] == "tealwing":
+            parts = node.module.split(".")[1:2]
+            found |= set(parts) if parts else {alias.name for alias in node.names}
+    return found
+
+
+def test_no_package_imports_in_a_circle() -> None:
+    needs: dict[str, set[str]] = {}
+    for path in ROOT.rglob("*.py"):
+        unit = path.relative_to(ROOT).parts[0].removesuffix(".py")
+        needs.setdefault(unit, set()).update(imports(path) - {unit})
+    assert {"gateway", "mysql", "resp", "coordinator"} <= set(needs)
+    while needs:
+        free = [unit for unit, others in needs.items() if not others & set(needs)]
+        assert free, f"a circle among {sorted(needs)}"
+        for unit in free:
+            del needs[unit]
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,229 @@
+"""The program, spoken to over sockets. Every wait is for an event; no verdict hangs on how long it takes."""
+
+from __future__ import annotations
+
+import json
+import socket
+import struct
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tealwing.mysql import packets
+from tests.peers import LIMIT, Client, Coordinator, Peer, Program, event, member, request, say
+
+PAGE = b"a\tb\tc\nd\te\tf\n"
+
+
+class Site:
+    """One gateway, one engine, one coordinator."""
+
+    def __init__(self, folder: Path, **changes: Any) -> None:
+        self.engine, self.coordinator = Peer(), Coordinator()
+        self.program = Program(folder, self.engine.address, self.coordinator.address, **changes)
+        self.address = self.program.address()
+
+    def client(self) -> Client:
+        return Client(self.address)
+
+
+@pytest.fixture
+def site(tmp_path: Path) -> Iterator[Site]:
+    site = Site(tmp_path)
+    yield site
+    errors = site.program.end()
+    site.engine.listener.close()
+    site.coordinator.listener.close()
+    assert errors == ""
+
+
+def serve(site: Site, client: Client) -> None:
+    """One query from its send to its rows."""
+    sock, parts = site.engine.next(b"want")
+    say(sock, parts[1], b"200", b"sheets=1", PAGE)
+    assert client.rows() == [b"\x01a\x01b\x01c", b"\x01d\x01e\x01f"]
+
+
+def reset(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.shutdown(socket.SHUT_RD)  # wakes the reader, which holds the socket too
+    sock.close()
+
+
+def test_login_ping_and_query_in_one_write(site: Site) -> None:
+    also = packets.packet(0, b"\x0e") + packets.packet(0, b"\x03" + request())
+    client = Client(site.address, also=also)
+    assert client.login == client.read() == packets.ok()
+    serve(site, client)
+
+
+def test_all_pages_are_fetched_and_fields_pass_unchanged(site: Site) -> None:
+    client = site.client()
+    client.ask(op="load", dedupe="5c0f", work=820.0, heap_mb=96)
+    sock, parts = site.engine.next(b"want")
+    assert parts[1] == b"9b1f03aa5c7e2d41" and parts[3] == b"SELECT a FROM s_7.t"
+    fields = dict(pair.split(b"=") for pair in parts[2].split(b","))
+    assert fields[b"lane"] == b"load" and fields[b"dedupe"] == b"5c0f" and 0 < int(fields[b"ttl"]) <= 20000
+    say(sock, parts[1], b"status", b"why=frac,val=0.5", b"")
+    say(sock, parts[1], b"200", b"sheets=3,rep=queue:0;inflight:7", PAGE)
+    assert [site.engine.next(b"turn")[1][2] for _ in range(2)] == [b"1", b"2"]
+    say(sock, parts[1], b"chunk", b"sheet=2", b"3\t3\t3\n")  # in any order
+    say(sock, parts[1], b"chunk", b"sheet=1", b"2\t2\t2\n")
+    assert client.rows()[2:] == [b"\x012\x012\x012", b"\x013\x013\x013"]
+    site.engine.next(b"shut")
+
+
+@pytest.mark.parametrize("trouble", ["reset", "malformed", "page", "500", "odd rows"])
+def test_a_lost_attempt_is_an_outcome_and_another_follows(site: Site, trouble: str) -> None:
+    # guards the honest mapping: each of these may have run, and ends at most its own connection
+    client = site.client()
+    client.ask()
+    sock, parts = site.engine.next(b"want")
+    if trouble == "reset":
+        reset(sock)
+    elif trouble == "malformed":
+        sock.sendall(b"$hello\r\n")
+    elif trouble == "500":
+        say(sock, parts[1], b"500", b"-", b"")
+    elif trouble == "odd rows":
+        say(sock, parts[1], b"200", b"sheets=1", b"only one column\n")
+        site.engine.next(b"never_mind")
+    else:
+        say(sock, parts[1], b"200", b"sheets=2", PAGE)
+        site.engine.next(b"turn")
+        say(sock, parts[1], b"500", b"-", b"")
+    serve(site, client)
+
+
+def test_a_full_engine_leads_to_a_refusal_with_advice(site: Site) -> None:
+    client = site.client()
+    client.ask()
+    sock, parts = site.engine.next(b"want")
+    say(sock, parts[1], b"503", b"rep=queue:0;inflight:70", b"")
+    code, text = client.error()
+    assert code == 1226 and 0 < int(text.partition("pushback=")[2]) <= 1000
+
+
+def test_a_refused_connect_is_an_outcome(tmp_path: Path) -> None:
+    closed = socket.create_server(("127.0.0.1", 0))
+    address = f"127.0.0.1:{closed.getsockname()[1]}"
+    closed.close()
+    program = Program(tmp_path, address)
+    client = Client(program.address())
+    client.ask()
+    assert client.error()[0] == 1226
+    assert program.end() == ""
+
+
+def test_kill_query_gives_the_attempt_up(site: Site) -> None:
+    client, other = site.client(), site.client()
+    client.ask()
+    sock, parts = site.engine.next(b"want")
+    other.send(3, b"KILL QUERY %d" % client.id)
+    assert other.read() == packets.ok()
+    assert site.engine.next(b"never_mind")[1][1] == parts[1]
+    assert client.error()[0] == 1317
+    say(sock, parts[1], b"200", b"sheets=1", b"late\tlate\tlate\n")
+    client.ask()  # the same id: the late answer must not be taken for this one's
+    again, _ = site.engine.next(b"want")
+    assert again.getpeername() != sock.getpeername()
+    say(again, parts[1], b"200", b"sheets=1", PAGE)
+    assert len(client.rows()) == 2
+    other.send(3, b"KILL QUERY 99999")
+    assert other.error()[0] == 1094
+
+
+def test_an_attempt_out_of_time_is_given_up_and_answered(site: Site) -> None:
+    client = site.client()
+    client.ask(ttl=400)
+    _, parts = site.engine.next(b"want")
+    assert site.engine.next(b"never_mind")[1][1] == parts[1]
+    assert client.error()[0] in (1105, 1226)
+    client.ask(call="00000000000000aa")
+    serve(site, client)
+
+
+def test_what_a_mysql_server_says_no_to(site: Site) -> None:
+    client = site.client()
+    for command, body, code in [(0x05, b"", 1047), (0x02, b"none", 1049), (0x03, request(op="x"), 1210)]:
+        client.send(command, body)
+        assert client.error()[0] == code
+    client.send(0x03, b"SELECT 1")
+    assert client.error()[0] == 1210
+    client.sock.sendall(b"\xff\xff\xff\0")  # 16 MB to come
+    assert client.error()[0] == 1153
+    with pytest.raises(EOFError):
+        client.read()
+    assert Client(site.address, user=b"root").login[0] == 0xFF
+    assert site.engine.got.empty()
+
+
+def test_sigterm_finishes_what_was_taken(site: Site) -> None:
+    client = site.client()
+    client.ask()
+    sock, parts = site.engine.next(b"want")
+    site.program.terminate()
+    site.program.wait_for("draining")
+    late = site.client()  # clients still come for a while
+    late.send(0x0E)
+    assert late.read() == packets.ok()
+    say(sock, parts[1], b"200", b"sheets=1", PAGE)
+    assert len(client.rows()) == 2
+    site.program.wait_for("stopped")
+    assert site.program.process.wait(LIMIT) == 0
+
+
+def test_sigterm_fails_what_cant_be_finished(site: Site) -> None:
+    client = site.client()
+    client.ask()
+    site.engine.next(b"want")
+    site.program.terminate()
+    assert client.error()[0] == 1105
+    assert site.program.process.wait(LIMIT) == 0
+
+
+def test_the_list_is_followed_over_reconnects(site: Site) -> None:
+    sock, words = site.coordinator.next(b"follow")
+    assert words[1] == b"1"
+    second = Peer()
+    line = json.dumps(event(2, member("s-1", second.address))).encode() + b"\n"
+    sock.sendall(line[:20])
+    sock.sendall(line[20:] + b'{"index":2}\n')
+    site.program.wait_for("engine_list")
+    sock.shutdown(socket.SHUT_RDWR)
+    sock, words = site.coordinator.next(b"follow")
+    assert words[1] == b"2"
+    sock.sendall(line)  # a repeat is dropped
+    client = site.client()  # guards a changed address: the old one's connection must not serve
+    client.ask()
+    answering, parts = second.next(b"want")
+    say(answering, parts[1], b"200", b"sheets=1", PAGE)
+    assert len(client.rows()) == 2
+
+
+@pytest.mark.parametrize(
+    "key, changes",
+    [
+        ("LB_CONFIG", None),
+        ("listen", {"listen": "nowhere"}),
+        ("coordinator", {"coordinator": 7}),
+        ("seed", {"seed": "xyz"}),
+        ("limits.sockets", {"limits": {"sockets": 3}}),
+        ("settings", {"settings": {}}),
+        ("known", {"known": {"index": 1}}),
+    ],
+)
+def test_bad_configuration_ends_with_one_line_that_names_the_key(
+    tmp_path: Path, key: str, changes: dict[str, Any] | None
+) -> None:
+    if changes is None:
+        got = subprocess.run([sys.executable, "-m", "tealwing"], env={}, capture_output=True, text=True)
+        code, errors = got.returncode, got.stderr
+    else:
+        process = Program(tmp_path, "127.0.0.1:1", **changes).process
+        errors, code = process.communicate(timeout=LIMIT)[1], process.returncode
+    assert code == 1 and errors.startswith(f"tealwing: {key}") and errors.count("\n") == 1
