Make an index table ten times faster; drop late pages by id

Line at fault: mpi_table called rate() six and cost() three times a step. Now each is made once: 17.8 ms to 1.8 ms for n = 2,400, 0.50 to 0.05 ms for n = 60; 3,000 random tables equal the old ones. Seen too: 'an answer out of place: chunk'. Pages asked for before a Cancel, or beside one that was lost, came to a later attempt of the same id on the same connection. Lines at fault: Stream.shut did not remember the id; Life._take kept the connection for the id after a 500 for a page. Ruled out: memory (66 MB of 192) and descriptors (377 of 1,024).

--- a/tealwing/__main__.py
+++ b/tealwing/__main__.py
@@ -26,7 +26,8 @@
     server = Server(config.listen, config.most_clients, config.settings, daemon.open)
     daemon.start()
     server.start()
-    log.event("started", gateway=config.name, listen=server.address)
+    kinds = {kind.name: kind.cores for kind in config.settings.kinds}
+    log.event("started", gateway=config.name, listen=server.address, kinds=kinds)
 
     signal.sigwait(STOP)
     stopped = time.monotonic()
--- a/tealwing/gateway/life.py
+++ b/tealwing/gateway/life.py
@@ -191,6 +191,8 @@
             if answer.word == b"504":
                 return self._ended(attempt, api.Result.MOOT)
             if answer.word == b"500":
+                if attempt.pages:
+                    attempt.give_up()  # the other pages may still come, and must not reach a later attempt
                 return self._ended(attempt, api.Result.ERROR)
             if answer.word == b"200" and not attempt.pages:
                 sheets = messages.count(answer.fields.get("sheets", "1"), MOST_PAGES)
--- a/tealwing/policy.py
+++ b/tealwing/policy.py
@@ -73,21 +73,25 @@
     """The indices nu*(0) to nu*(n-1) by (8)-(10) at alpha = 0, with the rates and costs of (11) and r = 0."""
     theta = min(theta, mu)  # Assumption 1: d(j) stays concave
 
-    def rate(j: int) -> float:  # mu(j) of (11)
-        return max(j - m, 0.0) * theta + min(j, m) * mu
-
-    def cost(j: int) -> float:  # C(j) of (11)
-        return h * j + max(j - m, 0.0) * c * theta
-
-    table = [(cost(1) - cost(0)) / (rate(1) - rate(0))]
-    a, work = 1.0, lam * rate(1) / (lam + rate(1))  # a(1); w^S(2)(0) of (9), where Delta d(1) = mu(1)
-    for j in range(1, n):
-        dd, dc = rate(j + 1) - rate(j), cost(j + 1) - cost(j)  # Delta d and Delta C at j + 1
-        pull = work * rate(j) / lam  # w^S(j+1)(j-1) / rho(j-1), with rho(j-1) = lam / mu(j)
-        table.append(table[-1] + (dc - table[-1] * dd) / (dd + pull))  # (8)
-        both = lam + rate(j + 1)
-        a = 1 - lam * rate(j) / ((lam + rate(j)) * both) / a  # (10)
+    # Each rate and cost is made once: with hundreds of cores n runs to thousands, and all requests wait.
+    past, below = max(1 - m, 0.0), min(1, m)
+    rate, cost = past * theta + below * mu, h + past * c * theta  # mu(j) and C(j) of (11), here at j = 1
+    value = cost / rate  # nu*(j), from j = 0
+    table = [value]
+    a, work = 1.0, lam * rate / (lam + rate)  # a(1); w^S(2)(0) of (9), where Delta d(1) = mu(1)
+    for j in range(2, n + 1):
+        if j <= m:
+            next_rate, next_cost = j * mu, h * j
+        else:
+            next_rate, next_cost = (j - m) * theta + m * mu, h * j + (j - m) * c * theta
+        dd = next_rate - rate  # Delta d and, below, Delta C at j
+        pull = work * rate / lam  # w^S(j)(j-2) / rho(j-2), with rho(j-2) = lam / mu(j-1)
+        value += (next_cost - cost - value * dd) / (dd + pull)  # (8)
+        table.append(value)
+        both = lam + next_rate
+        a = 1 - lam * rate / ((lam + rate) * both) / a  # (10)
         work = lam * (dd + pull) / (a * both)  # (9)
+        rate, cost = next_rate, next_cost
     return table
 
 
--- a/tealwing/resp/engine.py
+++ b/tealwing/resp/engine.py
@@ -66,8 +66,8 @@
         self.connection.tell(*(part for n in pages for part in (b"turn", self.call, b"%d" % n)), size=3)
 
     def shut(self) -> None:
-        """Want no more pages."""
-        self.connection.forget(self)
+        """Want no more pages; those that still come are dropped."""
+        self.connection.forget(self, given_up=True)
         self.connection.tell(b"shut", self.call)
 
     def never_mind(self) -> None:
