Let session threads wait in accept; leave 5 ms between a give-up and the next send

A never_mind and the next want go out on two connections some 0.2 ms apart, and the later one can arrive first; line at fault: Life._send went out at once. Accepting started a thread a client and waited until it ran: a burst of new connections queued behind that. Now threads wait in accept, as many as clients may be, and 5 ms pass before the next send.

--- a/tealwing/gateway/life.py
+++ b/tealwing/gateway/life.py
@@ -18,6 +18,7 @@
 
 MARGIN = 0.25  # s of a client's ttl kept for our own lateness: on a crowded core 1 wake in 100 took 0.15 s
 MARGIN_SHARE = 0.2  # of the ttl, kept at most
+GIVE_UP_GAP = 0.005  # s from giving an attempt up to the next: of two connections the later may be faster
 OVERDUE = 0.1  # s past the deadline at which the module's answer is missed
 USUAL_PRIORITY = 1
 MOST_PAGES = 64  # a result has at most 48,000 bytes in pages of up to 6,000
@@ -61,6 +62,7 @@
         self._mailbox: Mailbox = SimpleQueue()
         self._deadline = time.monotonic() + query.ttl - min(MARGIN, MARGIN_SHARE * query.ttl)
         self._id = decisions.enter(self._mailbox)
+        self._clear = 0.0  # when the engine of an attempt given up knows of it
 
     def abandon(self) -> None:
         """The client has given the request up."""
@@ -106,7 +108,7 @@
 
                     case api.Cancel(_, number):
                         if attempt is not None and attempt.number == number:
-                            attempt.give_up()
+                            self._give_up(attempt)
                             self._outcome(attempt, api.Result.CANCELLED)
                             attempt = None
 
@@ -115,7 +117,7 @@
                             log.must_hold(False, "the module answers by the deadline")
                             self._decisions.submit(api.HungUp(self._id))
                             return Failed()
-                        attempt.give_up()
+                        self._give_up(attempt)
                         self._outcome(attempt, api.Result.TIMEOUT)
                         attempt = None
 
@@ -130,7 +132,7 @@
                         return Abandoned() if word is Word.ABANDONED else Failed()
         finally:
             if attempt is not None:
-                attempt.give_up()
+                self._give_up(attempt)
                 self._outcome(attempt, api.Result.CANCELLED, over=True)
             self._leave(sends)
 
@@ -160,8 +162,13 @@
         except Empty:
             return None
 
+    def _give_up(self, attempt: Attempt) -> None:
+        attempt.give_up()
+        self._clear = time.monotonic() + GIVE_UP_GAP
+
     def _send(self, attempt: Attempt, priority: int) -> api.Result | None:
         """Hand the request to the engine; how that failed, or None."""
+        time.sleep(max(0.0, self._clear - time.monotonic()))
         left = min(attempt.due, self._deadline) - time.monotonic()
         if left <= 0:
             return api.Result.MOOT  # never sent: its time had run out
@@ -191,7 +198,7 @@
                 return self._ended(attempt, api.Result.MOOT)
             if answer.word == b"500":
                 if attempt.pages:
-                    attempt.give_up()  # the other pages may still come, and must not reach a later attempt
+                    self._give_up(attempt)  # its other pages must not reach a later attempt
                 return self._ended(attempt, api.Result.ERROR)
             if answer.word == b"200" and not attempt.pages:
                 sheets = messages.count(answer.fields.get("sheets", "1"), MOST_PAGES)
@@ -205,7 +212,7 @@
                 raise messages.RespError(f"an answer out of place: {answer.word[:20]!r}")
         except messages.RespError as error:
             log.event("engine_answer_unusable", error=str(error))
-            attempt.give_up()
+            self._give_up(attempt)
             return api.Result.ERROR
         if None in attempt.pages:
             return None
--- a/tealwing/mysql/server.py
+++ b/tealwing/mysql/server.py
@@ -1,4 +1,4 @@
-"""The MySQL server: one accepting thread, one thread a session."""
+"""The MySQL server: threads that wait for clients, and serve one session each at a time."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 IDLE_LIMIT = 60  # s: clients close idle connections after 4
 WRITE_LIMIT = 5  # s that a client may take nothing
 BACKLOG = 256
-ACCEPT_PERIOD = 0.1  # s between looks at whether to stop
+ACCEPT_PAUSE = 0.05  # s before a failed accept is tried again
 READ_SIZE = 16 * 1024
 
 QUIT, INIT_DB, QUERY, PROCESS_KILL, PING, RESET_CONNECTION = 0x01, 0x02, 0x03, 0x0C, 0x0E, 0x1F
@@ -27,7 +27,6 @@
 UNKNOWN_COMMAND = packets.error(1047, "08S01", "Unknown command")
 UNKNOWN_THREAD = packets.error(1094, "HY000", "Unknown thread id")
 INTERRUPTED = packets.error(1317, "70100", "Query execution was interrupted")
-TOO_MANY = packets.error(1040, "08004", "Too many connections")
 FAILED = packets.error(1105, "HY000", "The query failed; it may have run")
 
 
@@ -177,12 +176,11 @@
         self._sessions: dict[int, Session] = {}
         self._stopping = threading.Event()
         self._listener = socket.create_server(address, backlog=BACKLOG)
-        set_limit(self._listener, socket.SO_RCVTIMEO, ACCEPT_PERIOD)
-        self._accepting = threading.Thread(target=self._accept, name="accept", daemon=True)
 
     def start(self) -> None:
         """Accept clients from now on."""
-        self._accepting.start()
+        for _ in range(self._most):
+            threading.Thread(target=self._work, name="session", daemon=True).start()
 
     @property
     def address(self) -> Address:
@@ -204,8 +202,8 @@
     def stop_listening(self) -> None:
         """Accept no more; what has connected already is still served."""
         self._stopping.set()
-        self._accepting.join()
-        self._listener.close()
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RD)  # wakes the threads that wait for clients
 
     def finish(self, seconds: float) -> bool:
         """Let each session end with its open request; whether all did in time."""
@@ -217,37 +215,19 @@
         with self._changed:
             return self._changed.wait_for(lambda: not self._sessions, max(0.0, until - time.monotonic()))
 
-    def _accept(self) -> None:
-        while True:
+    def _work(self) -> None:
+        """One session after another. The thread is there before its client: starting one takes too long."""
+        while not self._stopping.is_set():
             try:
                 sock, _ = self._listener.accept()
-            except BlockingIOError:  # nobody waits to be let in
-                if self._stopping.is_set():
-                    return
-            except OSError as error:  # that client has gone, or the descriptors have run out for now
-                log.event("accept_failed", error=str(error))
-                self._stopping.wait(ACCEPT_PERIOD)
-            else:
-                self._begin(sock)
-
-    def _begin(self, sock: socket.socket) -> None:
-        sock.setblocking(True)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        set_limit(sock, socket.SO_RCVTIMEO, IDLE_LIMIT)
-        set_limit(sock, socket.SO_SNDTIMEO, WRITE_LIMIT)
-        session = Session(self, sock, next(self._numbers) & 0xFFFFFFFF)
-        with self._changed:
-            full = len(self._sessions) >= self._most
-            if not full:
+            except OSError as error:  # the end, or descriptors have run out for now
+                if not self._stopping.wait(ACCEPT_PAUSE):
+                    log.event("accept_failed", error=str(error))
+                continue
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            set_limit(sock, socket.SO_RCVTIMEO, IDLE_LIMIT)
+            set_limit(sock, socket.SO_SNDTIMEO, WRITE_LIMIT)
+            session = Session(self, sock, next(self._numbers) & 0xFFFFFFFF)
+            with self._changed:
                 self._sessions[session.number] = session
-        try:
-            if full:
-                log.event("too_many_connections", most=self._most)
-                sock.sendall(packets.packet(0, TOO_MANY))
-                sock.close()
-            else:
-                threading.Thread(target=session.run, name="session", daemon=True).start()
-        except (OSError, RuntimeError) as error:  # RuntimeError: no thread could be started
-            log.event("accept_failed", error=str(error))
-            self.ended(session)
-            sock.close()
+            session.run()
