--- a/tealwing/mysql/server.py
+++ b/tealwing/mysql/server.py
@@ -134,9 +134,13 @@
         exchange = self.server.open(query)
         with self._lock:
             self._exchange = exchange
+        begun = time.monotonic()
         try:
             return answer(exchange.run())
         finally:
+            took = time.monotonic() - begun
+            if took > query.ttl:
+                log.event("answer_late", call=query.call.decode(), ttl=query.ttl, took=took)
             with self._lock:
                 self._exchange = None
 
--- a/tealwing/resp/engine.py
+++ b/tealwing/resp/engine.py
@@ -6,7 +6,6 @@
 import socket
 import threading
 import time
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -87,7 +86,7 @@
         self._sock, self._closed = sock, closed
         self._lock, self._writing = threading.Lock(), threading.Lock()
         self._streams: dict[bytes, Stream] = {}
-        self._given_up: deque[bytes] = deque(maxlen=GIVEN_UP)
+        self._given_up: dict[bytes, None] = {}  # in turn; a table, as every send looks here
         self._alive, self._retired = True, False
         self.idle_since = time.monotonic()
         self.reserved = 0  # attempts that hold a place here; the engine's lock guards it
@@ -132,7 +131,9 @@
         """Hand nothing more to the stream."""
         with self._lock:
             if given_up:
-                self._given_up.append(stream.call)
+                self._given_up[stream.call] = None
+                if len(self._given_up) > GIVEN_UP:
+                    del self._given_up[next(iter(self._given_up))]
             if self._streams.get(stream.call) is stream:
                 del self._streams[stream.call]
                 self.idle_since = time.monotonic()
