--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -7,7 +7,7 @@
 
 from tealwing.coordinator import news
 from tealwing.coordinator.follower import Follower
-from tealwing.exchange import Abandoned, Query
+from tealwing.exchange import Abandoned, Query, Refused
 from tealwing.gateway.decisions import Decisions
 from tealwing.gateway.life import Life
 from tealwing.resp.fleet import Fleet
@@ -72,3 +72,13 @@
         assert free, f"a circle among {sorted(needs)}"
         for unit in free:
             del needs[unit]
+
+
+def test_a_ttl_within_our_own_lateness_is_refused_without_a_send() -> None:
+    # guards late tries with a few milliseconds left: sent on, they were answered after their client had gone
+    settings = make_settings()
+    fleet = Fleet(settings.limits)
+    decisions = Decisions(settings, 1, fleet)
+    decisions.submit(listing(entry(7)))
+    assert isinstance(Life(Query(b"1" * 16, 0, 0, 0.05, b"SELECT 1"), settings, decisions, fleet).run(), Refused)
+    assert not decisions._gateway.jobs and decisions._gateway.engines[7].queries == 0
