--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -80,5 +80,6 @@
     fleet = Fleet(settings.limits)
     decisions = Decisions(settings, 1, fleet)
     decisions.submit(listing(entry(7)))
-    assert isinstance(Life(Query(b"1" * 16, 0, 0, 0.05, b"SELECT 1"), settings, decisions, fleet).run(), Refused)
+    life = Life(Query(b"1" * 16, 0, 0, 0.05, b"SELECT 1"), settings, decisions, fleet)
+    assert isinstance(life.run(), Refused)
     assert not decisions._gateway.jobs and decisions._gateway.engines[7].queries == 0
