Bound what a result may hold in memory

Seen by reading: 64 pages of 64 kB for each of 375 clients would pass the 192 MB. Now 64 kB a result, 16 kB a string. A result has at most 48,000 bytes, so no honest one is cut.

--- a/tealwing/__init__.py
+++ b/tealwing/__init__.py
@@ -1,4 +1,4 @@
-"""tealwing: the decisions of a query gateway, after Niño-Mora's marginal productivity index."""
+"""tealwing: a query gateway, whose decisions follow Niño-Mora's marginal productivity index."""
 
 from tealwing.policy import Gateway, mpi_table
 
--- a/tealwing/gateway/life.py
+++ b/tealwing/gateway/life.py
@@ -21,7 +21,8 @@
 GIVE_UP_GAP = 0.005  # s from giving an attempt up to the next: of two connections the later may be faster
 OVERDUE = 0.1  # s past the deadline at which the module's answer is missed
 USUAL_PRIORITY = 1
-MOST_PAGES = 64  # a result has at most 48,000 bytes in pages of up to 6,000
+MOST_PAGES = 64  # a result has at most 48,000 bytes, in pages of up to 6,000
+MOST_RESULT = 64 * 1024  # bytes: all clients at once must fit the memory
 COLUMNS = 3
 NOTES = {"frac": api.NoteKind.PROGRESS, "missing": api.NoteKind.SPILLS, "parked": api.NoteKind.WAITS}
 
@@ -210,6 +211,8 @@
             elif answer.word == b"chunk" and attempt.pages:
                 sheet = messages.count(answer.fields.get("sheet"), len(attempt.pages) - 1)
                 attempt.pages[sheet] = _page(answer.body)
+                if sum(len(page or b"") for page in attempt.pages) > MOST_RESULT:
+                    raise messages.RespError(f"a result of more than {MOST_RESULT} bytes")
             else:
                 raise messages.RespError(f"an answer out of place: {answer.word[:20]!r}")
         except messages.RespError as error:
--- a/tealwing/resp/messages.py
+++ b/tealwing/resp/messages.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 
 MOST_PARTS = 8  # strings in an array
-LONGEST = 64 * 1024  # bytes of one string: a page holds at most 6,000
+LONGEST = 16 * 1024  # bytes of one string that comes in: a page holds at most 6,000
 LONGEST_LENGTH = 16  # bytes of a length line
 
 
