--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -77,7 +77,7 @@
     site.engine.next(b"shut")
 
 
-@pytest.mark.parametrize("trouble", ["reset", "malformed", "page", "500", "odd rows"])
+@pytest.mark.parametrize("trouble", ["reset", "malformed", "page", "500", "odd rows", "too large"])
 def test_a_lost_attempt_is_an_outcome_and_another_follows(site: Site, trouble: str) -> None:
     # guards the honest mapping: each of these may have run, and ends at most its own connection
     client = site.client()
@@ -92,6 +92,12 @@
     elif trouble == "odd rows":
         say(sock, parts[1], b"200", b"sheets=1", b"only one column\n")
         site.engine.next(b"never_mind")
+    elif trouble == "too large":  # guards the memory, which all clients' results must fit at once
+        say(sock, parts[1], b"200", b"sheets=6", PAGE * 1200)
+        for sheet in range(1, 6):
+            site.engine.next(b"turn")
+            say(sock, parts[1], b"chunk", b"sheet=%d" % sheet, PAGE * 1200)
+        site.engine.next(b"shut")
     else:
         say(sock, parts[1], b"200", b"sheets=2", PAGE)
         site.engine.next(b"turn")
