Follow SIGHUP to the new coordinator; part with clients that hold threads and say nothing

Done: SIGHUP reads the file again and Follower.move goes to the new address at once, from the last event. When only one thread in eight is free, the client that has let most of its time pass is closed: 2 s for login and first command, 2 s for a command begun, 60 s between commands. All limits are on the whole, so drips do not renew them.

--- a/tealwing/__main__.py
+++ b/tealwing/__main__.py
@@ -14,7 +14,7 @@
 from tealwing.mysql.server import Server
 
 STACK = 256 * 1024  # bytes a thread
-STOP = {signal.SIGTERM, signal.SIGINT}
+SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
 STILL_COMING = 0.7  # s after SIGTERM for which clients still connect and ask
 LONGEST_WAIT = 3.0  # s that the platform waits for the longest deadline at most, and STILL_COMING more
 LAST_WORDS = 0.4  # s before the platform's SIGKILL at which what is open fails
@@ -29,7 +29,8 @@
     kinds = {kind.name: kind.cores for kind in config.settings.kinds}
     log.event("started", gateway=config.name, listen=server.address, kinds=kinds)
 
-    signal.sigwait(STOP)
+    while signal.sigwait(SIGNALS) == signal.SIGHUP:
+        reload(daemon)
     stopped = time.monotonic()
     log.event("draining")
     time.sleep(STILL_COMING)
@@ -42,9 +43,17 @@
     log.event("stopped", after=time.monotonic() - stopped)
 
 
+def reload(daemon: Daemon) -> None:
+    """Read the configuration again; one that can't be used is logged, and the old one stays."""
+    try:
+        daemon.reconfigure(load(os.environ))
+    except (ConfigError, OSError) as error:
+        log.event("configuration_unusable", error=str(error))
+
+
 def main() -> int:
     """Start the program; bad configuration ends it with one line on standard error."""
-    signal.pthread_sigmask(signal.SIG_BLOCK, STOP)  # for sigwait, and before any thread starts
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # for sigwait, and before any thread starts
     threading.stack_size(STACK)
     try:
         config = load(os.environ)
--- a/tealwing/coordinator/follower.py
+++ b/tealwing/coordinator/follower.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 import socket
 import threading
@@ -11,7 +12,7 @@
 from tealwing.coordinator import news
 
 CONNECT_LIMIT = 1.0  # s
-SILENCE = 3.0  # s without a line, each second brings one: the connection is lost
+SILENCE = 2.5  # s without a line, each second brings one: the connection is lost
 RETRY = (0.1, 0.5)  # s between connects, at random
 
 
@@ -26,22 +27,42 @@
         tell: Callable[[news.Update], None],
     ) -> None:
         self._address, self._settings, self._tell = address, settings, tell
+        self._lock = threading.Lock()  # round the address and the socket, which move changes
+        self._sock: socket.socket | None = None
+        self._moved = threading.Event()
         self.index = index  # of the last event handed on
 
     def start(self) -> None:
         """Follow, in a thread of its own."""
         threading.Thread(target=self._run, name="coordinator", daemon=True).start()
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Follow another coordinator from the last event on; at once, as the old one tells no more."""
+        with self._lock:
+            self._address = address
+            if self._sock is not None:
+                with contextlib.suppress(OSError):  # it may have ended by itself
+                    self._sock.shutdown(socket.SHUT_RDWR)
+        self._moved.set()
+
     def _run(self) -> None:
-        stop = threading.Event()
         while True:
+            self._moved.clear()
+            address = self._address
             try:
-                with socket.create_connection(self._address, CONNECT_LIMIT) as sock:
+                with socket.create_connection(address, CONNECT_LIMIT) as sock:
                     sock.settimeout(SILENCE)
-                    self._follow(sock)
+                    with self._lock:
+                        self._sock = sock
+                        moved = address != self._address
+                    if not moved:
+                        self._follow(sock)
             except (OSError, news.NewsError) as error:
                 log.event("coordinator_lost", error=str(error), index=self.index)
-            stop.wait(random.uniform(*RETRY))
+            finally:
+                with self._lock:
+                    self._sock = None
+            self._moved.wait(random.uniform(*RETRY))
 
     def _follow(self, sock: socket.socket) -> None:
         sock.sendall(b"follow %d\n" % self.index)
--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -33,6 +33,11 @@
         """The life of a request that has come."""
         return Life(query, self._settings, self._decisions, self._fleet)
 
+    def reconfigure(self, config: Config) -> None:
+        """Take what may change under load: the coordinator. Its events' numbers go on."""
+        self._follower.move(config.coordinator)
+        log.event("reconfigured", coordinator=config.coordinator)
+
     def fail_open(self) -> int:
         """Fail all that is still open, as the gateway ends; how many there were."""
         return self._decisions.tell_all(Word.SHUTDOWN)
--- a/tealwing/mysql/packets.py
+++ b/tealwing/mysql/packets.py
@@ -46,9 +46,14 @@
     def __init__(self) -> None:
         self._data = bytearray()
         self._message = bytearray()
-        self._begun = False
+        self._open = False
         self._sequence = 0
 
+    @property
+    def begun(self) -> bool:
+        """Whether a part of a message has come."""
+        return bool(self._data or self._message)
+
     def feed(self, data: bytes) -> None:
         """Take in what has come."""
         self._data += data
@@ -57,7 +62,7 @@
         """The next whole message, if there is one."""
         while len(self._data) >= 4:
             length, sequence = int.from_bytes(self._data[:3], "little"), self._data[3]
-            if self._begun and sequence != (self._sequence + 1) % 256:
+            if self._open and sequence != (self._sequence + 1) % 256:
                 raise PacketError("Got packets out of order", 1156, "08S01", sequence)
             if len(self._message) + length > MOST_MESSAGE:  # known before its bytes are kept
                 text = "Got a packet bigger than 'max_allowed_packet' bytes"
@@ -66,8 +71,8 @@
                 return None
             self._message += self._data[4 : 4 + length]
             del self._data[: 4 + length]
-            self._begun, self._sequence = length == LARGEST, sequence
-            if not self._begun:
+            self._open, self._sequence = length == LARGEST, sequence
+            if not self._open:
                 message, self._message = bytes(self._message), bytearray()
                 return sequence, message
         return None
--- a/tealwing/mysql/server.py
+++ b/tealwing/mysql/server.py
@@ -16,8 +16,11 @@
 
 USER, DATABASE = b"app", b"reports"
 COLUMNS = (b"column_1", b"column_2", b"column_3")  # engines send no names
-IDLE_LIMIT = 60  # s: clients close idle connections after 4
+FIRST_LIMIT = 2.0  # s from its connect in which a client logs in and sends its first command whole
+PACKET_LIMIT = 2.0  # s for the rest of a command that has begun to come
+IDLE_LIMIT = 60.0  # s between commands: usual clients close after 4, some ask once and stay for good
 WRITE_LIMIT = 5  # s that a client may take nothing
+SPARE = 8  # one session thread in so many is kept free for who comes next
 BACKLOG = 256
 ACCEPT_PAUSE = 0.05  # s before a failed accept is tried again
 READ_SIZE = 16 * 1024
@@ -39,13 +42,16 @@
         self._parser = packets.Parser()
         self._lock = threading.Lock()
         self._exchange: Exchange | None = None  # the request that is open, under the lock
+        self._waiting: tuple[float, float] | None = None  # for its client: since when, and until when
 
     def run(self) -> None:
         """Serve the client until it goes."""
+        first = time.monotonic() + FIRST_LIMIT
         try:
             self._sock.sendall(packets.packet(0, packets.greeting(self.number, _scramble())))
-            if self._login():
-                while (message := self._receive()) is not None:
+            if self._login(first):
+                while (message := self._receive(first)) is not None:
+                    first = 0.0
                     sequence, payload = message
                     if sequence != 0:
                         raise packets.PacketError("Got packets out of order", 1156, "08S01", sequence)
@@ -72,22 +78,43 @@
 
     def stop(self) -> None:
         """Take no more from the client than has come."""
+        self._waiting = None  # not to be chosen again to make room
         with contextlib.suppress(OSError):  # it may have gone by itself
             self._sock.shutdown(socket.SHUT_RD)
 
-    def _receive(self) -> tuple[int, bytes] | None:
+    def waited(self, now: float) -> float:
+        """The share of its time that the client has let pass; 0 while it waits for us."""
+        waiting = self._waiting
+        return (now - waiting[0]) / (waiting[1] - waiting[0]) if waiting else 0.0
+
+    def _receive(self, until: float = 0.0) -> tuple[int, bytes] | None:
+        """The next message; None when the client has gone, or has not sent it whole in time.
+
+        The limits are on the whole of it: a client that drips must not hold a thread, nor a silent one.
+        """
+        begun = now = time.monotonic()
+        limit = until or now + IDLE_LIMIT
         while (message := self._parser.next()) is None:
+            if self._parser.begun:
+                limit = min(limit, now + PACKET_LIMIT)
+            if now >= limit:
+                return None
+            self._waiting = begun, limit
+            set_limit(self._sock, socket.SO_RCVTIMEO, limit - now)
             try:
                 data = self._sock.recv(READ_SIZE)
-            except BlockingIOError:  # the idle limit has passed
+            except BlockingIOError:  # the limit has passed
                 return None
+            finally:
+                self._waiting = None
             if not data:
                 return None
             self._parser.feed(data)
+            now = time.monotonic()
         return message
 
-    def _login(self) -> bool:
-        message = self._receive()
+    def _login(self, until: float) -> bool:
+        message = self._receive(until)
         if message is None:
             return False
         sequence, payload = message
@@ -229,9 +256,22 @@
                     log.event("accept_failed", error=str(error))
                 continue
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            set_limit(sock, socket.SO_RCVTIMEO, IDLE_LIMIT)
             set_limit(sock, socket.SO_SNDTIMEO, WRITE_LIMIT)
             session = Session(self, sock, next(self._numbers) & 0xFFFFFFFF)
             with self._changed:
                 self._sessions[session.number] = session
+                crowded = len(self._sessions) > self._most - self._most // SPARE
+            if crowded:
+                self._make_room()
             session.run()
+
+    def _make_room(self) -> None:
+        """Part with the client that has let most of its time pass: usual ones need the thread.
+
+        That is one that says nothing sooner than one that has asked and holds its connection open.
+        """
+        now = time.monotonic()
+        with self._changed:
+            longest = max(self._sessions.values(), key=lambda session: session.waited(now))
+        if longest.waited(now) > 0:
+            longest.stop()
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -97,10 +97,10 @@
         known = {"index": 1, "updates": [event(1, member("s-1", engine))]}
         config = {"name": "n0", "listen": "127.0.0.1:0", "seed": "1f", "coordinator": coordinator}
         config |= {"known": known, "settings": SETTINGS} | changes
-        path = folder / "config.json"
-        path.write_text(json.dumps(config))
+        self.config, self.path = config, folder / "config.json"
+        self.path.write_text(json.dumps(config))
         command = [sys.executable, "-m", "tealwing"]
-        environ = {"LB_CONFIG": str(path), "PYTHONPATH": str(Path(__file__).parent.parent)}
+        environ = {"LB_CONFIG": str(self.path), "PYTHONPATH": str(Path(__file__).parent.parent)}
         self.process = subprocess.Popen(
             command, env=environ, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True
         )
@@ -121,6 +121,10 @@
     def terminate(self) -> None:
         self.process.send_signal(signal.SIGTERM)
 
+    def reload(self, text: str) -> None:
+        self.path.write_text(text)
+        self.process.send_signal(signal.SIGHUP)
+
     def end(self) -> str:
         """End it if it still runs; what it wrote to standard error."""
         self.process.kill()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -212,6 +212,24 @@
     assert len(client.rows()) == 2
 
 
+def test_sighup_moves_to_the_new_coordinator_under_an_open_request(site: Site) -> None:
+    # guards against the end that SIGHUP is by default, and against news missed or open requests disturbed
+    old, _ = site.coordinator.next(b"follow")
+    client = site.client()
+    client.ask()
+    sock, parts = site.engine.next(b"want")
+    site.program.reload("{not JSON")
+    assert "not JSON" in site.program.wait_for("configuration_unusable")["error"]
+    old.sendall(json.dumps(event(2, member("s-2", "127.0.0.1:1", phase="draining"))).encode() + b"\n")
+    site.program.wait_for("engine_list")  # the old configuration stays
+    new = Coordinator()
+    site.program.reload(json.dumps(site.program.config | {"coordinator": new.address}))
+    assert new.next(b"follow")[1][1] == b"2"  # the numbers go on
+    say(sock, parts[1], b"200", b"sheets=1", PAGE)
+    assert len(client.rows()) == 2
+    new.listener.close()
+
+
 @pytest.mark.parametrize(
     "key, changes",
     [
--- /dev/null
+++ b/tests/test_server.py
@@ -0,0 +1,82 @@
+"""The MySQL server alone: whose threads are whose when clients are silent, drip or stay."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from collections.abc import Iterator
+
+import pytest
+
+from tealwing.exchange import Abandoned, Exchange, Query, Refused, Reply
+from tealwing.mysql import packets, server
+from tests.build import make_settings
+from tests.peers import LIMIT, Client
+
+
+class Refusal:
+    """A request that is refused at once."""
+
+    def run(self) -> Reply:
+        return Refused(0.1)
+
+    def abandon(self) -> None:
+        raise AssertionError(Abandoned)
+
+
+def refuse(query: Query) -> Exchange:
+    return Refusal()
+
+
+@pytest.fixture
+def few() -> Iterator[server.Server]:
+    """A server of eight threads."""
+    few = server.Server(("127.0.0.1", 0), 8, make_settings(), refuse)
+    few.start()
+    yield few
+    few.stop_listening()
+    few.finish(LIMIT)
+
+
+def ping(client: Client) -> None:
+    client.send(0x0E)
+    assert client.read() == packets.ok()
+
+
+def ended(sock: socket.socket) -> None:
+    """The server closes; without that the test gives up."""
+    sock.settimeout(LIMIT)
+    with contextlib.suppress(ConnectionResetError):  # a close too
+        while sock.recv(4096):
+            pass
+
+
+def test_clients_that_stay_or_say_nothing_leave_room_for_others(few: server.Server) -> None:
+    # guards the session threads: clients that ask once and stay, by the hundred, used all of them up
+    silent = socket.create_connection(few.address, LIMIT)
+    assert silent.recv(4096)
+    staying = [Client(few.address) for _ in range(20)]
+    ping(Client(few.address))
+    ended(silent)
+    ended(staying[0].sock)
+
+
+@pytest.mark.parametrize("start", [b"", b"\x20", packets.packet(1, bytes(40))[:20]])
+def test_a_client_has_a_time_for_its_first_command(
+    few: server.Server, start: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # guards the threads against silent clients and against bytes that drip in, each before a limit on reads
+    monkeypatch.setattr(server, "FIRST_LIMIT", 0.3)
+    with socket.create_connection(few.address, LIMIT) as sock:
+        sock.sendall(start)
+        ended(sock)
+
+
+def test_a_started_command_has_a_time_for_its_rest(
+    few: server.Server, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(server, "PACKET_LIMIT", 0.1)
+    client = Client(few.address)
+    ping(client)
+    client.sock.sendall(packets.packet(0, b"\x03 SELECT")[:5])
+    ended(client.sock)
