Keep queries from engines where a load holds their tables; bear with second copies

Engine answers logged in a copy: those lookups get the note parked=2, they stand still behind a load that holds their tables. The module got the group of tables and never used it. Also seen: a second copy of a 200 while its pages come ends a good attempt (Life._take, five in 22 s); queries of bad clients under unknown ids, each a 500 at three engines, take a fifth of an engine's good name each time (_learn).

Done: engines with our own load on a group, or one that a note told of, are passed over while others will do. Two engines' errors are the query's fault: it ends there and they get their names back. Second copies are dropped; spent ids stay off their connection; a message that stalls for 0.5 s or a page that breaks the form ends its connection, a page not there after 0.5 s the attempt. An open id is not taken twice. Engines that left are forgotten.

--- a/tealwing/exchange.py
+++ b/tealwing/exchange.py
@@ -7,6 +7,10 @@
 from typing import Protocol
 
 
+class Unusable(ValueError):
+    """A request that can't be taken; the text says why."""
+
+
 @dataclass(frozen=True, slots=True)
 class Query:
     """A client's request; times are seconds, need is megabytes, cls and tenant are places in the settings."""
@@ -59,4 +63,4 @@
         """Give the request up, from any thread."""
 
 
-Open = Callable[[Query], Exchange]
+Open = Callable[[Query], Exchange]  # may raise Unusable
--- a/tealwing/gateway/decisions.py
+++ b/tealwing/gateway/decisions.py
@@ -13,6 +13,7 @@
 
 from tealwing import interface as api
 from tealwing import log
+from tealwing.exchange import Unusable
 from tealwing.policy import Gateway
 from tealwing.resp.fleet import Fleet
 
@@ -30,6 +31,7 @@
         self._grain = max(settings.tick, GRAIN)
         self._offset = time.time() - time.monotonic()  # Unix time that a step of the clock can't turn back
         self._mailboxes: dict[int, Mailbox] = {}
+        self._calls: set[bytes] = set()  # the clients' ids of the open requests
         self._ids = itertools.count(1)
         self._timers: list[tuple[float, int]] = []  # due (monotonic) and token
         self._changed = threading.Condition(threading.Lock())
@@ -38,16 +40,23 @@
         """Let timers fire from now on."""
         threading.Thread(target=self._run_timers, name="timers", daemon=True).start()
 
-    def enter(self, mailbox: Mailbox) -> int:
-        """A number for a new request, whose actions go to the mailbox."""
+    def enter(self, call: bytes, mailbox: Mailbox) -> int:
+        """A number for a new request, whose actions go to the mailbox.
+
+        Engines tell requests apart by these ids: a second one of an open id would get the first's rows.
+        """
         with self._lock:
+            if call in self._calls:
+                raise Unusable("call is that of an open request")
+            self._calls.add(call)
             number = next(self._ids)
             self._mailboxes[number] = mailbox
             return number
 
-    def leave(self, number: int) -> list[object]:
+    def leave(self, number: int, call: bytes) -> list[object]:
         """The request has its final answer; what is left in its mailbox."""
         with self._lock:
+            self._calls.remove(call)
             mailbox = self._mailboxes.pop(number)
             return [mailbox.get_nowait() for _ in range(mailbox.qsize())]
 
--- a/tealwing/gateway/life.py
+++ b/tealwing/gateway/life.py
@@ -23,6 +23,7 @@
 USUAL_PRIORITY = 1
 MOST_PAGES = 64  # a result has at most 48,000 bytes, in pages of up to 6,000
 MOST_RESULT = 64 * 1024  # bytes: all clients at once must fit the memory
+PAGES_LIMIT = 0.5  # s from page 0 to the last: an engine has them ready, so what is later is lost
 COLUMNS = 3
 NOTES = {"frac": api.NoteKind.PROGRESS, "missing": api.NoteKind.SPILLS, "parked": api.NoteKind.WAITS}
 
@@ -64,7 +65,7 @@
         # A late try of a client may have less than we need ourselves: the module hears that no time is left
         lateness = min(max(LATENESS_SHARE * query.ttl, LATENESS[0]), LATENESS[1])
         self._deadline = time.monotonic() + query.ttl - lateness
-        self._id = decisions.enter(self._mailbox)
+        self._id = decisions.enter(query.call, self._mailbox)
         self._clear = 0.0  # when the engine of an attempt given up knows of it
 
     def abandon(self) -> None:
@@ -121,7 +122,8 @@
                             self._decisions.submit(api.HungUp(self._id))
                             return Failed()
                         self._give_up(attempt)
-                        self._outcome(attempt, api.Result.TIMEOUT)
+                        lost = attempt.pages  # it was done in time, and its pages are lost
+                        self._outcome(attempt, api.Result.ERROR if lost else api.Result.TIMEOUT)
                         attempt = None
 
                     case api.Refuse(_, retry_after):
@@ -141,7 +143,7 @@
 
     def _leave(self, sends: int) -> None:
         """Forget the request. A send still in the mailbox, which the end overtook, was never sent."""
-        for left in self._decisions.leave(self._id):
+        for left in self._decisions.leave(self._id, self._query.call):
             if isinstance(left, api.Send):
                 self._outcome(Attempt(sends, left.engine, left.timeout), api.Result.MOOT, over=True)
 
@@ -195,29 +197,33 @@
         """What an answer of the engine makes of the attempt; None while it goes on."""
         try:
             attempt.report = messages.report(answer.fields, self._settings.report_fields) or attempt.report
-            if answer.word == b"503":
+            if answer.word == b"503" and not attempt.pages:
                 return self._ended(attempt, api.Result.FULL)
-            if answer.word == b"504":
+            if answer.word == b"504" and not attempt.pages:
                 return self._ended(attempt, api.Result.MOOT)
             if answer.word == b"500":
                 if attempt.pages:
                     self._give_up(attempt)  # its other pages must not reach a later attempt
                 return self._ended(attempt, api.Result.ERROR)
-            if answer.word == b"200" and not attempt.pages:
+            if answer.word == b"200" and attempt.pages:
+                return None  # a second copy
+            if answer.word == b"200":
                 sheets = messages.count(answer.fields.get("sheets", "1"), MOST_PAGES)
                 attempt.pages = [_page(answer.body), *[None] * (sheets - 1)]
                 if sheets > 1:
                     answer.stream.turn(range(1, sheets))
+                    attempt.due = min(attempt.due, time.monotonic() + PAGES_LIMIT)
             elif answer.word == b"chunk" and attempt.pages:
                 sheet = messages.count(answer.fields.get("sheet"), len(attempt.pages) - 1)
-                attempt.pages[sheet] = _page(answer.body)
+                if attempt.pages[sheet] is None:  # else a second copy
+                    attempt.pages[sheet] = _page(answer.body)
                 if sum(len(page or b"") for page in attempt.pages) > MOST_RESULT:
                     raise messages.RespError(f"a result of more than {MOST_RESULT} bytes")
             else:
                 raise messages.RespError(f"an answer out of place: {answer.word[:20]!r}")
         except messages.RespError as error:
             log.event("engine_answer_unusable", error=str(error))
-            self._give_up(attempt)
+            answer.stream.spoilt()
             return api.Result.ERROR
         if None in attempt.pages:
             return None
--- a/tealwing/interface.py
+++ b/tealwing/interface.py
@@ -86,6 +86,8 @@
     threads: int
     zones: frozenset[int] | None
     kinds: frozenset[int] | None
+    holds: bool = False  # its group of tables, on its engine, while it runs
+    waits: bool = False  # while another holds its group there
 
     def __post_init__(self) -> None:
         _need(self.aim > 0, "class aim", self.aim)
--- a/tealwing/mysql/server.py
+++ b/tealwing/mysql/server.py
@@ -10,7 +10,7 @@
 import time
 
 from tealwing import interface, log
-from tealwing.exchange import Abandoned, Exchange, Failed, Open, Refused, Reply, Served
+from tealwing.exchange import Abandoned, Exchange, Failed, Open, Refused, Reply, Served, Unusable
 from tealwing.mysql import packets, statements
 from tealwing.sockets import Address, set_limit
 
@@ -155,10 +155,10 @@
     def _query(self, text: bytes) -> bytes:
         try:
             query = statements.query(text, self.server.settings)
-        except statements.FieldError as error:
+            exchange = self.server.open(query)
+        except Unusable as error:
             log.event("request_unusable", error=str(error))
             return packets.packet(1, packets.error(1210, "HY000", f"Incorrect arguments: {error}"))
-        exchange = self.server.open(query)
         with self._lock:
             self._exchange = exchange
         begun = time.monotonic()
--- a/tealwing/mysql/statements.py
+++ b/tealwing/mysql/statements.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from tealwing import interface
-from tealwing.exchange import Query
+from tealwing.exchange import Query, Unusable
 
 MOST_TTL_MS = 24 * 3600 * 1000
 MOST_WORK_MS = 1e9
@@ -30,7 +30,7 @@
 _GROUP = re.compile(rb".*_(\d{1,7})\Z", re.DOTALL)
 
 
-class FieldError(ValueError):
+class FieldError(Unusable):
     """A request whose fields can't be used."""
 
 
--- a/tealwing/policy.py
+++ b/tealwing/policy.py
@@ -58,6 +58,9 @@
 LAGGARD = 3.0  # time that an attempt has to go, over the class's usual latency, at which it is dropped (o)
 PROGRESS_FLOOR = 0.01  # least share done that a note is read as (o)
 SILENT = (1.55, 1.1)  # note periods without a first or a further note that mean a lost answer (o)
+FOR_A_LOAD = 2.0  # what a note says that an attempt waits for when a load holds its tables (the contract's)
+HELD_FOR = 0.5  # of a load's usual latency, for which one that a note told of is counted on (o): its rest
+FAULTY = 2  # engines with errors at which a query is held to be at fault itself, not they (o)
 SHARES = (1, 4, 8, 16)  # of short cores and disks, by priority (the contract's)
 RANKS = (3, 1)  # priority of the class worth most per work, and of the others (o)
 USUAL_RANK = 1  # the priority of a query for which none was named (the contract's)
@@ -193,6 +196,9 @@
         self.threads = self.queries = 0  # of this gateway's attempts there
         self.load, self.view_until = 0.0, -inf  # threads a core; until when load and indices hold
         self.sent: deque[tuple[float, float]] = deque()  # times and work sent while cold
+        self.gone = False  # from the list; forgotten when nothing is out there
+        self.loads: dict[float, int] = {}  # our loads out there, by the group of tables that each holds
+        self.held: dict[float, float] = {}  # groups that others' loads hold, and until when we think so
 
     def warmth(self, now: float) -> float:
         """Share of its capacity, by the contract's figures: a straight ramp from a cold start."""
@@ -201,6 +207,10 @@
         passed = max(now - self.started, 0.0) / self.rules.cold_time
         return self.rules.cold_share + (1 - self.rules.cold_share) * passed
 
+    def holds(self, group: float, now: float) -> bool:
+        """Whether a load holds the group of tables there, as far as we know."""
+        return group in self.loads or self.held.get(group, -inf) > now
+
     def hear(self, fields: tuple[str, ...], values: tuple[float, ...], now: float) -> bool:
         """Take in a load report; one equal to the last is the same report again. NaN counts as absent."""
         if not values or values == self.values:
@@ -246,6 +256,7 @@
     def __init__(self, engine: Engine, sent: float) -> None:
         self.engine, self.sent, self.report = engine, sent, engine.reports
         self.done, self.may_have_run, self.due = False, True, inf  # due: when its next note must have come
+        self.blame = 0.0  # what an error took from its engine's share of successes
 
 
 class Job:
@@ -264,6 +275,10 @@
         """Attempts that may have run."""
         return [attempt for attempt in self.attempts if attempt.may_have_run]
 
+    def faulty(self) -> bool:
+        """Whether so many engines answered it with errors that the query itself must be at fault."""
+        return len({attempt.engine.id for attempt in self.attempts if attempt.blame}) >= FAULTY
+
     def refusable(self) -> bool:
         """Whether a refusal keeps the effect rule."""
         if self.cls.effect is Effect.SAFE or not self.doubtful():
@@ -332,7 +347,8 @@
         named = {entry.engine for entry in event.entries}
         if event.kind is not ListKind.DELTA:
             for engine in self.engines.values():
-                engine.ready = engine.ready and engine.id in named
+                engine.gone = engine.gone or engine.id not in named
+                engine.ready = engine.ready and not engine.gone
         for entry in event.entries:
             known = self.engines.get(entry.engine)
             if known is None or entry.started > known.started:  # new, or started anew: nothing learned holds
@@ -345,7 +361,7 @@
                     for new, old in zip(fresh.estimates, known.estimates, strict=True):
                         new.out = old.out
             else:
-                known.ready = entry.health is Health.READY
+                known.ready, known.gone = entry.health is Health.READY, entry.health is Health.GONE
                 known.zone, known.kind, known.cell = entry.zone, entry.kind, entry.cell
         self.ready = [engine for engine in self.engines.values() if engine.ready]
         self.cores = sum(engine.cores * engine.warmth(self.now) for engine in self.ready)
@@ -359,6 +375,7 @@
             flow.came = flow.offered = 0.0
             flow.tables = {}
             flow.best += BEST_DRIFT * (flow.latency - flow.best)
+        self._forget()
         if self.reports == self.heard and not self.jobs:  # all are refused, say: what was heard is old
             self.fleet = {name: value * (1 - FADE) for name, value in self.fleet.items()}
         self._pace()
@@ -378,6 +395,13 @@
                 estimate.success += MEND * (1 - estimate.success)
                 flow.excess += REBUILD * estimate.out * estimate.past
 
+    def _forget(self) -> None:
+        """Let go of engines that have left, and of loads that must have ended: what stays, grows for ever."""
+        for engine in [e for e in self.engines.values() if e.gone and not e.queries]:
+            del self.engines[engine.id]
+        for engine in self.ready:
+            engine.held = {group: until for group, until in engine.held.items() if until > self.now}
+
     def _pace(self) -> None:
         """Slowness of the fleet and of each engine, by what is out and what was answered."""
         rate = sum(flow.out / max(flow.best, LEAST_LATENCY) for flow in self.flows)
@@ -534,6 +558,11 @@
         engine.estimates[job.request.cls].out += by
         engine.threads, engine.queries = engine.threads + by * job.cls.threads, engine.queries + by
         engine.view_until = -inf
+        if job.cls.holds:
+            group = job.request.dataset
+            engine.loads[group] = engine.loads.get(group, 0) + by
+            if engine.loads[group] <= 0:
+                del engine.loads[group]
 
     def _outcome(self, event: api.Outcome) -> None:
         job = self.jobs.get(event.id)
@@ -548,7 +577,7 @@
         if event.over:
             job.over = True
         elif not job.over and not job.out():
-            if job.deadline - self.now > self.flows[job.request.cls].usual:
+            if job.deadline - self.now > self.flows[job.request.cls].usual and not job.faulty():
                 self._place(job, attempt.engine)
             else:
                 self._end(job)
@@ -572,7 +601,11 @@
             self._given_up(job, attempt)
             estimate.answered(max(event.elapsed, self.flows[job.request.cls].latency))
         elif event.result in (Result.ERROR, Result.CONNECT_FAILED, Result.RESET):
+            attempt.blame = FAILED * estimate.success if event.result is Result.ERROR else 0.0
             estimate.success -= FAILED * estimate.success
+            if job.faulty():
+                for other in job.attempts:
+                    other.engine.estimates[job.request.cls].success += other.blame
 
     def _served(self, job: Job, engine: Engine, event: api.Outcome) -> None:
         flow, estimate = self.flows[job.request.cls], engine.estimates[job.request.cls]
@@ -597,6 +630,9 @@
         attempt, usual = job.attempts[event.attempt], self.flows[job.request.cls].usual
         if event.kind is api.NoteKind.WAITS:
             attempt.due = inf  # no notes are promised while it waits
+            if event.amount == FOR_A_LOAD:
+                load = max((flow.usual for flow in self.flows if flow.cls.holds), default=0.0)
+                attempt.engine.held[job.request.dataset] = self.now + HELD_FOR * load
         if event.kind is not api.NoteKind.PROGRESS or not self.settings.limits.cancel or attempt.done:
             return
         self._expect(job, SILENT[1])
@@ -707,6 +743,8 @@
                 found.append((max(index, least), engine))
         if not found and failed is not None:
             return self._choose(job, None)
+        if job.cls.holds or job.cls.waits:  # it would stand still behind a load that holds its tables
+            found = [f for f in found if not f[1].holds(job.request.dataset, self.now)] or found
         while found:
             tie = min(index for index, _ in found) * (1 + NEAR_TIE)
             near = [n for n, (index, _) in enumerate(found) if index <= tie]
--- a/tealwing/resp/engine.py
+++ b/tealwing/resp/engine.py
@@ -16,7 +16,8 @@
 WRITE_LIMIT = 0.25  # s that a write may wait for an engine which takes nothing
 IDLE_SHARE = 0.8  # of the engine's idle time, after which a connection is not used again
 MOST_CONNECTIONS = 16  # to one engine: clients hold a third of the descriptors, so fewer do
-GIVEN_UP = 1000  # ids given up that a connection remembers, many more than one round trip's
+SPENT = 1000  # ids of the past that a connection remembers, many more than one round trip's
+MESSAGE_LIMIT = 0.5  # s for the rest of a message that has begun: pages are short and engines near
 READ_SIZE = 64 * 1024  # bytes of a reader's buffer, which lasts: see mysql.server
 
 
@@ -66,18 +67,23 @@
 
     def shut(self) -> None:
         """Want no more pages; those that still come are dropped."""
-        self.connection.forget(self, given_up=True)
+        self.connection.forget(self)
         self.connection.tell(b"shut", self.call)
 
     def never_mind(self) -> None:
         """Give the attempt up; what still comes for it is dropped."""
-        self.connection.forget(self, given_up=True)
+        self.connection.forget(self)
         self.connection.tell(b"never_mind", self.call)
 
     def ended(self) -> None:
         """The engine has said its last word."""
         self.connection.forget(self)
 
+    def spoilt(self) -> None:
+        """An answer can't be used: nothing more on its connection is to be trusted."""
+        self.connection.forget(self)
+        self.connection.close()
+
 
 class Connection:
     """One open connection. Its reader thread hands answers to the streams' sinks."""
@@ -86,7 +92,7 @@
         self._sock, self._closed = sock, closed
         self._lock, self._writing = threading.Lock(), threading.Lock()
         self._streams: dict[bytes, Stream] = {}
-        self._given_up: dict[bytes, None] = {}  # in turn; a table, as every send looks here
+        self._spent: dict[bytes, None] = {}  # in turn; a table, as every send looks here
         self._alive, self._retired = True, False
         self.idle_since = time.monotonic()
         self.reserved = 0  # attempts that hold a place here; the engine's lock guards it
@@ -96,9 +102,9 @@
         threading.Thread(target=self._read, name="engine-reader", daemon=True).start()
 
     def takes(self, call: bytes) -> bool:
-        """Whether an attempt of this id may go here: a late answer must not be taken for its own."""
+        """Whether an attempt of this id may go here: an answer to an earlier one must not be its own."""
         with self._lock:
-            return self._alive and call not in self._streams and call not in self._given_up
+            return self._alive and call not in self._streams and call not in self._spent
 
     @property
     def streams(self) -> int:
@@ -127,13 +133,12 @@
         except (ConnectFailed, Broken):
             log.event("engine_write_failed", word=parts[0].decode())
 
-    def forget(self, stream: Stream, given_up: bool = False) -> None:
+    def forget(self, stream: Stream) -> None:
         """Hand nothing more to the stream."""
         with self._lock:
-            if given_up:
-                self._given_up[stream.call] = None
-                if len(self._given_up) > GIVEN_UP:
-                    del self._given_up[next(iter(self._given_up))]
+            self._spent[stream.call] = None
+            if len(self._spent) > SPENT:
+                del self._spent[next(iter(self._spent))]
             if self._streams.get(stream.call) is stream:
                 del self._streams[stream.call]
                 self.idle_since = time.monotonic()
@@ -168,10 +173,15 @@
 
     def _read(self) -> None:
         parser, buffer = messages.Parser(), memoryview(bytearray(READ_SIZE))
+        whole = time.monotonic()  # when last no part of a message was waiting for its rest
         try:
-            while size := self._sock.recv_into(buffer):
-                for parts in parser.feed(buffer[:size]):
+            while size := self._receive(buffer):
+                for parts in parser.feed(buffer[: max(size, 0)]):
                     self._hand_on(parts)
+                if not parser.begun:
+                    whole = time.monotonic()
+                elif time.monotonic() > whole + MESSAGE_LIMIT:
+                    raise messages.RespError("a message that does not end")
         except (OSError, messages.RespError) as error:  # malformed input ends this connection only
             log.event("engine_connection_failed", error=str(error))
         finally:
@@ -185,6 +195,13 @@
             for stream in left:
                 stream.sink(Lost(stream))
 
+    def _receive(self, buffer: memoryview) -> int:
+        """The number of bytes that came; 0 at the end, -1 when none came in time."""
+        try:
+            return self._sock.recv_into(buffer)
+        except BlockingIOError:
+            return -1
+
     def _hand_on(self, parts: list[bytes]) -> None:
         if len(parts) != 4:
             raise messages.RespError(f"a message of {len(parts)} parts")
@@ -286,6 +303,7 @@
         sock.settimeout(None)  # blocking from here on; the kernel keeps the limit on writes
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         set_limit(sock, socket.SO_SNDTIMEO, WRITE_LIMIT)
+        set_limit(sock, socket.SO_RCVTIMEO, MESSAGE_LIMIT)
         return Connection(sock, self._drop)
 
     def _drop(self, connection: Connection) -> None:
--- a/tealwing/resp/messages.py
+++ b/tealwing/resp/messages.py
@@ -28,6 +28,11 @@
         self._want = 0  # strings still missing of the array begun
         self._parts: list[bytes] = []
 
+    @property
+    def begun(self) -> bool:
+        """Whether a part of a message has come."""
+        return bool(self._data or self._want)
+
     def feed(self, data: bytes | memoryview) -> list[list[bytes]]:
         """The whole arrays, now that data has come."""
         self._data += data
--- a/tealwing/wire.py
+++ b/tealwing/wire.py
@@ -306,7 +306,7 @@
         return frozenset(values)
 
 
-def _class(facts: Facts, threads: int) -> api.RequestClass:
+def _class(facts: Facts, threads: int, holds: bool, waits: bool) -> api.RequestClass:
     groups = {group.value: group for group in api.Group}
     return api.RequestClass(
         name=facts.get("Name", str),
@@ -322,6 +322,8 @@
         threads=threads,
         zones=facts.places("ConfinedTo"),
         kinds=facts.places("BoundTo"),
+        holds=holds,
+        waits=waits,
     )
 
 
@@ -344,13 +346,21 @@
     accounts = facts.get("Accounts", list, [])
     threads = _listed(family, "WidthByClass", len(grades))
     cores, memory = _listed(family, "CoresByKind", len(kinds)), _listed(family, "RamOfKindMb", len(kinds))
+    # loads and what waits for them; older settings tell of none
+    none = [False] * len(grades)
+    holds, waits = family.get("HoldsTables", list, none), family.get("ClassWaits", list, none)
+    if len(holds) < len(grades) or len(waits) < len(grades):
+        raise ValueError(f"impossible setting {family.path}: HoldsTables or ClassWaits is too short")
     return api.Settings(
         me=facts.get("Me", int),
         gateways=facts.get("Siblings", int),
         zone=facts.get("Zone", int),
         zones=tuple(facts.get("Zones", list)),
         kinds=tuple(api.Kind(str(k), c, float(m)) for k, c, m in zip(kinds, cores, memory, strict=False)),
-        classes=tuple(_class(Facts(g, f"Grades[{i}]"), threads[i]) for i, g in enumerate(grades)),
+        classes=tuple(
+            _class(Facts(g, f"Grades[{i}]"), threads[i], bool(holds[i]), bool(waits[i]))
+            for i, g in enumerate(grades)
+        ),
         limits=api.Limits(
             cancel=allowed.get("Cancelling", bool),
             duplicates=allowed.get("MayDuplicate", bool),
