Weigh a load that holds a query's tables as the cost of standing still for its rest

Now the index grows by h times half a load's mean latency, so a jammed engine is no better than a held one.

--- a/tealwing/policy.py
+++ b/tealwing/policy.py
@@ -308,6 +308,7 @@
         self.level, self.answers, self.timeouts = THREADS_A_CORE, 0, 0  # m in threads a core; of one second
         self.taken, self.extra = deque[float](), deque[float]()  # times of requests and of further attempts
         self.margin = min(END_TICKS * settings.tick, settings.rules.answer_slack)  # s
+        self.rest = HELD_FOR * max((f.latency for f in self.flows if f.cls.holds), default=0.0)
         self.begun, self.echo = False, 1  # echo: what a send of ours since a report stands for, with others'
         self._mix()
 
@@ -378,6 +379,7 @@
         self._forget()
         if self.reports == self.heard and not self.jobs:  # all are refused, say: what was heard is old
             self.fleet = {name: value * (1 - FADE) for name, value in self.fleet.items()}
+        self.rest = HELD_FOR * max((f.latency for f in self.flows if f.cls.holds), default=0.0)
         self._pace()
         self._mix()
         self._learn_m()
@@ -631,8 +633,7 @@
         if event.kind is api.NoteKind.WAITS:
             attempt.due = inf  # no notes are promised while it waits
             if event.amount == FOR_A_LOAD:
-                load = max((flow.usual for flow in self.flows if flow.cls.holds), default=0.0)
-                attempt.engine.held[job.request.dataset] = self.now + HELD_FOR * load
+                attempt.engine.held[job.request.dataset] = self.now + self.rest
         if event.kind is not api.NoteKind.PROGRESS or not self.settings.limits.cancel or attempt.done:
             return
         self._expect(job, SILENT[1])
@@ -731,6 +732,7 @@
         found: list[tuple[float, Engine]] = []
         low, high = J_SPREAD if self.echo > 1 else (1.0, 1.0)  # few old reports differ enough by themselves
         spread = low + (high - low) * (job.lot / GOLDEN % 1.0)
+        stands = job.cls.holds or job.cls.waits  # behind a load that holds its tables, at the cost h a second
         least = self._fleet_index(cls)
         if least >= flow.nu:
             return None
@@ -740,11 +742,10 @@
                 self._view(engine)
             index = engine.estimates[cls].at(spread)
             if index < flow.nu and engine is not failed and self._cold_budget(job, engine):
-                found.append((max(index, least), engine))
+                standing = stands and engine.holds(job.request.dataset, self.now)
+                found.append((max(index, least) + (flow.h * self.rest if standing else 0.0), engine))
         if not found and failed is not None:
             return self._choose(job, None)
-        if job.cls.holds or job.cls.waits:  # it would stand still behind a load that holds its tables
-            found = [f for f in found if not f[1].holds(job.request.dataset, self.now)] or found
         while found:
             tie = min(index for index, _ in found) * (1 + NEAR_TIE)
             near = [n for n, (index, _) in enumerate(found) if index <= tie]
