--- a/tealwing/mysql/server.py
+++ b/tealwing/mysql/server.py
@@ -8,6 +8,7 @@
 import socket
 import threading
 import time
+import traceback
 
 from tealwing import interface, log
 from tealwing.exchange import Abandoned, Exchange, Failed, Open, Refused, Reply, Served, Unusable
@@ -267,7 +268,10 @@
                 crowded = len(self._sessions) > self._most - self._most // SPARE
             if crowded:
                 self._make_room()
-            session.run()
+            try:
+                session.run()
+            except Exception:  # a fault of ours ends one session, not the thread that other clients need
+                log.must_hold(False, f"a session ends by itself: {traceback.format_exc(limit=-3)}")
 
     def _make_room(self) -> None:
         """Part with the client that has let most of its time pass: usual ones need the thread.
