--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -97,7 +97,7 @@
 
 
 def test_a_client_that_has_sent_something_is_not_parted_with(few: server.Server) -> None:
-    # guards the rule on one answer: a request read from a connection already closed ran beside its second copy
+    # guards the rule on one answer: a request read after its connection had closed ran beside its copy
     ours, theirs = socket.socketpair()
     session = server.Session(few, ours, 1, bytearray(8))
     session._waiting = 0.0, 1.0
