Spend less of the processor on a request: results, timers, waits and collections

Profile of a probe at 2,000 requests a second: each give-away of the interpreter costs a switch, among them a sleep of 0 s before every send (Life._send) and a peek before a first command; timers woke their thread 200 times a second; a result of some hundred rows took 1.6 ms, mostly calls (packets.result_set).

Done: no sleep of 0; a first command is read at once and dropped if its client was parted with; timers fire at multiples of 20 ms; what is there at the start is left out of collections; one plain loop makes the rows. Ruled out: the module, whose share of the samples is a tenth.

--- a/tealwing/__main__.py
+++ b/tealwing/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import signal
 import sys
@@ -15,6 +16,7 @@
 
 STACK = 256 * 1024  # bytes a thread
 SWITCH = 0.1  # s that a thread waits before it asks for the interpreter: hundreds that ask are work too
+COLLECT = 5000  # objects made between collections: a request's own cycle is a few dozen
 SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
 STILL_COMING = 0.7  # s after SIGTERM for which clients still connect and ask
 LONGEST_WAIT = 3.0  # s that the platform waits for the longest deadline at most, and STILL_COMING more
@@ -28,6 +30,8 @@
     daemon.start()
     server.start()
     kinds = {kind.name: kind.cores for kind in config.settings.kinds}
+    gc.freeze()  # what is here now stays: collections need not walk it
+    gc.set_threshold(COLLECT)
     log.event("started", gateway=config.name, listen=server.address, kinds=kinds)
 
     while signal.sigwait(SIGNALS) == signal.SIGHUP:
--- a/tealwing/gateway/decisions.py
+++ b/tealwing/gateway/decisions.py
@@ -17,7 +17,7 @@
 from tealwing.policy import Gateway
 from tealwing.resp.fleet import Fleet
 
-GRAIN = 0.005  # s: timers fire at its multiples
+GRAIN = 0.02  # s: timers fire at its multiples, some together; none is due more exactly
 MOST_AT_ONCE = 32  # timers handled before others may have the lock
 Mailbox = SimpleQueue[Any]  # of the module's actions and the engines' answers for one request
 
--- a/tealwing/gateway/life.py
+++ b/tealwing/gateway/life.py
@@ -173,7 +173,8 @@
 
     def _send(self, attempt: Attempt, priority: int) -> api.Result | None:
         """Hand the request to the engine; how that failed, or None."""
-        time.sleep(max(0.0, self._clear - time.monotonic()))
+        if (gap := self._clear - time.monotonic()) > 0:  # a sleep of 0 gives the interpreter away
+            time.sleep(gap)
         left = min(attempt.due, self._deadline) - time.monotonic()
         if left <= 0:
             return api.Result.MOOT  # never sent: its time had run out
--- a/tealwing/mysql/packets.py
+++ b/tealwing/mysql/packets.py
@@ -20,6 +20,7 @@
 AUTOCOMMIT = 0x2  # status flag
 UTF8MB4 = 45  # the character set
 VAR_STRING = 0xFD  # the columns' type
+LENGTHS = [bytes([length]) for length in range(251)]  # of short strings, as they go before them
 WIDEST = 0xFFFF  # the columns' stated length
 
 
@@ -132,8 +133,8 @@
 
 def _string(data: bytes) -> bytes:
     """A length-encoded string."""
-    if len(data) < 251:
-        return bytes([len(data)]) + data
+    if len(data) < len(LENGTHS):
+        return LENGTHS[len(data)] + data
     if len(data) < 1 << 16:
         return b"\xfc" + len(data).to_bytes(2, "little") + data
     return b"\xfd" + len(data).to_bytes(3, "little") + data
@@ -146,7 +147,14 @@
         + struct.pack("<BHIBHBH", 12, UTF8MB4, WIDEST, VAR_STRING, 0, 0, 0)
         for name in columns
     ]
-    payloads = [bytes([len(payloads)]), *payloads, eof()]
-    payloads += [b"".join(map(_string, row)) for row in rows]
-    payloads.append(eof())
-    return b"".join(packet(sequence + number, payload) for number, payload in enumerate(payloads))
+    out = bytearray()
+    for payload in (bytes([len(payloads)]), *payloads, eof()):
+        out += packet(sequence, payload)
+        sequence += 1
+    for row in rows:  # the gateway's longest loop: some hundred rows a result
+        payload = b"".join([LENGTHS[len(c)] + c if len(c) < 251 else _string(c) for c in row])
+        out += len(payload).to_bytes(3, "little")
+        out.append(sequence & 255)
+        out += payload
+        sequence += 1
+    return bytes(out + packet(sequence, eof()))
--- a/tealwing/mysql/server.py
+++ b/tealwing/mysql/server.py
@@ -116,10 +116,16 @@
             set_limit(self._sock, socket.SO_RCVTIMEO, limit - now)
             self._waiting = begun, limit
             try:
-                self._sock.recv_into(self._buffer, 1, socket.MSG_PEEK)
+                if until:  # a first command: dropped when it was parted with, as nothing was done for it
+                    size = self._sock.recv_into(self._buffer)
+                else:
+                    self._sock.recv_into(self._buffer, 1, socket.MSG_PEEK)
                 with self._lock:  # from here on it is not parted with: see part
                     self._waiting = None
-                    size = 0 if self._parted else self._sock.recv_into(self._buffer)
+                    if self._parted:
+                        return None
+                    if not until:
+                        size = self._sock.recv_into(self._buffer)
             except BlockingIOError:  # the limit has passed
                 size = 0
             if not size:
