Let session threads come and go with clients; keep no pages in circles

The convention of a thread for each client that may come breaks the limit there; the nearest thing is a thread for each client there is, with 8 to 24 free ones.

--- a/tealwing/config.py
+++ b/tealwing/config.py
@@ -13,7 +13,7 @@
 from tealwing.coordinator import news
 from tealwing.sockets import Address
 
-CLIENT_SHARE = 2  # one descriptor in so many is for clients: usual ones hold a third, others come too
+CLIENT_SHARE = 3  # usual clients hold at most one in so many descriptors
 SOCKETS = 1024  # descriptors, where the file names no limit
 
 
@@ -36,8 +36,8 @@
 
     @property
     def most_clients(self) -> int:
-        """Client connections held at once."""
-        return self.sockets // CLIENT_SHARE
+        """Client connections held at once: the clients' share of the descriptors, and a tenth for others."""
+        return self.sockets * 11 // (10 * CLIENT_SHARE)
 
 
 def address(text: Any, key: str, least: int = 1) -> Address:
--- a/tealwing/gateway/life.py
+++ b/tealwing/gateway/life.py
@@ -246,6 +246,7 @@
             self._decisions.submit(api.Note(self._id, attempt.number, attempt.engine, kind, value))
 
     def _outcome(self, attempt: Attempt, result: api.Result, over: bool = False) -> None:
+        attempt.stream = None  # it leads back here: a circle would keep the pages until a collection
         elapsed = time.monotonic() - attempt.sent
         self._decisions.submit(
             api.Outcome(
--- a/tealwing/mysql/server.py
+++ b/tealwing/mysql/server.py
@@ -21,7 +21,8 @@
 PACKET_LIMIT = 2.0  # s for the rest of a command that has begun to come
 IDLE_LIMIT = 60.0  # s between commands: usual clients close after 4, some ask once and stay for good
 WRITE_LIMIT = 5  # s that a client may take nothing
-SPARE = 8  # one session thread in so many is kept free for who comes next
+SPARE = 11  # one place in so many is kept free for who comes next: what usual clients may not hold
+FREE_THREADS = (8, 24)  # least and most that wait for clients: idle ones cost where our share is short
 BACKLOG = 256
 ACCEPT_PAUSE = 0.05  # s before a failed accept is tried again
 READ_SIZE = 4 * 1024  # bytes of a thread's buffer: statements are short
@@ -226,13 +227,13 @@
         self._numbers = itertools.count(1)
         self._changed = threading.Condition()
         self._sessions: dict[int, Session] = {}
+        self._threads = self._free = 0  # all, and those that wait for clients
         self._stopping = threading.Event()
         self._listener = socket.create_server(address, backlog=BACKLOG)
 
     def start(self) -> None:
         """Accept clients from now on."""
-        for _ in range(self._most):
-            threading.Thread(target=self._work, name="session", daemon=True).start()
+        self._start_thread()
 
     @property
     def address(self) -> Address:
@@ -285,13 +286,34 @@
             session = Session(self, sock, next(self._numbers) & 0xFFFFFFFF, buffer)
             with self._changed:
                 self._sessions[session.number] = session
+                self._free -= 1
+                short = self._free < FREE_THREADS[0] and self._threads < self._most
                 crowded = len(self._sessions) > self._most - self._most // SPARE
+            if short:
+                self._start_thread()
             if crowded:
                 self._make_room()
             try:
                 session.run()
             except Exception:  # a fault of ours ends one session, not the thread that other clients need
                 log.must_hold(False, f"a session ends by itself: {traceback.format_exc(limit=-3)}")
+            with self._changed:
+                enough = self._free >= FREE_THREADS[1]
+                self._free += not enough
+                self._threads -= enough
+                self._changed.notify_all()
+            if enough:
+                return
+
+    def _start_thread(self) -> None:
+        with self._changed:
+            self._threads, self._free = self._threads + 1, self._free + 1
+        try:
+            threading.Thread(target=self._work, name="session", daemon=True).start()
+        except RuntimeError as error:  # the system gives no more for now
+            log.event("thread_failed", error=str(error))
+            with self._changed:
+                self._threads, self._free = self._threads - 1, self._free - 1
 
     def _make_room(self) -> None:
         """Part with the client that has let most of its time pass: usual ones need the thread.
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -85,6 +85,9 @@
 
 def test_a_client_that_stays_takes_no_buffer_of_its_own(few: server.Server) -> None:
     # guards the heap: a buffer for each read, cut to what came, left holes, and memory grew 20 MB a minute
+    warm = [Client(few.address) for _ in range(7)]  # the threads are there
+    for client in warm:
+        client.sock.close()
     tracemalloc.start()
     try:
         staying = [Client(few.address) for _ in range(6)]
@@ -96,6 +99,22 @@
     assert sum(trace.size for trace in ours.traces) < len(staying) * server.READ_SIZE
 
 
+def test_threads_come_and_go_with_clients(few: server.Server) -> None:
+    # guards the processor: where the process is held to its share, hundreds of idle threads took half of it
+    many = server.Server(("127.0.0.1", 0), 100, make_settings(), refuse)
+    many.start()
+    clients = [Client(many.address) for _ in range(60)]
+    assert many._threads > 60
+    for client in clients:
+        ping(client)
+        client.sock.close()
+    with many._changed:
+        assert many._changed.wait_for(lambda: many._threads <= server.FREE_THREADS[1], LIMIT)
+    ping(Client(many.address))
+    many.stop_listening()
+    assert many.finish(LIMIT)
+
+
 def test_a_client_that_has_sent_something_is_not_parted_with(few: server.Server) -> None:
     # guards the rule on one answer: a request read after its connection had closed ran beside its copy
     ours, theirs = socket.socketpair()
