--- a/tealwing/resp/engine.py
+++ b/tealwing/resp/engine.py
@@ -173,14 +173,15 @@
 
     def _read(self) -> None:
         parser, buffer = messages.Parser(), memoryview(bytearray(READ_SIZE))
-        whole = time.monotonic()  # when last no part of a message was waiting for its rest
+        begun = time.monotonic()  # when the message that waits for its rest cannot have begun yet
         try:
             while size := self._receive(buffer):
-                for parts in parser.feed(buffer[: max(size, 0)]):
+                found = parser.feed(buffer[: max(size, 0)])
+                for parts in found:
                     self._hand_on(parts)
-                if not parser.begun:
-                    whole = time.monotonic()
-                elif time.monotonic() > whole + MESSAGE_LIMIT:
+                if found or not parser.begun:  # on a busy connection most reads end within a further message
+                    begun = time.monotonic()
+                elif time.monotonic() > begun + MESSAGE_LIMIT:
                     raise messages.RespError("a message that does not end")
         except (OSError, messages.RespError) as error:  # malformed input ends this connection only
             log.event("engine_connection_failed", error=str(error))
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -3,15 +3,21 @@
 from __future__ import annotations
 
 import ast
+import queue
+import socket
 from pathlib import Path
 
+import pytest
+
 from tealwing.coordinator import news
 from tealwing.coordinator.follower import Follower
 from tealwing.exchange import Abandoned, Query, Refused
 from tealwing.gateway.decisions import Decisions
 from tealwing.gateway.life import Life
+from tealwing.resp import engine, messages
 from tealwing.resp.fleet import Fleet
 from tests.build import entry, listing, make_settings
+from tests.peers import LIMIT
 
 ROOT = Path(__file__).parent.parent / "tealwing"
 
@@ -43,6 +49,24 @@
         assert told == [5, 6] and follower.index == 6
 
 
+def test_a_busy_connection_is_not_taken_for_a_stalled_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    # seen under load: where each read ends within a message, all of them were taken for one that is late
+    monkeypatch.setattr(engine, "MESSAGE_LIMIT", 0.0)
+    ours, theirs = socket.socketpair()
+    heard: queue.SimpleQueue[object] = queue.SimpleQueue()
+    connection = engine.Connection(ours, lambda _: None)
+    connection.start()
+    connection.want(engine.Stream(connection, b"1", heard.put), b"-", b"SELECT 1")
+    note = messages.encode(b"1", b"status", b"-", b"")
+    theirs.sendall(note + note[:9])
+    for _ in range(5):
+        assert isinstance(heard.get(timeout=LIMIT), engine.Answer)
+        theirs.sendall(note[9:] + note[:9])
+    theirs.close()
+    assert isinstance(heard.get(timeout=LIMIT), engine.Answer)
+    assert isinstance(heard.get(timeout=LIMIT), engine.Lost)
+
+
 def test_one_unusable_member_does_not_hide_the_others() -> None:
     # guards a new kind of machine: one that the settings do not name must not blind the gateway to the rest
     member = {"id": "s-1", "host_port": "127.0.0.1:1", "locality": "a", "flavor": "big", "phase": "up"}
