Let loads keep to the homes of their tables, and readers keep away from them

Engine.holds knows our own loads, a third of them where three gateways share alike, and others only from notes, a second late. Guess measured: if all gateways derive a group's homes, a third of the engines, from the numbers alone, loads that lean to homes and readers that lean away seldom meet. Policy._odds adds a quarter of the cost of standing still.

Ruled out: the gateway's lateness (to the first attempt 1 ms). The test fails with odds of 0.

--- a/tealwing/policy.py
+++ b/tealwing/policy.py
@@ -60,6 +60,9 @@
 SILENT = (1.55, 1.1)  # note periods without a first or a further note that mean a lost answer (o)
 FOR_A_LOAD = 2.0  # what a note says that an attempt waits for when a load holds its tables (the contract's)
 HELD_FOR = 0.5  # of a load's usual latency, for which one that a note told of is counted on (o): its rest
+HOMES = 1 / 3  # share of the engines that a group's loads keep to and its readers avoid (o): loads are few
+HOME_ODDS = 0.25  # chance that a load of another gateway holds the group at one of its homes (o)
+TURN = 0.4142135624  # turns from one group's homes to the next (o): all gateways find the same
 FAULTY = 2  # engines with errors at which a query is held to be at fault itself, not they (o)
 SHARES = (1, 4, 8, 16)  # of short cores and disks, by priority (the contract's)
 RANKS = (3, 1)  # priority of the class worth most per work, and of the others (o)
@@ -742,8 +745,8 @@
                 self._view(engine)
             index = engine.estimates[cls].at(spread)
             if index < flow.nu and engine is not failed and self._cold_budget(job, engine):
-                standing = stands and engine.holds(job.request.dataset, self.now)
-                found.append((max(index, least) + (flow.h * self.rest if standing else 0.0), engine))
+                odds = self._odds(job, engine) if stands else 0.0
+                found.append((max(index, least) + odds * flow.h * self.rest, engine))
         if not found and failed is not None:
             return self._choose(job, None)
         while found:
@@ -758,6 +761,18 @@
                 return engine
         return None
 
+    def _odds(self, job: Job, engine: Engine) -> float:
+        """The chance that a load holds the job's tables there; for a load, that it would hold up readers.
+
+        We know of our own loads and, late, of a few others. So the loads of a group keep to its homes, which
+        follow from its number and the engines' alone, and its readers keep away from them.
+        """
+        group = job.request.dataset
+        if engine.holds(group, self.now):
+            return 1.0
+        home = (engine.id * GOLDEN - group * TURN) % 1.0 < HOMES
+        return HOME_ODDS if home != job.cls.holds and self.settings.gateways > 1 else 0.0
+
     def _crowding(self, worth: float, index: float, engine: Engine) -> float:
         """What decides between near-ties: threads a core, weighed by the index with the price of crossing."""
         price = self.settings.prices.cross_zone * worth if engine.zone != self.settings.zone else 0.0
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -147,6 +147,22 @@
     assert not any(engine.held for engine in bench.gateway.engines.values())
 
 
+def test_loads_keep_to_homes_that_readers_avoid_and_all_gateways_find() -> None:
+    # guards lookups where gateways share the loads evenly: each knew only a third of what holds tables
+    classes = (request_class(waits=True), request_class(name="load", holds=True))
+    for group in range(1, 6):
+        loads, readers = set[int](), set[int]()
+        for seed in range(8):  # gateways that know nothing of each other
+            bench = Bench(make_settings(classes=classes, gateways=8), engines=6)
+            bench.gateway.random.seed(seed)
+            loads |= {s.engine for s in sends(bench.ask(cls=1, dataset=group))}
+        for seed in range(8):
+            bench = Bench(make_settings(classes=classes, gateways=8), engines=6)
+            bench.gateway.random.seed(seed)
+            readers |= {s.engine for s in sends(bench.ask(dataset=group))}
+        assert loads and readers and not loads & readers
+
+
 def test_an_engine_that_has_left_is_forgotten() -> None:
     # guards the memory: on a long day of new engines the table of all that ever were only grew
     bench = Bench(make_settings(), engines=2)
