--- /dev/null
+++ b/benchmarks/record_actions.py
@@ -0,0 +1,75 @@
+"""Records the events of one gateway in a modelled flood, and the digest of an earlier module's actions on them.
+
+    python -m benchmarks.record_actions 712515d
+
+The test of the levels plays them again: with no level in force, the actions must be the same, byte for byte.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import subprocess
+import sys
+import types
+from typing import Any
+
+import numpy as np
+
+from tealwing import interface as api
+from tealwing import wire
+from tealwing.lab import arrivals, site, swing
+from tealwing.lab.harness import Deployment
+from tests.recorded import recorded
+
+SECONDS, SEED = 30.0, 7
+
+
+def module_of(commit: str) -> Any:
+    """The decision module as that commit has it."""
+    text = subprocess.run(
+        ["git", "show", f"{commit}:tealwing/policy.py"], capture_output=True, check=True, text=True
+    ).stdout
+    module = types.ModuleType("earlier_policy")
+    sys.modules["earlier_policy"] = module
+    exec(compile(text, f"{commit}:policy.py", "exec"), module.__dict__)
+    return module
+
+
+def main() -> None:
+    """Record."""
+    earlier = module_of(sys.argv[1])
+    events: list[tuple[float, api.Event]] = []
+    digest = hashlib.sha256()
+
+    class Recorder:
+        """The first gateway, written down."""
+
+        def __init__(self, settings: api.Settings, seed: int) -> None:
+            self.first = seed % 1000 == 0
+            self.module = earlier.Gateway(settings, 5 if self.first else seed)
+
+        def handle(self, now: float, event: api.Event) -> list[api.Action]:
+            actions: list[api.Action] = self.module.handle(now, event)
+            if self.first:
+                events.append((now, event))
+                for action in actions:
+                    digest.update(wire.encode(0, action))
+            return actions
+
+    settings = recorded.settings()
+    draws = site.draws(np.random.default_rng(SEED), swing.SERVERS)
+    rate = site.rate(draws, swing.MEAN_WORK, 0.8)
+    asked = arrivals.draw(
+        np.random.default_rng(SEED + 1), rate, SECONDS, 3, arrivals.burst(2.5, SECONDS / 3, SECONDS / 3)
+    )
+    deployment = Deployment(settings, draws, asked, Recorder, SEED)
+    deployment.crash([2], 8.0, 16.0)
+    deployment.slow([3], 12.0, 20.0, 5.0)
+    deployment.drain(4, 18.0)
+    deployment.run(SECONDS + swing.AFTER)
+    recorded.dump(events, digest.hexdigest())
+    print(f"{len(events)} events, digest {digest.hexdigest()}")
+
+
+if __name__ == "__main__":
+    main()
--- a/tealwing/adapter.py
+++ b/tealwing/adapter.py
@@ -1,28 +1,49 @@
-"""The process loop: batches on standard input, replies on standard output. It decides nothing."""
+"""The process loop: batches on standard input, replies on standard output. It decides nothing.
+
+With TEALWING_CONF the instances are under the service levels of that file, as the gateway on sockets would be.
+"""
 
 from __future__ import annotations
 
+import os
 import sys
 import traceback
-from typing import BinaryIO
+from typing import TYPE_CHECKING, Any, BinaryIO
 
+from tealwing import interface as api
 from tealwing import wire
 from tealwing.policy import Gateway
 
+if TYPE_CHECKING:  # imported where a file switches it on
+    from tealwing.levels.governor import Governor
+    from tealwing.levels.plan import Plan
+
 
 class Host:
     """All gateways of one process, by instance number."""
 
-    def __init__(self) -> None:
-        self.decoder = wire.Decoder()
-        self.gateways: dict[int, Gateway] = {}
+    def __init__(self, plan: Plan | None = None) -> None:
+        self.decoder, self._plan = wire.Decoder(), plan
+        self.gateways: dict[int, Gateway | Governor] = {}
+        self._said: list[str] = []  # of changes of level, by the event that is being handled
+
+    def _begin(self, settings: api.Settings, seed: int) -> Gateway | Governor:
+        gateway = Gateway(settings, seed)
+        if self._plan is None:
+            return gateway
+        from tealwing.levels.governor import Governor
+
+        def say(name: str, fields: dict[str, Any]) -> None:
+            self._said.append(f"{name} {fields}")
+
+        return Governor(settings, gateway, self._plan, say)
 
     def reply(self, now: float, count: int, body: bytes) -> bytes:
         """The reply to one batch."""
         records: list[bytes] = []
         for instance, event in self.decoder.events(body, count):
             if isinstance(event, wire.Init):
-                self.gateways[instance] = Gateway(wire.settings(event.facts), event.seed)
+                self.gateways[instance] = self._begin(wire.settings(event.facts), event.seed)
             elif isinstance(event, wire.Teardown):
                 self.gateways.pop(instance, None)
             elif instance not in self.gateways:
@@ -30,15 +51,17 @@
             else:
                 try:
                     actions = self.gateways[instance].handle(now, event)
+                    actions += [api.Log(text) for text in self._said]
+                    self._said.clear()
                     records += [wire.encode(instance, action) for action in actions]
                 except Exception:
                     records.append(wire.bug(instance, traceback.format_exc(limit=-3)))
         return wire.reply(records)
 
 
-def serve(source: BinaryIO, sink: BinaryIO) -> None:
+def serve(source: BinaryIO, sink: BinaryIO, plan: Plan | None = None) -> None:
     """Answer batches until the input ends."""
-    host = Host()
+    host = Host(plan)
     while (batch := wire.read_batch(source)) is not None:
         sink.write(host.reply(*batch))
         sink.flush()
@@ -47,7 +70,12 @@
 def main() -> int:
     """Serve standard input; bad input ends it with one line on standard error."""
     try:
-        serve(sys.stdin.buffer, sys.stdout.buffer)
+        plan = None
+        if conf := os.environ.get("TEALWING_CONF"):
+            from tealwing.conf import reader
+
+            plan = reader.read(conf).records.get("levels")
+        serve(sys.stdin.buffer, sys.stdout.buffer, plan)
     except (wire.WireError, ValueError) as error:
         print(f"tealwing: {' '.join(str(error).split())}", file=sys.stderr)
         return 1
--- /dev/null
+++ b/tealwing/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: one module a group of sub-commands."""
--- /dev/null
+++ b/tealwing/commands/levels.py
@@ -0,0 +1,118 @@
+"""`tealwing levels`: replay of recorded signals, and load swinging round the thresholds."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import click
+import orjson
+
+from tealwing.commands.root import FILE, Finding, read
+
+if TYPE_CHECKING:
+    from tealwing.levels.plan import Plan
+
+MOST_CHANGES = 2  # in any minute at one gateway, as the controller promises
+CONF = click.option("--conf", type=FILE, required=True, help="The operators' file with a section `levels`.")
+
+
+def plan_of(path: str) -> Plan:
+    """The plan that a file's section `levels` makes."""
+    record = read(path).records.get("levels")
+    if record is None:
+        raise Finding(f"{path}: found no section levels; allowed: one")
+    plan: Plan = record
+    return plan
+
+
+def line(record: dict[str, Any]) -> None:
+    """Write one record as a line of JSON."""
+    click.echo(orjson.dumps(record).decode())
+
+
+@click.group()
+def levels() -> None:
+    """Reduced service levels: what a plan would do."""
+
+
+@levels.command()
+@CONF
+@click.argument("trace", type=click.Path(dir_okay=False, allow_dash=True))
+def replay(conf: str, trace: str) -> None:
+    """Play the signals recorded in TRACE (`-` reads standard input) through the plan.
+
+    TRACE has one JSON object a line, `{"at": SECONDS, "signals": {NAME: VALUE}}`, with `at` rising. Durations are
+    seconds and shares lie between 0 and 1, so that 20% is 0.2; signals that a line leaves out read as calm, and a
+    line holds until the next. Prints a JSON line for each change of level, and a last one that sums up.
+
+    Example: tealwing levels replay --conf deploy/tealwing.conf flood.jsonl
+    """
+    from tealwing.levels import replay as module
+
+    plan = plan_of(conf)
+    try:
+        source = sys.stdin.buffer if trace == "-" else Path(trace).open("rb")  # noqa: SIM115
+        with source:
+            for record in module.replay(plan, module.lines(source)):
+                line(record)
+    except OSError as error:
+        raise Finding(f"{trace}: {error.strerror}") from None
+    except module.TraceError as error:
+        raise Finding(f"{trace}: {error}") from None
+
+
+@levels.command()
+@CONF
+@click.option("--seed", type=click.IntRange(0, 10**9), required=True, help="Same seed, same output.")
+@click.option(
+    "--minutes",
+    type=click.FloatRange(0.5, 60),
+    default=5.0,
+    show_default=True,
+    help="Virtual minutes of each play.",
+)
+@click.option("--jobs", type=click.IntRange(1, 256), help="Processes; as many as there are processors.")
+@click.option("--json", "as_json", is_flag=True, help="JSON lines in place of a table.")
+def swing(conf: str, seed: int, minutes: float, jobs: int | None, as_json: bool) -> None:
+    """Swing modelled load round each threshold, with the levels on and off on the same arrivals.
+
+    For each level that load enters, a square wave, a saw-tooth and noise of a drawn period, from 1 s to 2 min; then
+    a flood of 2.5 times the usual and a calm day. Figures: changes of level, the most in any minute at one gateway,
+    the worth served over that asked for, and the share of admitted lookups within their aim. Needs the extra `lab`.
+    Exit code 1 where a level changed more than twice in a minute, or a rule was broken.
+
+    Example: tealwing levels swing --conf deploy/tealwing.conf --seed 1 --minutes 2 --json
+    """
+    plan = plan_of(conf)
+    try:
+        from tealwing.lab import swing as module
+    except ImportError as error:
+        raise Finding(f"levels swing needs the extra lab: pip install 'tealwing[lab]' ({error})") from None
+    last: dict[str, Any] = {}
+    if not as_json:
+        click.echo(
+            f"{'threshold':20} {'form':9} {'period':>7} {'load':>6} {'changes':>8} {'a minute':>9}"
+            f" {'worth on':>9} {'off':>7} {'lookups on':>11} {'off':>7}"
+        )
+    for last in module.swing(plan, seed, minutes * 60, jobs or os.cpu_count() or 1):
+        if as_json:
+            line(last)
+        elif "summary" not in last:
+            click.echo(
+                f"{last['threshold']:20} {last['form']:9} {last['period_s']:>6g}s {last['load']:>6.2f}"
+                f" {last['changes']:>8} {last['changes_per_minute_max']:>9}"
+                f" {last['worth']['on']:>9.4f} {last['worth']['off']:>7.4f}"
+                f" {last['lookup_in_time']['on']:>11.4f} {last['lookup_in_time']['off']:>7.4f}"
+            )
+    if not as_json:
+        for name in last["not_entered_by_load"]:
+            click.echo(f"{name}: load alone does not enter it")
+        click.echo(
+            f"most changes in a minute: {last['changes_per_minute_max']}; worth on"
+            f" {last['worth']['on']:.4f}, off {last['worth']['off']:.4f}"
+        )
+    if last["changes_per_minute_max"] > MOST_CHANGES or last["rules_broken"]:
+        raise SystemExit(1)
--- /dev/null
+++ b/tealwing/conf/values.py
@@ -0,0 +1,153 @@
+"""Values and their units in the operators' file; pure. Ranges are checked by msgspec's typed records."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from typing import Annotated, Any
+
+import msgspec
+
+Words = tuple[str, ...]
+Read = Callable[[Words], Any]
+
+DURATIONS = {"us": 1e-6, "ms": 1e-3, "s": 1.0, "m": 60.0, "h": 3600.0, "d": 86400.0}  # s
+SIZES = {"B": 1, "KB": 1 << 10, "MB": 1 << 20, "GB": 1 << 30}  # bytes
+_PLAIN = re.compile(r"\d{1,15}(?:\.\d{1,9})?", re.ASCII)
+
+
+class Unfit(ValueError):
+    """A value that is not allowed; the text says what is."""
+
+
+def _number(text: str, allowed: str) -> float:
+    if not _PLAIN.fullmatch(text):
+        raise Unfit(allowed)
+    return float(text)
+
+
+def duration(text: str) -> float:
+    """`250ms`, `1.5s`, `2m`, as seconds."""
+    allowed = "a duration with its unit, as 250ms, 1.5s, 2m, 1h or 7d"
+    unit = next((u for u in sorted(DURATIONS, key=len, reverse=True) if text.endswith(u)), None)
+    if unit is None:
+        raise Unfit(allowed)
+    return _number(text[: -len(unit)], allowed) * DURATIONS[unit]
+
+
+def size(text: str) -> int:
+    """`64MB` as bytes."""
+    allowed = "a size with its unit, as 512B, 16KB, 64MB or 1GB"
+    unit = next((u for u in sorted(SIZES, key=len, reverse=True) if text.endswith(u)), None)
+    if unit is None:
+        raise Unfit(allowed)
+    return int(_number(text[: -len(unit)], allowed) * SIZES[unit])
+
+
+def share(text: str) -> float:
+    """`85%` as 0.85."""
+    if not text.endswith("%"):
+        raise Unfit("a share with its sign, as 85%")
+    return _number(text[:-1], "a share with its sign, as 85%") / 100
+
+
+def number(text: str) -> float:
+    """A plain number."""
+    return _number(text, "a number, as 2 or 1.5")
+
+
+def whole(text: str) -> int:
+    """A whole number."""
+    if not (text.isascii() and text.isdigit()) or len(text) > 15:
+        raise Unfit("a whole number, as 3")
+    return int(text)
+
+
+def written_duration(seconds: float) -> str:
+    """Seconds as a file would say them."""
+    for unit, length in (("h", 3600.0), ("m", 60.0), ("s", 1.0)):
+        if seconds >= length and abs(seconds / length - round(seconds / length)) < 1e-9:
+            return f"{round(seconds / length)}{unit}"
+    return f"{seconds * 1e3:g}ms" if seconds < 1 else f"{seconds:g}s"
+
+
+def written_share(value: float) -> str:
+    """A share as a file would say it."""
+    return f"{value * 100:g}%"
+
+
+def _ranged(read: Callable[[str], Any], kind: type, least: float, most: float, written: Any) -> Read:
+    """A single word, read and held within a range."""
+    bounded = Annotated[kind, msgspec.Meta(ge=least, le=most)]  # type: ignore[valid-type]
+
+    def value(words: Words) -> Any:
+        if len(words) != 1:
+            raise Unfit("one value")
+        found = read(words[0])
+        try:
+            return msgspec.convert(found, bounded)
+        except msgspec.ValidationError:
+            raise Unfit(f"from {written(least)} to {written(most)}") from None
+
+    return value
+
+
+def durations(least: float, most: float) -> Read:
+    """One duration within a range of seconds."""
+    return _ranged(duration, float, least, most, written_duration)
+
+
+def shares(least: float = 0.0, most: float = 1.0) -> Read:
+    """One share within a range."""
+    return _ranged(share, float, least, most, written_share)
+
+
+def numbers(least: float, most: float) -> Read:
+    """One number within a range."""
+    return _ranged(number, float, least, most, lambda value: f"{value:g}")
+
+
+def wholes(least: int, most: int) -> Read:
+    """One whole number within a range."""
+    return _ranged(whole, int, least, most, str)
+
+
+def sizes(least: int, most: int) -> Read:
+    """One size within a range of bytes."""
+    return _ranged(size, int, least, most, lambda value: f"{int(value)}B")
+
+
+def choice(*allowed: str) -> Read:
+    """One of some words."""
+
+    def value(words: Words) -> str:
+        if len(words) != 1 or words[0] not in allowed:
+            raise Unfit(" or ".join(allowed))
+        return words[0]
+
+    return value
+
+
+def switch(words: Words) -> bool:
+    """`on` or `off`."""
+    return bool(choice("on", "off")(words) == "on")
+
+
+def name(words: Words) -> str:
+    """One name of lower-case letters, digits and hyphens."""
+    if len(words) != 1 or not re.fullmatch(r"[a-z][a-z0-9-]{0,39}", words[0]):
+        raise Unfit("one name of at most 40 lower-case letters, digits and hyphens")
+    return words[0]
+
+
+def text(words: Words) -> str:
+    """One word or quoted string that is not empty."""
+    if len(words) != 1 or not words[0]:
+        raise Unfit('one word or one "string"')
+    return words[0]
+
+
+def nothing(words: Words) -> None:
+    """No argument at all."""
+    if words:
+        raise Unfit("no argument")
--- a/tealwing/config.py
+++ b/tealwing/config.py
@@ -15,6 +15,8 @@
 
 CLIENT_SHARE = 3  # usual clients hold at most one in so many descriptors
 SOCKETS = 1024  # descriptors, where the file names no limit
+MOST_CORES = 1024  # beyond which a limit is a mistake
+CORES = 1.0  # of the processor, where the file names no limit
 
 
 class ConfigError(ValueError):
@@ -30,6 +32,7 @@
     coordinator: Address
     seed: int
     sockets: int
+    cores: float
     settings: interface.Settings
     known: tuple[news.Update, ...]
     index: int
@@ -74,9 +77,12 @@
         number = int(seed, 16)
     except (TypeError, ValueError):
         raise ConfigError(f"seed: {seed!r} is not a hexadecimal number") from None
-    sockets = _section(data.get("limits", {}), "limits").get("sockets", SOCKETS)
+    limits = _section(data.get("limits", {}), "limits")
+    sockets, cores = limits.get("sockets", SOCKETS), limits.get("cores", CORES)
     if not isinstance(sockets, int) or isinstance(sockets, bool) or sockets < 64:
         raise ConfigError(f"limits.sockets: {sockets!r} is not a whole number of 64 or more")
+    if not isinstance(cores, (int, float)) or isinstance(cores, bool) or not 0 < cores <= MOST_CORES:
+        raise ConfigError(f"limits.cores: {cores!r} is not a number above 0 and up to {MOST_CORES}")
     facts = _section(data.get("settings"), "settings")
     try:
         settings = wire.settings(orjson.dumps(facts))
@@ -92,6 +98,7 @@
         coordinator=address(data.get("coordinator"), "coordinator"),
         seed=number,
         sockets=sockets,
+        cores=float(cores),
         settings=settings,
         known=updates,
         index=index,
--- a/tealwing/exchange.py
+++ b/tealwing/exchange.py
@@ -24,6 +24,7 @@
     cost: float | None = None
     need: float = 0.0
     tables: int = 0
+    taken: float = 0.0  # monotonic, when its last byte had been read
 
 
 @dataclass(frozen=True, slots=True)
--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -2,22 +2,30 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING, Any
+
 from tealwing import interface as api
 from tealwing import log
 from tealwing.config import Config
 from tealwing.coordinator.follower import Follower
 from tealwing.coordinator.news import Update
 from tealwing.exchange import Query
-from tealwing.gateway.decisions import Decisions
+from tealwing.gateway.decisions import Decisions, Module
 from tealwing.gateway.life import Life, Word
+from tealwing.gateway.vitals import Vitals
+from tealwing.policy import Gateway
 from tealwing.resp.fleet import Fleet
 
+if TYPE_CHECKING:  # what the operators' file does not switch on is not imported
+    from tealwing.levels.plan import Plan
+
 
 class Daemon:
     """Owns the decisions, the engines' connections and the coordinator's thread."""
 
     def __init__(self, config: Config) -> None:
-        self._settings = config.settings
+        self._settings, self._cores = config.settings, config.cores
+        self._vitals: Vitals | None = None  # measured where service levels are on
         self._fleet = Fleet(config.settings.limits)
         self._decisions = Decisions(config.settings, config.seed, self._fleet)
         self._follower = Follower(config.coordinator, config.index, config.settings, self._news)
@@ -31,13 +39,44 @@
 
     def open(self, query: Query) -> Life:
         """The life of a request that has come."""
-        return Life(query, self._settings, self._decisions, self._fleet)
+        return Life(query, self._settings, self._decisions, self._fleet, self._vitals)
+
+    def unread(self, seconds: float) -> None:
+        """What a client sent was read so long after it had come."""
+        if self._vitals is not None:
+            self._vitals.waited(seconds)
 
     def reconfigure(self, config: Config) -> None:
         """Take what may change under load: the coordinator. Its events' numbers go on."""
         self._follower.move(config.coordinator)
         log.event("reconfigured", coordinator=config.coordinator)
 
+    def operate(self, records: dict[str, Any]) -> None:
+        """Take the operators' file in whole: its records by section. PlanError leaves all as it is."""
+        self._levels(records.get("levels"))
+
+    def _levels(self, plan: Plan | None) -> None:
+        if plan is None and self._vitals is None:
+            return
+        from tealwing.levels.governor import Governor  # only where levels are on, or were
+
+        def change(module: Module, now: float) -> Module:
+            if plan is None:
+                return module.end(now) if isinstance(module, Governor) else module
+            if isinstance(module, Governor):
+                module.adopt(plan, now)
+                return module
+            assert isinstance(module, Gateway)
+            return Governor(self._settings, module, plan, _say)
+
+        self._decisions.change(change)
+        if plan is None and self._vitals is not None:
+            self._vitals.stop()
+            self._vitals = None
+        elif plan is not None and self._vitals is None:
+            self._vitals = Vitals(self._decisions, self._cores)
+            self._vitals.start()
+
     def fail_open(self) -> int:
         """Fail all that is still open, as the gateway ends; how many there were."""
         return self._decisions.tell_all(Word.SHUTDOWN)
@@ -54,3 +93,7 @@
         log.event("engine_list", index=update.index, complete=update.complete, members=states)
         for why in update.unusable:
             log.event("engine_unusable", why=why)
+
+
+def _say(name: str, fields: dict[str, Any]) -> None:
+    log.event(name, **fields)
--- a/tealwing/gateway/decisions.py
+++ b/tealwing/gateway/decisions.py
@@ -7,9 +7,10 @@
 import threading
 import time
 import traceback
+from collections.abc import Callable
 from math import ceil
 from queue import SimpleQueue
-from typing import Any
+from typing import Any, Protocol
 
 from tealwing import interface as api
 from tealwing import log
@@ -22,11 +23,19 @@
 Mailbox = SimpleQueue[Any]  # of the module's actions and the engines' answers for one request
 
 
+class Module(Protocol):
+    """The decision module, or what stands before it."""
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        """The actions on one event."""
+
+
 class Decisions:
     """Nothing here waits for a socket while it holds the lock; mailboxes and the timers' heap never block."""
 
     def __init__(self, settings: api.Settings, seed: int, fleet: Fleet) -> None:
-        self._gateway, self._fleet = Gateway(settings, seed), fleet
+        self._gateway: Module = Gateway(settings, seed)
+        self._fleet = fleet
         self._lock = threading.Lock()
         self._grain = max(settings.tick, GRAIN)
         self._offset = time.time() - time.monotonic()  # Unix time that a step of the clock can't turn back
@@ -67,6 +76,11 @@
                 mailbox.put(word)
             return len(self._mailboxes)
 
+    def change(self, how: Callable[[Module, float], Module]) -> None:
+        """Put something before the module, or take it away; no event comes between."""
+        with self._lock:
+            self._gateway = how(self._gateway, time.monotonic() + self._offset)
+
     def submit(self, *events: api.Event) -> None:
         """Some events in turn; their actions are in the mailboxes when this returns."""
         idle: list[int] = []
--- a/tealwing/gateway/life.py
+++ b/tealwing/gateway/life.py
@@ -12,6 +12,7 @@
 from tealwing import log
 from tealwing.exchange import Abandoned, Failed, Query, Refused, Reply, Served
 from tealwing.gateway.decisions import Decisions, Mailbox
+from tealwing.gateway.vitals import Vitals
 from tealwing.resp import messages
 from tealwing.resp.engine import Answer, Broken, ConnectFailed, Lost, Stream
 from tealwing.resp.fleet import Fleet
@@ -59,8 +60,16 @@
 class Life:
     """One request under way."""
 
-    def __init__(self, query: Query, settings: api.Settings, decisions: Decisions, fleet: Fleet) -> None:
+    def __init__(
+        self,
+        query: Query,
+        settings: api.Settings,
+        decisions: Decisions,
+        fleet: Fleet,
+        vitals: Vitals | None = None,
+    ) -> None:
         self._query, self._settings, self._decisions, self._fleet = query, settings, decisions, fleet
+        self._vitals = vitals
         self._mailbox: Mailbox = SimpleQueue()
         # A late try of a client may have less than we need ourselves: the module hears that no time is left
         lateness = min(max(LATENESS_SHARE * query.ttl, LATENESS[0]), LATENESS[1])
@@ -89,6 +98,8 @@
                         attempt = Attempt(sends, engine, timeout)
                         sends += 1
                         failure = self._send(attempt, priority)
+                        if self._vitals is not None and not attempt.number:
+                            self._vitals.lagged(time.monotonic() - self._query.taken)
                         if failure is not None:
                             self._outcome(attempt, failure)
                             attempt = None
@@ -126,7 +137,7 @@
                         self._outcome(attempt, api.Result.ERROR if lost else api.Result.TIMEOUT)
                         attempt = None
 
-                    case api.Refuse(_, retry_after):
+                    case api.Refuse(_, retry_after, _):
                         return Refused(retry_after)
 
                     case api.Fail():
--- a/tealwing/interface.py
+++ b/tealwing/interface.py
@@ -166,6 +166,19 @@
     late_fail: float
 
 
+@dataclass(frozen=True, slots=True)
+class Account:
+    """One client account: its share of the service, and the requests a second that lie within it, over all gateways."""
+
+    name: str
+    share: float
+    rate: float
+
+    def __post_init__(self) -> None:
+        _need(0 <= self.share <= 1, "account share", self.share)
+        _need(self.rate >= 0, "account rate", self.rate)
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """All that one gateway is told at its start."""
@@ -190,6 +203,7 @@
     marks_retry: bool
     tick: float
     tenants: tuple[str, ...] = ()
+    accounts: tuple[Account, ...] = ()  # in the order of tenants; empty where shares are not told
 
     def __post_init__(self) -> None:
         _need(self.gateways >= 1, "gateways", self.gateways)
@@ -307,8 +321,52 @@
     token: int
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceLevel:
+    """The service level in force, from tealwing.levels; number 0 with all admitted ends it.
+
+    admitted is the chance of a new request by class and account; attempts, by class, is the most that a request safe
+    to repeat may have, 0 where the deployment's limit stands; pushback is the least and the most that one turned
+    away is told to wait.
+    """
+
+    number: int
+    name: str
+    admitted: tuple[tuple[float, ...], ...]
+    attempts: tuple[int, ...]
+    pushback: tuple[float, float]
+
+    @property
+    def full(self) -> bool:
+        """Whether nothing is reduced."""
+        return not self.number and all(chance >= 1 for chances in self.admitted for chance in chances)
+
+
+@dataclass(frozen=True, slots=True)
+class HostLoad:
+    """The gateway's own state, for tealwing.levels: means of the last moments.
+
+    lag is from a request's last byte to its first attempt, unread the age of what waited to be read, and processor
+    the time that this process took of its share of the processor.
+    """
+
+    lag: float
+    unread: float
+    processor: float
+
+
 Event = (
-    EngineList | Request | Outcome | StreamStarted | Note | ProbeResult | PeerMessage | HungUp | TimerFired
+    EngineList
+    | Request
+    | Outcome
+    | StreamStarted
+    | Note
+    | ProbeResult
+    | PeerMessage
+    | HungUp
+    | TimerFired
+    | ServiceLevel
+    | HostLoad
 )
 
 
@@ -335,10 +393,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
-    """A final no; retry_after 0 gives no advice."""
+    """A final no; retry_after 0 gives no advice. shed: a service level turned it away, not the fleet's state."""
 
     id: int
     retry_after: float
+    shed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tealwing/lab/harness.py
@@ -0,0 +1,382 @@
+"""A whole deployment in virtual time: clients, N decision modules, modelled engines and the list between them.
+
+Each gateway is anything with the decision module's `handle`; they share nothing but the engines. The same seed gives
+the same run. The books kept here are the harness's own: what a client got, and when, never what a module believes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import numpy as np
+
+from tealwing import interface as api
+from tealwing.lab import engines
+from tealwing.lab.arrivals import Arrivals
+from tealwing.lab.clock import Clock
+
+NET = 0.0003  # s one way between any two
+NOTICE = (0.78, 4.9)  # s that the list trails (the brief's figures)
+RESET_AFTER = 0.001  # s from a crash to the reset of its connections
+
+
+class Module(Protocol):
+    """What decides at one gateway."""
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        """The actions on one event."""
+
+
+Make = Callable[[api.Settings, int], Module]  # from settings and a seed
+
+
+@dataclass(frozen=True, slots=True)
+class Clients:
+    """How clients behave."""
+
+    retries: int = 1
+    wait: tuple[float, float] = (0.1, 0.6)  # s before a further try, at random
+    heed: float = 0.8  # share of them that keep a pushback
+    patience: tuple[float, float] = (0.8, 1.0)  # of the deadline, for which a try is waited for
+
+
+@dataclass(eq=False, slots=True)
+class Try:
+    """One try of a client at its gateway."""
+
+    first: int  # the request's place among the arrivals
+    number: int  # of the try, from 0
+    gateway: int
+    id: int
+    end: float
+    over: bool = False
+    sends: int = 0
+    attempt: Attempt | None = None
+    priority: int = 1
+
+
+@dataclass(eq=False, slots=True)
+class Attempt:
+    """One send."""
+
+    of: Try
+    number: int
+    engine: engines.Engine
+    sent: float
+    run: engines.Run | None = None
+    ended: bool = False
+
+
+@dataclass(slots=True)
+class Books:
+    """What became of every request, by its place among the arrivals."""
+
+    answered: Any  # time of the answer 'served', or NaN
+    refused: Any  # refusals that its client got
+    failed: Any
+    shed: Any  # refusals that a level made
+    attempts: Any
+    twice: int = 0  # answers to a try that had one
+    doubled: int = 0  # attempts sent while one was out
+    wrong: int = 0  # sends to engines that no list had named, or past the drain's grace
+    fell: int = 0  # engines pushed over by gateways that knew of their start
+
+
+class Deployment:
+    """Some gateways before some engines."""
+
+    def __init__(
+        self,
+        settings: api.Settings,
+        draws: Sequence[engines.Draw],
+        arrivals: Arrivals,
+        make: Make,
+        seed: int,
+        clients: Clients | None = None,
+    ) -> None:
+        self.settings, self.clock, self.arrivals = settings, Clock(), arrivals
+        self.clients = clients or Clients()
+        self._rng = np.random.default_rng((seed, 1))
+        self.engines = {
+            i + 1: engines.Engine(i + 1, draw, self.clock, np.random.default_rng((seed, 2, i)))
+            for i, draw in enumerate(draws)
+        }
+        self.kinds = {i + 1: self._kind(draw) for i, draw in enumerate(draws)}
+        n = len(arrivals)
+        refused, failed, shed, attempts = (np.zeros(n, dtype=np.int32) for _ in range(4))
+        self.books = Books(np.full(n, np.nan), refused, failed, shed, attempts)
+        self._tries: list[dict[int, Try]] = [{} for _ in range(settings.gateways)]
+        self._ids = [0] * settings.gateways
+        self._drained: dict[tuple[int, int], float] = {}  # by gateway and engine, since when told
+        self._started: dict[tuple[int, int], float] = {}  # by gateway and engine, the start that it knows of
+        self._pushed = 0  # engines that were pushed over and have been replaced
+        self._usual = [
+            float(arrivals.work[arrivals.cls == place].mean()) if (arrivals.cls == place).any() else 0.0
+            for place in range(len(settings.classes))
+        ]
+        # what is drawn here is drawn ahead: one more or less try must not change another's luck
+        self._luck = self._rng.random((n, 4))
+        self.modules = [make(settings, seed * 1000 + i) for i in range(settings.gateways)]
+        self._columns = [
+            column.tolist()
+            for column in (
+                arrivals.at,
+                arrivals.cls,
+                arrivals.account,
+                arrivals.gateway,
+                arrivals.work,
+                arrivals.cost,
+                arrivals.group,
+                arrivals.need,
+                arrivals.io,
+            )
+        ]
+
+    def _kind(self, draw: engines.Draw) -> int:
+        return next(i for i, kind in enumerate(self.settings.kinds) if kind.cores == draw.cores)
+
+    def run(self, until: float) -> Books:
+        """Let it run; all arrivals before `until` come, and time goes on until then."""
+        entries = tuple(self._entry(number, api.Health.READY) for number in self.engines)
+        for gateway in range(self.settings.gateways):
+            self._tell(gateway, api.EngineList(api.ListKind.CACHED, 1, entries))
+        if len(self.arrivals):
+            self.clock.at(self._columns[0][0], self._arrive, 0)
+        self.clock.run(until)
+        self.books.fell = self._pushed + sum(engine.pushed for engine in self.engines.values())
+        return self.books
+
+    # Troubles
+
+    def crash(self, numbers: Sequence[int], at: float, back: float | None) -> None:
+        """Some engines die at a time, and come back cold at another."""
+        self.clock.at(at, self._crash, tuple(numbers), back)
+
+    def slow(self, numbers: Sequence[int], at: float, until: float, times: float) -> None:
+        """Some engines run so many times slower for a while."""
+        for number in numbers:
+            self.clock.at(at, lambda n=number: self.engines[n].paced(times))
+            self.clock.at(until, lambda n=number: self.engines[n].paced(1.0))
+
+    def drain(self, number: int, at: float) -> None:
+        """One engine is to be sent nothing new."""
+        self.clock.at(at, self._news, number, api.Health.DRAINING)
+
+    def _crash(self, numbers: tuple[int, ...], back: float | None) -> None:
+        for number in numbers:
+            engine = self.engines[number]
+            for run in engine.crash():
+                self.clock.after(RESET_AFTER, self._ended, run.key, api.Result.RESET)
+            self._news(number, api.Health.GONE)
+            if back is not None:
+                self.clock.at(back, self._back, number)
+
+    def _back(self, number: int) -> None:
+        old = self.engines[number]
+        self._pushed += old.pushed
+        rng = np.random.default_rng((number, int(self.clock.now * 1e3)))
+        self.engines[number] = engines.Engine(number, old.draw, self.clock, rng, self.clock.now)
+        self._news(number, api.Health.READY)
+
+    def _news(self, number: int, health: api.Health) -> None:
+        """The list tells each gateway, later."""
+        entry = self._entry(number, health)
+        for gateway in range(self.settings.gateways):
+            late = float(self._rng.uniform(*NOTICE))
+            self.clock.after(late, self._listed, gateway, number, entry)
+
+    def _listed(self, gateway: int, number: int, entry: api.ListEntry) -> None:
+        if entry.health is api.Health.READY:
+            self._started[gateway, number] = entry.started
+            self._drained.pop((gateway, number), None)
+        else:
+            self._drained.setdefault((gateway, number), self.clock.now)
+        self._tell(gateway, api.EngineList(api.ListKind.DELTA, 2, (entry,)))
+
+    def _entry(self, number: int, health: api.Health) -> api.ListEntry:
+        started = self.engines[number].started
+        return api.ListEntry(number, 0, self.kinds[number], 0, health, 1.0, started)
+
+    # Clients
+
+    def _arrive(self, place: int) -> None:
+        at = self._columns[0]
+        if place + 1 < len(at):
+            self.clock.at(at[place + 1], self._arrive, place + 1)
+        self._try(place, 0)
+
+    def _try(self, place: int, number: int) -> None:
+        _, cls, account, gateway, _, cost, group, need, _ = (column[place] for column in self._columns)
+        deadline = self.settings.classes[cls].deadline
+        low, high = self.clients.patience
+        patience = deadline * (low + (high - low) * float(self._luck[place, 0]))
+        left = self._columns[0][place] + deadline - self.clock.now
+        ttl = min(patience, left)
+        if ttl <= 0:
+            return
+        self._ids[gateway] += 1
+        made = Try(place, number, gateway, self._ids[gateway], self.clock.now + ttl)
+        self._tries[gateway][made.id] = made
+        self.clock.at(made.end, self._impatient, made)
+        request = api.Request(made.id, cls, ttl, float(group), cost, 0, account, need, number > 0)
+        self._tell(gateway, request)
+
+    def _impatient(self, made: Try) -> None:
+        if not made.over:
+            self._close(made)
+            self.books.failed[made.first] += 1
+            self._tell(made.gateway, api.HungUp(made.id))
+            if made.attempt is not None:
+                self._stop(made.attempt, api.Result.CANCELLED)
+
+    def _again(self, made: Try, wait: float) -> None:
+        if made.number < self.clients.retries:
+            luck = self._luck[made.first]
+            low, high = self.clients.wait
+            pause = low + (high - low) * float(luck[1])
+            if wait and luck[2] < self.clients.heed:
+                pause = max(pause, wait)
+            self.clock.after(pause, self._try, made.first, made.number + 1)
+
+    def _close(self, made: Try) -> None:
+        self.books.twice += made.over
+        made.over = True
+
+    # Gateways
+
+    def _tell(self, gateway: int, event: api.Event) -> None:
+        for action in self.modules[gateway].handle(self.clock.now, event):
+            self._act(gateway, action)
+
+    def _act(self, gateway: int, action: api.Action) -> None:
+        match action:
+            case api.SetTimer(delay, token):
+                self.clock.after(delay, self._tell, gateway, api.TimerFired(token))
+            case api.Send(id_, engine, timeout):
+                self._send(self._tries[gateway][id_], engine, timeout)
+            case api.Tune(id_, priority, _):
+                made = self._tries[gateway][id_]
+                made.priority = priority
+                if made.attempt is not None and made.attempt.run is not None:
+                    made.attempt.engine.tune(made.attempt.run, priority)
+            case api.Cancel(id_, number):
+                attempt = self._tries[gateway][id_].attempt
+                if attempt is not None and attempt.number == number:
+                    self._stop(attempt, api.Result.CANCELLED)
+            case api.Refuse(id_, wait):
+                made = self._tries[gateway][id_]
+                self._close(made)
+                self.books.refused[made.first] += 1
+                self.books.shed[made.first] += action.shed
+                self._again(made, wait)
+                self._forget(made)
+            case api.Fail(id_):
+                made = self._tries[gateway][id_]
+                self._close(made)
+                self.books.failed[made.first] += 1
+                self._again(made, 0.0)
+                self._forget(made)
+
+    def _send(self, made: Try, number: int, timeout: float) -> None:
+        books, engine = self.books, self.engines.get(number)
+        told = self._drained.get((made.gateway, number))
+        books.doubled += made.attempt is not None
+        books.attempts[made.first] += 1
+        if engine is None or (told is not None and self.clock.now > told + self.settings.rules.drain_grace):
+            books.wrong += 1
+        assert engine is not None
+        attempt = made.attempt = Attempt(made, made.sends, engine, self.clock.now)
+        made.sends += 1
+        self.clock.after(NET, self._land, attempt)
+        self.clock.at(min(self.clock.now + timeout, made.end), self._timed_out, attempt)
+
+    def _land(self, attempt: Attempt) -> None:
+        if attempt.ended:
+            return
+        engine, place = attempt.engine, attempt.of.first
+        _, cls, _, _, work, _, group, need, io = (column[place] for column in self._columns)
+        if not engine.up:
+            self._ended(attempt, api.Result.CONNECT_FAILED)
+            return
+        engine.pressure(self._usual[cls], self._started.get((attempt.of.gateway, engine.number)) == engine.started)
+        if not engine.up:
+            for run in engine.crash():
+                self._ended(run.key, api.Result.RESET)
+            self._ended(attempt, api.Result.RESET)
+            return
+        if engine.full():
+            self.clock.after(NET, self._ended, attempt, api.Result.FULL)
+            return
+        kind = self.settings.classes[cls]
+        attempt.run = engines.Run(
+            attempt,
+            cls,
+            work,
+            kind.threads,
+            io,
+            group,
+            need,
+            attempt.of.priority,
+            kind.holds,
+            kind.waits,
+            self._served,
+        )
+        engine.start(attempt.run)
+        if self.settings.notes_every > 0:
+            self.clock.after(self.settings.notes_every, self._note, attempt)
+
+    def _note(self, attempt: Attempt) -> None:
+        if attempt.ended or attempt.run is None or attempt.run.slot < 0:
+            return
+        self.clock.after(self.settings.notes_every, self._note, attempt)
+        made, run = attempt.of, attempt.run
+        if run.still:
+            kind, amount = api.NoteKind.WAITS, 2.0
+        else:
+            kind, amount = api.NoteKind.PROGRESS, attempt.engine.progress(run)
+        self._tell(made.gateway, api.Note(made.id, attempt.number, attempt.engine.number, kind, amount))
+
+    def _served(self, run: engines.Run) -> None:
+        self.clock.after(NET, self._ended, run.key, api.Result.OK)
+
+    def _timed_out(self, attempt: Attempt) -> None:
+        if not attempt.ended:
+            self._stop(attempt, api.Result.TIMEOUT)
+
+    def _stop(self, attempt: Attempt, result: api.Result) -> None:
+        if attempt.run is not None:
+            attempt.engine.stop(attempt.run)
+        self._ended(attempt, result)
+
+    def _ended(self, attempt: Attempt, result: api.Result) -> None:
+        """The one outcome of an attempt."""
+        if attempt.ended:
+            return
+        attempt.ended = True
+        made, engine = attempt.of, attempt.engine
+        made.attempt = None
+        served = result is api.Result.OK and not made.over
+        if served:
+            self._close(made)
+            self.books.answered[made.first] = self.clock.now
+        report = engine.report() if result in (api.Result.OK, api.Result.FULL, api.Result.ERROR) else ()
+        self._tell(
+            made.gateway,
+            api.Outcome(
+                made.id,
+                attempt.number,
+                engine.number,
+                result,
+                self.clock.now - attempt.sent,
+                made.over,
+                report=report,
+            ),
+        )
+        if made.over:
+            self._forget(made)
+
+    def _forget(self, made: Try) -> None:
+        if made.over and made.attempt is None:
+            self._tries[made.gateway].pop(made.id, None)
--- /dev/null
+++ b/tealwing/lab/site.py
@@ -0,0 +1,105 @@
+"""The deployment that the laboratory models by default: figures of the operators' brief."""
+
+from __future__ import annotations
+
+import numpy as np
+
+from tealwing import interface as api
+from tealwing.lab import engines
+
+GB = 1024.0  # MB
+MACHINES = ((8, 16 * GB, 0.61), (16, 32 * GB, 0.39))  # cores, memory, share
+TRUSTED = 1.1  # work asked for over the cores at load 1: warm groups save some, and this much just fits
+
+
+def settings(gateways: int = 3) -> api.Settings:
+    """What each gateway is told."""
+
+    def made(
+        name: str,
+        aim: float,
+        stretch: float,
+        deadline: float,
+        worth: float,
+        threads: int,
+        late: float,
+        effect: api.Effect,
+        holds: bool,
+        waits: bool,
+    ) -> api.RequestClass:
+        window = 25.0 if effect is api.Effect.KEYED else 5.0
+        return api.RequestClass(
+            name,
+            aim,
+            stretch,
+            deadline,
+            worth,
+            late,
+            effect,
+            api.Group.ALL,
+            window,
+            False,
+            threads,
+            None,
+            None,
+            holds,
+            waits,
+        )
+
+    safe, keyed = api.Effect.SAFE, api.Effect.KEYED
+    return api.Settings(
+        me=0,
+        gateways=gateways,
+        zone=0,
+        zones=("bloemfontein",),
+        kinds=tuple(api.Kind(f"{cores}-core", cores, memory) for cores, memory, _ in MACHINES),
+        classes=(
+            made("lookup", 0.6, 1.5, 3.0, 1.0, 1, 0.0, safe, False, True),
+            made("report", 3.0, 2.5, 20.0, 7.5, 3, 0.3, safe, False, False),
+            made("load", 3.0, 2.5, 25.0, 10.0, 2, 0.6, keyed, True, False),
+        ),
+        limits=api.Limits(True, False, False, False, True, 3, 0.5, 0.25, 30.0, 100),
+        rules=api.Rules(0.02, 10.0, 0.32, 13.0, 1.0, 2.0, 3.0, 0.0, None, 0.0, 0.0),
+        prices=api.Prices(0.0, 0.03, 0.08),
+        ask=False,
+        report_fields=("queue", "inflight"),
+        grants=False,
+        priorities=True,
+        most_grant=0.4,
+        notes_every=1.0,
+        tells_cost=False,
+        when_short="page",
+        marks_retry=False,
+        tick=0.005,
+        tenants=("graan-koop", "veldsure"),
+        accounts=(api.Account("graan-koop", 0.81, 80.0), api.Account("veldsure", 0.19, 19.0)),
+    )
+
+
+def draws(rng: np.random.Generator, servers: int) -> list[engines.Draw]:
+    """Engines drawn from the brief's ranges; the first few machines keep the shares of the kinds."""
+    found = []
+    for i in range(servers):
+        cores, memory, _ = MACHINES[(i + 1) * MACHINES[1][2] % 1 < i * MACHINES[1][2] % 1]
+        found.append(
+            engines.Draw(
+                cores=cores,
+                memory=memory,
+                speed=float(rng.uniform(0.9, 1.1)),
+                knee=float(rng.uniform(1.3, 2.2)),
+                thrash=float(rng.uniform(0.45, 0.9)),
+                disks=float(rng.uniform(0.4, 0.55)),
+                page=float(rng.uniform(5.1, 8.1)),
+                sessions=int(rng.integers(6, 11)),
+                warm_groups=int(rng.integers(4, 7)),
+                warm_gain=float(rng.uniform(0.41, 0.68)),
+                report_every=float(rng.uniform(0.13, 0.7)),
+                noise=float(rng.uniform(0.026, 0.14)),
+            )
+        )
+    return found
+
+
+def rate(draws_: list[engines.Draw], mean_work: float, load: float) -> float:
+    """Requests a second that make up a load of these engines; 1 is what they can just do."""
+    return load * TRUSTED * sum(draw.cores * draw.speed for draw in draws_) / mean_work
--- /dev/null
+++ b/tealwing/lab/swing.py
@@ -0,0 +1,220 @@
+"""Load that swings round each threshold of a plan, with its levels on and off, in virtual time.
+
+First the load at which each level is entered is found, by a slow rise with the levels watched but not in force. Then
+for each such level and each form of swing some virtual minutes are played twice, on the same arrivals. A level that
+load alone does not enter (one that hangs on the gateway's own state, say) is told as such.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+from multiprocessing import get_context
+from typing import Any
+
+import numpy as np
+
+from tealwing import interface as api
+from tealwing.lab import arrivals, site, worth
+from tealwing.lab.harness import Books, Deployment
+from tealwing.levels.governor import Governor
+from tealwing.levels.plan import Plan
+from tealwing.levels.replay import crowded
+from tealwing.policy import Gateway
+
+SERVERS, GATEWAYS = 7, 3  # the middle of what the operators run
+MEAN_WORK = sum(mix.share * mix.work for mix in arrivals.BRIEF)
+RISE = (0.4, 3.0, 130.0)  # loads from and to, and s, of the rise that finds thresholds
+AFTER = 26.0  # s past the last arrival until all is answered: the longest deadline, and a little
+DEPTH = 0.35  # of the load at a threshold, by which a swing goes up and down
+FORMS = ("square", "sawtooth", "noise")
+FLOOD = 2.5  # times the usual load
+USUAL, CALM = 0.6, 0.47  # loads before a flood, and on a calm day (the operators' quiet days: 0.39 to 0.54)
+PERIODS = (1.0, 4.0, 12.0, 30.0, 60.0, 120.0)  # s; one is drawn for each play
+
+
+@dataclass(frozen=True, slots=True)
+class Play:
+    """One run to do."""
+
+    plan: Plan
+    seed: int
+    seconds: float
+    form: str
+    period: float
+    load: float  # at the middle
+    on: bool
+
+    def shape(self) -> arrivals.Shape:
+        """The load over time, over the middle."""
+        low, high = 1 - DEPTH, 1 + DEPTH
+        if self.form == "square":
+            return arrivals.square(low, high, self.period)
+        if self.form == "sawtooth":
+            return arrivals.sawtooth(low, high, self.period)
+        if self.form == "noise":
+            return arrivals.noisy(low, high, self.period, self.seed)
+        if self.form == "flood":  # the usual load, and a flood in the middle third
+            return arrivals.burst(FLOOD, self.seconds / 3, self.seconds / 3)
+        return arrivals.steady
+
+
+def deploy(play: Play, told: list[tuple[float, int, dict[str, Any]]]) -> tuple[Deployment, arrivals.Arrivals]:
+    """The deployment of one play; changes of level go into `told` with their time and gateway."""
+    settings = site.settings(GATEWAYS)
+    draws = site.draws(np.random.default_rng((play.seed, 10)), SERVERS)
+    rate = site.rate(draws, MEAN_WORK, play.load)
+    rng = np.random.default_rng((play.seed, 11))
+    asked = arrivals.draw(rng, rate, play.seconds, GATEWAYS, play.shape())
+    made: list[Deployment] = []
+
+    def make(settings: api.Settings, seed: int) -> Gateway | Governor:
+        gateway, number = Gateway(settings, seed), seed % 1000
+        if not play.on:
+            return gateway
+
+        def say(_: str, fields: dict[str, Any]) -> None:
+            told.append((made[0].clock.now, number, fields))
+
+        return Governor(settings, gateway, play.plan, say)
+
+    made.append(Deployment(settings, draws, asked, make, play.seed))
+    return made[0], asked
+
+
+def run(play: Play) -> dict[str, Any]:
+    """One play's figures."""
+    told: list[tuple[float, int, dict[str, Any]]] = []
+    deployment, asked = deploy(play, told)
+    books = deployment.run(play.seconds + AFTER)
+    found = worth.count(asked, books, deployment.settings)
+    by_gateway = [[at for at, number, _ in told if number == n] for n in range(GATEWAYS)]
+    return {
+        "changes": len(told),
+        "changes_per_minute_max": max(map(crowded, by_gateway)),
+        "worth": found.whole,
+        "worst_10s": found.worst,
+        "mixed": found.mixed,
+        "lookup_in_time": found.in_time["lookup"],
+        "by_class": found.by_class,
+        "shed": found.shed,
+        "rules_broken": broken(books),
+        "told": [(round(at, 2), number, fields["to"]) for at, number, fields in told],
+    }
+
+
+def broken(books: Books) -> int:
+    """How often a rule was broken, as far as the books show."""
+    return books.twice + books.doubled + books.wrong + books.fell
+
+
+def thresholds(plan: Plan, seed: int) -> dict[str, float]:
+    """The load at which each level would be entered first, at a slow rise; levels never entered are missing."""
+    low, high, seconds = RISE
+    settings = site.settings(GATEWAYS)
+    draws = site.draws(np.random.default_rng((seed, 10)), SERVERS)
+    rate = site.rate(draws, MEAN_WORK, 1.0)
+    asked = arrivals.draw(
+        np.random.default_rng((seed, 12)), rate, seconds, GATEWAYS, arrivals.sawtooth(low, high, seconds)
+    )
+    found: dict[str, float] = {}
+    since: dict[str, float] = {}
+    made: list[Deployment] = []
+
+    class Watch:
+        """Levels that are looked at and never told to the module."""
+
+        def __init__(self, settings: api.Settings, seed: int) -> None:
+            self.governor = Governor(settings, Gateway(settings, seed), plan)
+            self.settings = settings
+
+        def handle(self, now: float, event: api.Event) -> list[api.Action]:
+            if not isinstance(event, api.TimerFired) or event.token != 2:
+                return self.governor.handle(now, event)
+            signals = self.governor.signals.read(now, self.governor.gateway)
+            for level, (enter, _, _) in zip(plan.levels, plan.fired(signals), strict=True):
+                name = level.terms.name
+                if enter is None:
+                    since.pop(name, None)
+                elif now - since.setdefault(name, now) >= level.terms.enter_for and name not in found:
+                    found[name] = low + (high - low) * now / seconds
+            return [api.SetTimer(plan.every, 2)]
+
+    first = [True]
+
+    def make(settings: api.Settings, seed: int) -> Any:
+        if first.pop() if first else False:
+            return Watch(settings, seed)
+        return Gateway(settings, seed)
+
+    made.append(Deployment(settings, draws, asked, make, seed))
+    made[0].run(seconds)
+    return found
+
+
+def plays(plan: Plan, seed: int, seconds: float) -> tuple[list[tuple[str, Play]], list[str]]:
+    """All that a swing plays, by the name of its threshold, and the levels that load does not enter."""
+    found = thresholds(plan, seed)
+    rng = np.random.default_rng((seed, 13))
+    todo: list[tuple[str, Play]] = []
+    for level in plan.levels:
+        load = found.get(level.terms.name)
+        if load is None:
+            continue
+        for form in FORMS:
+            period = float(rng.choice(PERIODS))
+            todo += [
+                (level.terms.name, Play(plan, seed, seconds, form, period, load, on)) for on in (True, False)
+            ]
+    todo += [("flood", Play(plan, seed, seconds, "flood", seconds, USUAL, on)) for on in (True, False)]
+    todo += [("calm", Play(plan, seed, seconds, "steady", seconds, CALM, on)) for on in (True, False)]
+    return todo, [level.terms.name for level in plan.levels if level.terms.name not in found]
+
+
+def swing(plan: Plan, seed: int, seconds: float, jobs: int) -> Iterator[dict[str, Any]]:
+    """A record for each pair of plays, and a last one that sums up."""
+    todo, unmet = plays(plan, seed, seconds)
+    with ProcessPoolExecutor(jobs, mp_context=get_context("spawn")) as pool:
+        results = list(pool.map(run, [play for _, play in todo]))
+    pairs = []
+    for (name, play), on, off in zip(todo[::2], results[::2], results[1::2], strict=True):
+        record = {
+            "threshold": name,
+            "form": play.form,
+            "period_s": play.period,
+            "load": round(play.load, 3),
+            "changes": on["changes"],
+            "changes_per_minute_max": on["changes_per_minute_max"],
+            "rules_broken": on["rules_broken"] + off["rules_broken"],
+        }
+        for figure in ("worth", "worst_10s", "mixed", "lookup_in_time"):
+            record[figure] = {"on": round(on[figure], 4), "off": round(off[figure], 4)}
+        record["shed"] = {cls: round(share, 4) for cls, share in on["shed"].items()}
+        pairs.append(record)
+        yield record
+    yield summed(pairs, seed, seconds, unmet)
+
+
+def summed(
+    pairs: Sequence[dict[str, Any]], seed: int, seconds: float, unmet: Sequence[str]
+) -> dict[str, Any]:
+    """The last record: the most changes in a minute at any gateway, and means over the plays."""
+
+    def mean(figure: str) -> dict[str, float]:
+        return {
+            side: round(float(np.mean([pair[figure][side] for pair in pairs])), 4) for side in ("on", "off")
+        }
+
+    return {
+        "summary": True,
+        "seed": seed,
+        "minutes": seconds / 60,
+        "plays": len(pairs),
+        "not_entered_by_load": list(unmet),
+        "changes": sum(pair["changes"] for pair in pairs),
+        "changes_per_minute_max": max((pair["changes_per_minute_max"] for pair in pairs), default=0),
+        "worth": mean("worth"),
+        "lookup_in_time": mean("lookup_in_time"),
+        "rules_broken": sum(pair["rules_broken"] for pair in pairs),
+    }
--- /dev/null
+++ b/tealwing/levels/conditions.py
@@ -0,0 +1,236 @@
+"""Conditions on signals, as `fleet.load > 1.8 or class.lookup.late > 20%`; pure.
+
+A condition is kept as it was written, and as a sum of products for the checks: whether it can hold at all, and
+whether two can hold at once. Both follow from intervals, signal by signal, and are exact.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from functools import cache
+from math import inf
+
+from lark import Lark, Token, Tree, UnexpectedInput
+
+from tealwing.conf import values
+
+MOST_PRODUCTS = 64  # of a condition as a sum of products: what is longer nobody can read
+
+GRAMMAR = r"""
+    ?start: any
+    any: all ("or" all)*
+    all: atom ("and" atom)*
+    ?atom: compare | "(" any ")"
+    compare: SIGNAL OP VALUE
+    SIGNAL: /[a-z][a-z0-9-]*(\.[A-Za-z0-9_-]+)+/
+    OP: ">" | "<"
+    VALUE: /[0-9][0-9.]*[A-Za-z%]*/
+    %import common.WS_INLINE
+    %ignore WS_INLINE
+"""
+
+
+class ConditionError(ValueError):
+    """A condition that can't be used; the text says what is allowed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """What a signal is: how its values are written, which way is worse, and how it reads with no traffic."""
+
+    unit: str  # share, duration or number
+    worse: str  # the operator that an entry has: > or <
+    calm: float
+    least: float
+    most: float
+    help: str
+
+    def read(self, text: str) -> float:
+        """A value of this signal as the file writes it."""
+        reader = {"share": values.share, "duration": values.duration, "number": values.number}[self.unit]
+        return reader(text)
+
+    def write(self, value: float) -> str:
+        """A value as the file would write it."""
+        if self.unit == "share":
+            return f"{value * 100:.3g}%"
+        return values.written_duration(value) if self.unit == "duration" else f"{value:.3g}"
+
+
+def _share(worse: str, help_: str, most: float = 1.0) -> Kind:
+    return Kind("share", worse, 1.0 if worse == "<" else 0.0, 0.0, most, help_)
+
+
+def _number(help_: str, calm: float = 0.0) -> Kind:
+    return Kind("number", ">", calm, 0.0, inf, help_)
+
+
+FLEET = {
+    "load": _number("threads out over the cores ready, by reports and by our own books"),
+    "queue": _number("queries that wait for memory at an engine, by reports"),
+    "slow": _number("latency over the best, of what is out and of what was answered", 1.0),
+    "ready": _share("<", "engines ready over the most that were ready in the last five minutes"),
+    "cold": _share(">", "capacity that ready engines still lack because they started cold"),
+    "kept": _share("<", "worth answered in time over the worth of all requests that ended"),
+    "refused": _share(">", "requests that the decision module refused, those shed by a level left out"),
+}
+OWN = {
+    "lag": Kind("duration", ">", 0.0, 0.0, inf, "from a request's last byte to its first attempt, a mean"),
+    "unread": Kind("duration", ">", 0.0, 0.0, inf, "age of what waited to be read, a mean"),
+    "processor": _share(">", "processor time over the share that this process may use", inf),
+}
+CLASS = {
+    "late": _share(">", "requests of the class past their aim, over all that ended or are past it"),
+    "refused": _share(">", "requests of the class that the module refused, those shed left out"),
+    "timeouts": _share(">", "attempts of the class that timed out"),
+    "kept": _share("<", "worth of the class answered in time over the worth of its requests that ended"),
+    "rate": _number("requests of the class a second"),
+}
+ACCOUNT = {
+    "beyond": _share(">", "requests of the account beyond its share"),
+    "rate": _number("requests of the account a second"),
+}
+
+
+def kind_of(signal: str) -> Kind:
+    """The kind of a signal by its name; names of classes and accounts are not checked here."""
+    head, _, rest = signal.partition(".")
+    if head in ("fleet", "own") and rest in (table := FLEET if head == "fleet" else OWN):
+        return table[rest]
+    name, _, what = rest.rpartition(".")
+    if name and head in ("class", "account") and what in (table := CLASS if head == "class" else ACCOUNT):
+        return table[what]
+    known = [f"fleet.{n}" for n in FLEET] + [f"own.{n}" for n in OWN]
+    known += [f"class.NAME.{n}" for n in CLASS] + [f"account.NAME.{n}" for n in ACCOUNT]
+    raise ConditionError(f"a signal: {', '.join(known)}")
+
+
+@dataclass(frozen=True, slots=True)
+class Compare:
+    """One signal against one bound."""
+
+    signal: str
+    op: str
+    bound: float
+
+    def holds(self, signals: Mapping[str, float]) -> bool:
+        """Whether it holds; a signal that is absent reads as calm."""
+        value = signals.get(self.signal)
+        if value is None:
+            value = kind_of(self.signal).calm
+        return value > self.bound if self.op == ">" else value < self.bound
+
+    def __str__(self) -> str:
+        return f"{self.signal} {self.op} {kind_of(self.signal).write(self.bound)}"
+
+
+Product = tuple[Compare, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Condition:
+    """A condition as a sum of products: it holds when all of one product hold."""
+
+    text: str
+    products: tuple[Product, ...]
+
+    def fired(self, signals: Mapping[str, float]) -> Product | None:
+        """The first product that holds, or None."""
+        for product in self.products:
+            if all(compare.holds(signals) for compare in product):
+                return product
+        return None
+
+    def signals(self) -> set[str]:
+        """The names that it reads."""
+        return {compare.signal for product in self.products for compare in product}
+
+
+def figures(product: Iterable[Compare], signals: Mapping[str, float]) -> dict[str, str]:
+    """What was read where a product held, as the file writes values."""
+    found = {}
+    for compare in product:
+        kind = kind_of(compare.signal)
+        found[compare.signal] = kind.write(signals.get(compare.signal, kind.calm))
+    return found
+
+
+@cache
+def _parser() -> Lark:
+    return Lark(GRAMMAR, parser="lalr")
+
+
+def parse(text: str) -> Condition:
+    """The condition that a text says; ConditionError tells what is allowed in its place."""
+    try:
+        tree = _parser().parse(text)
+    except UnexpectedInput as error:
+        at = max(getattr(error, "column", 1) - 1, 0)
+        where = f'at "{text[at : at + 20]}"' if text[at:] else "at its end"
+        raise ConditionError(
+            f'SIGNAL > VALUE or SIGNAL < VALUE, joined by "and" and "or" ({where})'
+        ) from None
+    products = _products(tree)
+    if len(products) > MOST_PRODUCTS:
+        raise ConditionError(f"at most {MOST_PRODUCTS} alternatives")
+    return Condition(re.sub(r"\s+", " ", text.strip()), tuple(products))
+
+
+def _products(tree: Tree[Token] | Token) -> list[Product]:
+    assert isinstance(tree, Tree)
+    if tree.data == "compare":
+        signal, op, value = map(str, tree.children)
+        kind = kind_of(signal)
+        try:
+            bound = kind.read(value)
+        except values.Unfit as error:
+            raise ConditionError(f"for {signal} {error}") from None
+        return [(Compare(signal, op, bound),)]
+    parts = [_products(child) for child in tree.children]
+    if tree.data == "any":
+        return [product for part in parts for product in part]
+    joined: list[Product] = [()]
+    for part in parts:
+        joined = [left + right for left in joined for right in part]
+        if len(joined) > MOST_PRODUCTS:
+            raise ConditionError(f"at most {MOST_PRODUCTS} alternatives")
+    return joined
+
+
+def _intervals(product: Product) -> dict[str, tuple[float, float]] | None:
+    """The open interval that each signal must lie in; None where one is empty or out of its range."""
+    found: dict[str, tuple[float, float]] = {}
+    for compare in product:
+        kind = kind_of(compare.signal)
+        low, high = found.get(compare.signal, (-inf, inf))
+        low, high = (max(low, compare.bound), high) if compare.op == ">" else (low, min(high, compare.bound))
+        if not low < high or low >= kind.most or high <= kind.least:
+            return None
+        found[compare.signal] = low, high
+    return found
+
+
+def possible(condition: Condition) -> bool:
+    """Whether any signals make it hold."""
+    return any(_intervals(product) is not None for product in condition.products)
+
+
+def together(one: Condition, other: Condition) -> dict[str, str] | None:
+    """Figures at which both hold, or touch without a gap; None where there are none."""
+    for left in one.products:
+        for right in other.products:
+            ours, theirs = _intervals(left), _intervals(right)
+            if ours is None or theirs is None:
+                continue
+            shared = ours.keys() & theirs.keys()
+            if all(max(ours[s][0], theirs[s][0]) <= min(ours[s][1], theirs[s][1]) for s in shared):
+                witness = {}
+                for signal in sorted(ours.keys() | theirs.keys()):
+                    spans = [span[signal] for span in (ours, theirs) if signal in span]
+                    low, high = max(span[0] for span in spans), min(span[1] for span in spans)
+                    middle = (low + high) / 2 if low > -inf and high < inf else low if low > -inf else high
+                    witness[signal] = kind_of(signal).write(middle)
+                return witness
+    return None
--- /dev/null
+++ b/tealwing/levels/replay.py
@@ -0,0 +1,101 @@
+"""A recorded trace of signals, played through the controller; pure.
+
+Between two lines the signals of the earlier one hold, and the controller looks as often as the plan says.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable, Iterator
+from math import isfinite
+from typing import Any
+
+import msgspec
+
+from tealwing.levels import controller
+from tealwing.levels.conditions import ConditionError, kind_of
+from tealwing.levels.controller import WINDOW
+from tealwing.levels.plan import Plan, seen
+
+MOST_LOOKS = 10_000_000  # of one replay: a trace with a gap of years must not run for ever
+
+
+class TraceError(ValueError):
+    """A line of a trace that can't be used."""
+
+
+class Line(msgspec.Struct, forbid_unknown_fields=True):
+    """One line: a time in seconds and the signals from then on."""
+
+    at: float
+    signals: dict[str, float]
+
+
+def lines(source: Iterable[bytes]) -> Iterator[Line]:
+    """The lines of a trace, checked: times must rise, and signals be known."""
+    decoder, last = msgspec.json.Decoder(Line), -float("inf")
+    for number, text in enumerate(source, 1):
+        if not text.strip():
+            continue
+        try:
+            line = decoder.decode(text)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise TraceError(
+                f'line {number}: {error}; wanted {{"at": s, "signals": {{NAME: value}}}}'
+            ) from None
+        if not isfinite(line.at) or line.at <= last:
+            raise TraceError(f"line {number}: at {line.at:g} after {last:g}; times must rise")
+        for name in line.signals:
+            try:
+                kind_of(name)
+            except ConditionError as error:
+                raise TraceError(f"line {number}: no signal {name}; allowed: {error}") from None
+        last = line.at
+        yield line
+
+
+def crowded(times: Iterable[float], window: float = WINDOW) -> int:
+    """The most changes within any window of time."""
+    recent: deque[float] = deque()
+    most = 0
+    for at in times:
+        recent.append(at)
+        while recent[0] <= at - window:
+            recent.popleft()
+        most = max(most, len(recent))
+    return most
+
+
+def replay(plan: Plan, trace: Iterable[Line]) -> Iterator[dict[str, Any]]:
+    """One record a change of level, and a last one that sums up."""
+    state, changes = controller.begin(plan.terms), list[float]()
+    time_in = dict.fromkeys(plan.names, 0.0)
+    before: Line | None = None
+    at, looks = 0.0, 0
+
+    def look(signals: dict[str, float]) -> Iterator[dict[str, Any]]:
+        nonlocal state
+        fired = plan.fired(signals)
+        state, change = controller.step(plan.terms, state, at, seen(fired))
+        if change is not None:
+            changes.append(change.at)
+            yield {"at": change.at, **plan.told(change, fired, signals)}
+
+    for line in trace:
+        while before is not None and at < line.at - 1e-9:
+            looks += 1
+            if looks > MOST_LOOKS:
+                raise TraceError(f"the trace is longer than {MOST_LOOKS * plan.every:g} s")
+            yield from look(before.signals)
+            until = min(at + plan.every, line.at)
+            time_in[plan.names[state.level]] += until - at
+            at = until
+        before, at = line, line.at
+    if before is not None:
+        yield from look(before.signals)
+    yield {
+        "summary": True,
+        "changes": len(changes),
+        "changes_per_minute_max": crowded(changes),
+        "time_in": {name: round(seconds, 6) for name, seconds in time_in.items()},
+    }
--- /dev/null
+++ b/tealwing/levels/section.py
@@ -0,0 +1,292 @@
+"""The section `levels` of the operators' file: its directives, and the checks that hold them together."""
+
+from __future__ import annotations
+
+from math import inf
+from typing import Any
+
+import msgspec
+
+from tealwing.conf import values
+from tealwing.conf.grammar import Place, quoted
+from tealwing.conf.schema import Block, Entry, Report, Section, Spec
+from tealwing.levels import conditions
+from tealwing.levels.conditions import Condition, ConditionError
+from tealwing.levels.controller import Terms
+from tealwing.levels.measures import Pace
+from tealwing.levels.plan import Level, Plan
+
+MOST_LEVELS = 8  # more than operators can tell apart under stress
+SPAN = "VALUE or LOW..HIGH"
+
+
+class Times(msgspec.Struct, frozen=True):
+    """A condition and the time for which it must hold."""
+
+    condition: Condition
+    seconds: float
+
+
+def _when(least: float) -> values.Read:
+    """`when CONDITION for DURATION`."""
+
+    def read(words: values.Words) -> Times:
+        if len(words) < 5 or words[0] != "when" or words[-2] != "for":
+            raise values.Unfit("when, a condition, for, a duration")
+        seconds = values.durations(least, 3600.0)(words[-1:])
+        try:
+            return Times(conditions.parse(" ".join(words[1:-2])), seconds)
+        except ConditionError as error:
+            raise values.Unfit(str(error)) from None
+
+    return read
+
+
+def _stay(words: values.Words) -> tuple[float, float]:
+    """`DURATION` or `DURATION growing to DURATION`."""
+    bounded = values.durations(1.0, 86400.0)
+    if len(words) == 1:
+        return bounded(words), bounded(words)
+    if len(words) == 4 and words[1:3] == ("growing", "to"):
+        return bounded(words[:1]), bounded(words[3:])
+    raise values.Unfit("a duration, or: a duration growing to a duration")
+
+
+def _span(read: values.Read, text: str) -> tuple[Any, Any]:
+    low, dots, high = text.partition("..")
+    return read((low,)), read((high,)) if dots else read((low,))
+
+
+def _admit(words: values.Words) -> tuple[str, tuple[float, float]]:
+    if len(words) != 2:
+        raise values.Unfit("a class, and the share of it that is admitted")
+    low, high = _span(values.shares(), words[1])
+    if low > high:
+        raise values.Unfit("a lower share, two dots, a higher share")
+    return words[0], (low, high)
+
+
+def _account(words: values.Words) -> tuple[str, float]:
+    if len(words) != 2:
+        raise values.Unfit("an account, and the share of it that is admitted")
+    return words[0], values.shares()(words[1:])
+
+
+def _attempts(words: values.Words) -> tuple[str, int]:
+    if len(words) != 2:
+        raise values.Unfit("a class, and how many attempts its requests have")
+    return words[0], values.wholes(1, 100)(words[1:])
+
+
+def _pushback(words: values.Words) -> tuple[float, float]:
+    if len(words) != 1:
+        raise values.Unfit("a duration, or two with two dots between")
+    low, high = _span(values.durations(0.0, 3600.0), words[0])
+    if low > high:
+        raise values.Unfit("a shorter duration, two dots, a longer one")
+    return low, high
+
+
+LEVEL = (
+    Spec(
+        "enter",
+        "when CONDITION for DURATION",
+        "Entered from the level below when this has held so long.",
+        _when(0.0),
+        needed=True,
+    ),
+    Spec(
+        "strong",
+        "when CONDITION for DURATION",
+        "Entered at once from any level below when this has held so long.",
+        _when(0.0),
+    ),
+    Spec(
+        "exit",
+        "when CONDITION for DURATION",
+        "Left for the level below when this has held so long, and the least stay is over. Must lie apart from"
+        " `enter`, with a gap, and hold for no shorter time.",
+        _when(0.0),
+        needed=True,
+    ),
+    Spec(
+        "stay",
+        "DURATION [growing to DURATION]",
+        "Least stay in the level, from the change that led there. Doubled, up to the second figure, each time that"
+        " the level is entered again within 5 minutes of being left. Below 60s it costs protection: no minute has"
+        " more than two changes, so after an early exit an entry may have to wait.",
+        _stay,
+        "60s growing to 4m",
+    ),
+    Spec(
+        "admit",
+        f"CLASS {SPAN}",
+        "Share of a class's requests that is admitted: the lower figure on entry and under pressure, up to the"
+        " higher one as pressure goes. A class that is not named is admitted whole.",
+        _admit,
+        many=True,
+    ),
+    Spec(
+        "account",
+        "ACCOUNT SHARE",
+        "Most that is admitted of an account's requests, of every class.",
+        _account,
+        many=True,
+    ),
+    Spec(
+        "attempts",
+        "CLASS NUMBER",
+        "Most attempts of a request of a class that is safe to repeat; a keyed one once sent is never cut short.",
+        _attempts,
+        many=True,
+    ),
+    Spec(
+        "pushback",
+        "DURATION or LOW..HIGH",
+        "What a refused client is told to wait, drawn anew for each; never beyond what the platform lets a"
+        " client heed.",
+        _pushback,
+        "250ms..500ms",
+    ),
+)
+
+SPECS = (
+    Spec(
+        "window",
+        "DURATION",
+        "Over how much of the past signals are taken.",
+        values.durations(0.5, 300.0),
+        "3s",
+    ),
+    Spec("every", "DURATION", "How often the levels are looked at.", values.durations(0.05, 5.0), "250ms"),
+    Spec(
+        "cut",
+        "SHARE",
+        "What is left of an admitted share after a second of pressure.",
+        values.shares(0.01, 1.0),
+        "50%",
+    ),
+    Spec(
+        "ramp",
+        "DURATION",
+        "Time in which an admitted share rises from nothing to the whole.",
+        values.durations(0.1, 3600.0),
+        "20s",
+    ),
+    Spec(
+        "cold",
+        "SHARE",
+        "Capacity that engines which started cold still lack at which admitted shares wait before they rise.",
+        values.shares(0.0, 1.0),
+        "10%",
+    ),
+    Spec(
+        "level",
+        "NAME",
+        "One level; the mildest comes first.",
+        values.name,
+        many=True,
+        needed=True,
+        children=LEVEL,
+    ),
+)
+
+
+def build(block: Block, report: Report) -> Plan | None:
+    """The plan that a checked section makes; what does not hold together is reported."""
+    entries, found = block.all("level"), list[Level]()
+    for entry in entries[MOST_LEVELS:]:
+        report.add(entry.place, "level", f"more than {MOST_LEVELS} levels", f"at most {MOST_LEVELS}")
+    for entry in entries:
+        if any(level.terms.name == entry.value for level in found):
+            report.add(entry.place, "level", f"a second level {entry.value}", "names that differ")
+        found.append(_level(entry, report))
+    window, every = block.one("window"), block.one("every")
+    if every > window:
+        report.add(
+            block.place("every", entries[0].place),
+            "every",
+            values.written_duration(every),
+            f"at most the window, {values.written_duration(window)}",
+        )
+    pace = Pace(block.one("cut"), block.one("ramp"), block.one("cold"))
+    return Plan(tuple(found), window, every, pace)
+
+
+def _level(entry: Entry, report: Report) -> Level:
+    block, place = entry.block or Block(), entry.place
+    enter, exit_, strong = block.one("enter"), block.one("exit"), block.one("strong")
+    _conditions(block, place, report)
+    stay, most = block.one("stay")
+    if most < stay:
+        report.add(
+            block.place("stay", place),
+            "stay",
+            f"growing to {values.written_duration(most)}",
+            f"growing to {values.written_duration(stay)} or more",
+        )
+    terms = Terms(entry.value, enter.seconds, exit_.seconds, stay, most, strong.seconds if strong else inf)
+    admit, accounts, attempts = (_table(block, name, report) for name in ("admit", "account", "attempts"))
+    if not (admit or accounts or attempts):
+        report.add(place, "level", f"a level {entry.value} that does nothing", "admit, account or attempts")
+    return Level(
+        terms,
+        enter.condition,
+        exit_.condition,
+        strong.condition if strong else None,
+        admit,
+        accounts,
+        attempts,
+        block.one("pushback"),
+    )
+
+
+def _table(block: Block, name: str, report: Report) -> dict[str, Any]:
+    """A directive that may stand several times, by its first word."""
+    found: dict[str, Any] = {}
+    for entry in block.all(name):
+        key, value = entry.value
+        if key in found:
+            report.add(entry.place, name, f"{quoted(key)} a second time", "each once")
+        found[key] = value
+    return found
+
+
+def _conditions(block: Block, place: Place, report: Report) -> None:
+    """Conditions that can't hold, and an exit that holds with an entry or without a gap to it."""
+    exit_ = block.one("exit")
+    for name in ("enter", "strong", "exit"):
+        times = block.one(name)
+        if times is not None and not conditions.possible(times.condition):
+            report.add(
+                block.place(name, place), name, f'"{times.condition.text}"', "a condition that can hold"
+            )
+    for name in ("enter", "strong"):
+        times = block.one(name)
+        if times is None:
+            continue
+        witness = conditions.together(times.condition, exit_.condition)
+        if witness is not None:
+            figures = ", ".join(f"{signal} {value}" for signal, value in witness.items())
+            report.add(
+                block.place("exit", place),
+                "exit",
+                f"a condition that meets {name} at {figures}",
+                f"one that lies apart from {name}, with a gap between the two",
+            )
+    enter = block.one("enter")
+    if exit_.seconds < enter.seconds:
+        report.add(
+            block.place("exit", place),
+            "exit",
+            f"for {values.written_duration(exit_.seconds)}",
+            f"for {values.written_duration(enter.seconds)} or more, as enter has",
+        )
+
+
+SECTION = Section(
+    "levels",
+    "Named levels of reduced service; see docs/operating/levels.md. Absent: always full service.",
+    SPECS,
+    build,
+)
--- a/tealwing/mysql/server.py
+++ b/tealwing/mysql/server.py
@@ -9,11 +9,12 @@
 import threading
 import time
 import traceback
+from collections.abc import Callable
 
 from tealwing import interface, log
 from tealwing.exchange import Abandoned, Exchange, Failed, Open, Refused, Reply, Served, Unusable
 from tealwing.mysql import packets, statements
-from tealwing.sockets import Address, set_limit
+from tealwing.sockets import Address, receive, set_limit, stamp
 
 USER, DATABASE = b"app", b"reports"
 COLUMNS = (b"column_1", b"column_2", b"column_3")  # engines send no names
@@ -25,6 +26,7 @@
 FREE_THREADS = (8, 24)  # least and most that wait for clients: idle ones cost where our share is short
 BACKLOG = 256
 ACCEPT_PAUSE = 0.05  # s before a failed accept is tried again
+SAMPLED = 4  # of so many sessions one tells how long what it reads has waited: enough for a mean
 READ_SIZE = 4 * 1024  # bytes of a thread's buffer: statements are short
 
 QUIT, INIT_DB, QUERY, PROCESS_KILL, PING, RESET_CONNECTION = 0x01, 0x02, 0x03, 0x0C, 0x0E, 0x1F
@@ -45,6 +47,10 @@
         self._lock = threading.Lock()
         self._exchange: Exchange | None = None  # the request that is open, under the lock
         self._waiting: tuple[float, float] | None = None  # for its client: since when, and until when
+        self._stamped = server.unread is not None and number % SAMPLED == 0
+        if self._stamped:
+            stamp(sock)
+        self._taken = 0.0  # monotonic, when the last byte of the last message had been read
         self._parted = False  # closed to make room: what it still says is sent again elsewhere
 
     def run(self) -> None:
@@ -118,7 +124,7 @@
             self._waiting = begun, limit
             try:
                 if until:  # a first command: dropped when it was parted with, as nothing was done for it
-                    size = self._sock.recv_into(self._buffer)
+                    size = self._read()
                 else:
                     self._sock.recv_into(self._buffer, 1, socket.MSG_PEEK)
                 with self._lock:  # from here on it is not parted with: see part
@@ -126,15 +132,26 @@
                     if self._parted:
                         return None
                     if not until:
-                        size = self._sock.recv_into(self._buffer)
+                        size = self._read()
             except BlockingIOError:  # the limit has passed
                 size = 0
             if not size:
                 return None
             self._parser.feed(self._buffer[:size])
             now = time.monotonic()
+        self._taken = now
         return message
 
+    def _read(self) -> int:
+        """Read what has come; of a sample of sessions, how long it waited for that is told."""
+        if not self._stamped:
+            return self._sock.recv_into(self._buffer)
+        size, came = receive(self._sock, self._buffer)
+        unread = self.server.unread
+        if came is not None and unread is not None:
+            unread(max(0.0, time.time() - came))
+        return size
+
     def _login(self, until: float) -> bool:
         message = self._receive(until)
         if message is None:
@@ -176,7 +193,7 @@
 
     def _query(self, text: bytes) -> bytes:
         try:
-            query = statements.query(text, self.server.settings)
+            query = statements.query(text, self.server.settings, self._taken)
             exchange = self.server.open(query)
         except Unusable as error:
             log.event("request_unusable", error=str(error))
@@ -223,6 +240,7 @@
 
     def __init__(self, address: Address, most: int, settings: interface.Settings, open_: Open) -> None:
         self.settings, self.open = settings, open_
+        self.unread: Callable[[float], None] | None = None  # hears how long what was read had waited
         self._most = most
         self._numbers = itertools.count(1)
         self._changed = threading.Condition()
--- a/tealwing/mysql/statements.py
+++ b/tealwing/mysql/statements.py
@@ -48,8 +48,8 @@
     return Kill(int(found[2]), (found[1] or b"").upper() == b"QUERY") if found else None
 
 
-def query(text: bytes, settings: interface.Settings) -> Query:
-    """The request that a statement and the comment ahead of it make."""
+def query(text: bytes, settings: interface.Settings, taken: float = 0.0) -> Query:
+    """The request that a statement and the comment ahead of it make; taken is when it had been read."""
     head = _HEAD.match(text)
     if head is None:
         raise FieldError("no comment with the fields stands ahead of the statement")
@@ -82,6 +82,7 @@
         cost=_number(fields, "work", MOST_WORK_MS) / 1e3 if "work" in fields else None,
         need=_number(fields, "heap_mb", MOST_NEED_MB) if "heap_mb" in fields else 0.0,
         tables=tables(statement),
+        taken=taken,
     )
 
 
--- a/tealwing/policy.py
+++ b/tealwing/policy.py
@@ -70,6 +70,7 @@
 ROUNDING = 1e-6  # s that a timer is set later (o): a sum of floats must not wake it just too early
 END_TICKS = 3  # ticks before the deadline at which a held request is answered (o)
 RETRY_SPREAD = (0.5, 1.0)  # of the longest retry-after, at random (o): returns are spread
+LOT_DIGITS = 65536.0  # past which a lot's digits decide on admission (o): other choices read those before
 
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
 MAY_STILL_RUN = (Result.TIMEOUT, Result.RESET, Result.CANCELLED)
@@ -312,6 +313,7 @@
         self.taken, self.extra = deque[float](), deque[float]()  # times of requests and of further attempts
         self.margin = min(END_TICKS * settings.tick, settings.rules.answer_slack)  # s
         self.rest = HELD_FOR * max((f.latency for f in self.flows if f.cls.holds), default=0.0)
+        self.reduced: api.ServiceLevel | None = None  # the service level, where one is in force
         self.begun, self.echo = False, 1  # echo: what a send of ours since a report stands for, with others'
         self._mix()
 
@@ -338,6 +340,8 @@
                 self._hung_up(event.id)
             case api.Note():
                 self._note(event)
+            case api.ServiceLevel():
+                self.reduced = None if event.full else event
             case api.StreamStarted() | api.PeerMessage() | api.ProbeResult():
                 pass
             case _:
@@ -520,6 +524,9 @@
             self.taken.append(self.now)
         if not (self.settings.marks_retry and request.resubmitted):
             self.flows[request.cls].came += 1  # a refused query that returns must not swell lam
+        if not self._admitted(job):
+            self._end(job, shed=True)
+            return
         if cls.ordered and request.key:
             line = self.lines.setdefault(request.key, deque())
             line.append(job)
@@ -532,6 +539,11 @@
         if not job.over:
             self._place(job)
 
+    def _admitted(self, job: Job) -> bool:
+        """Whether the service level lets a new request in: a lot, of digits that no other choice reads."""
+        chances = self.reduced.admitted[job.request.cls] if self.reduced else (1.0,)
+        return job.lot * LOT_DIGITS % 1.0 < chances[min(job.request.tenant, len(chances) - 1)]
+
     def _place(self, job: Job, failed: Engine | None = None) -> None:
         """Send the job by the index, or end it at once."""
         engine = self._choose(job, failed)
@@ -668,15 +680,19 @@
             estimate.success -= FAILED * estimate.success
             self._drop(job)
 
-    def _end(self, job: Job) -> None:
+    def _end(self, job: Job, shed: bool = False) -> None:
         """The final answer at once: a refusal where the effect rule lets it be one, else a failure."""
         if job.over:
             return
         job.over = True
         limits = self.settings.limits
         if job.refusable():
-            wait = limits.max_retry_after * self.random.uniform(*RETRY_SPREAD)
-            self.actions.append(api.Refuse(job.request.id, wait if limits.retry_after else 0.0))
+            lot = self.random.uniform(*RETRY_SPREAD)
+            wait = limits.max_retry_after * lot
+            if self.reduced and self.reduced.pushback[1]:
+                (low, high), (least, most) = self.reduced.pushback, RETRY_SPREAD
+                wait = min(low + (high - low) * (lot - least) / (most - least), limits.max_retry_after)
+            self.actions.append(api.Refuse(job.request.id, wait if limits.retry_after else 0.0, shed))
             if not self.settings.marks_retry and not job.attempts:
                 self.flows[job.request.cls].came -= 1  # it may come back as new: lam counts what is let in
         else:
@@ -813,7 +829,10 @@
         limits, rules = self.settings.limits, self.settings.rules
         if not job.attempts:
             return True
-        if len(job.attempts) >= limits.max_attempts or (job.out() and not limits.duplicates):
+        most = limits.max_attempts
+        if self.reduced and job.cls.effect is Effect.SAFE:
+            most = min(most, self.reduced.attempts[job.request.cls] or most)
+        if len(job.attempts) >= most or (job.out() and not limits.duplicates):
             return False
         if rules.ration_free is None:
             return True
--- /dev/null
+++ b/tealwing/service.py
@@ -0,0 +1,107 @@
+"""The gateway as a program: from its configuration, over reloads, to the end of its drain."""
+
+from __future__ import annotations
+
+import gc
+import os
+import signal
+import sys
+import threading
+import time
+
+from tealwing import log
+from tealwing.config import Config, ConfigError, load
+from tealwing.gateway.daemon import Daemon
+from tealwing.mysql.server import Server
+
+STACK = 256 * 1024  # bytes a thread
+SWITCH = 0.1  # s that a thread waits before it asks for the interpreter: hundreds that ask are work too
+COLLECT = 5000  # objects made between collections: a request's own cycle is a few dozen
+SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
+STILL_COMING = 0.7  # s after SIGTERM for which clients still connect and ask
+LONGEST_WAIT = 3.0  # s that the platform waits for the longest deadline at most, and STILL_COMING more
+REREAD, REREADS = 0.25, 8  # s between, and number of, further readings of a file that can't be used
+LAST_WORDS = 0.4  # s before the platform's SIGKILL at which what is open fails
+
+
+def serve(config: Config, conf: str | None = None) -> None:
+    """Serve until SIGTERM, then finish all that was taken. conf is the path of the operators' own file."""
+    daemon = Daemon(config)
+    server = Server(config.listen, config.most_clients, config.settings, daemon.open)
+    if conf is not None:
+        operate(daemon, server, conf)
+    daemon.start()
+    server.start()
+    kinds = {kind.name: kind.cores for kind in config.settings.kinds}
+    gc.freeze()  # what is here now stays: collections need not walk it
+    gc.set_threshold(COLLECT)
+    log.event("started", gateway=config.name, listen=server.address, kinds=kinds)
+
+    again = 0  # how often files that can't be used are still read again: they may be half written
+    while True:
+        got = signal.sigtimedwait(SIGNALS, REREAD) if again else signal.sigwaitinfo(SIGNALS)
+        if got is not None and got.si_signo != signal.SIGHUP:
+            break
+        again = REREADS if got is not None else again - 1
+        if reload(daemon, server, conf):
+            again = 0
+    stopped = time.monotonic()
+    log.event("draining")
+    time.sleep(STILL_COMING)
+    server.stop_listening()
+    longest = min(max(cls.deadline for cls in config.settings.classes), LONGEST_WAIT)
+    end = stopped + longest + STILL_COMING - LAST_WORDS
+    if not server.finish(end - time.monotonic()):
+        log.event("drain_cut_short", failed=daemon.fail_open())
+        server.finish(LAST_WORDS / 2)
+    log.event("stopped", after=time.monotonic() - stopped)
+
+
+class FileUnusable(Exception):
+    """The operators' file can't be used; the text has a line for each problem."""
+
+
+def operate(daemon: Daemon, server: Server, conf: str) -> None:
+    """Put the operators' file in force; imports the reader and what it switches on, and nothing else."""
+    from tealwing.conf import reader
+
+    try:
+        read = reader.read(conf)
+        daemon.operate(read.records)
+    except ValueError as error:  # what it says is wrong, or does not fit the platform's settings
+        raise FileUnusable(str(error)) from error
+    server.unread = daemon.unread if "levels" in read.records else None
+    log.event("operators_file", path=conf, sections=sorted(read.records))
+
+
+def reload(daemon: Daemon, server: Server, conf: str | None) -> bool:
+    """Read both files again; of each, one that can't be used is logged, and the old one stays. Whether both held."""
+    good = True
+    try:
+        daemon.reconfigure(load(os.environ))
+    except (ConfigError, OSError) as error:
+        log.event("configuration_unusable", error=str(error))
+        good = False
+    try:
+        if conf is not None:
+            operate(daemon, server, conf)
+    except FileUnusable as error:
+        log.event("operators_file_unusable", path=conf, problems=str(error).splitlines())
+        good = False
+    return good
+
+
+def gateway(conf: str | None = None) -> int:
+    """Run the gateway; bad configuration ends it with what is wrong on standard error."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # for sigwait, and before any thread starts
+    threading.stack_size(STACK)
+    sys.setswitchinterval(SWITCH)
+    try:
+        serve(load(os.environ), conf)
+    except (ConfigError, OSError) as error:
+        print(f"tealwing: {' '.join(str(error).split())}", file=sys.stderr)
+        return 1
+    except FileUnusable as error:
+        print(error, file=sys.stderr)
+        return 1
+    return 0
--- a/tealwing/sockets.py
+++ b/tealwing/sockets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import struct
 
@@ -12,3 +13,23 @@
     """Let calls that read (SO_RCVTIMEO) or write (SO_SNDTIMEO) fail with BlockingIOError after some time."""
     whole, rest = divmod(seconds, 1)
     sock.setsockopt(socket.SOL_SOCKET, option, struct.pack("ll", int(whole), int(rest * 1e6)))
+
+
+SO_TIMESTAMPNS = 35  # Linux: the kernel's time of arrival with what is read (socket(7))
+STAMP = struct.Struct("qq")  # seconds and nanoseconds of the Unix clock
+
+
+def stamp(sock: socket.socket) -> None:
+    """Let what is read tell when it came, where the kernel can."""
+    with contextlib.suppress(OSError):  # it can't: no age is known then
+        sock.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
+
+
+def receive(sock: socket.socket, buffer: memoryview) -> tuple[int, float | None]:
+    """Read into the buffer; the bytes that came, and the Unix time of their arrival if the kernel tells it."""
+    size, notes, _, _ = sock.recvmsg_into([buffer], socket.CMSG_SPACE(STAMP.size))
+    for level, kind, data in notes:
+        if level == socket.SOL_SOCKET and kind == SO_TIMESTAMPNS and len(data) == STAMP.size:
+            seconds, nanoseconds = STAMP.unpack(data)
+            return size, seconds + nanoseconds / 1e9
+    return size, None
--- a/tealwing/wire.py
+++ b/tealwing/wire.py
@@ -229,7 +229,7 @@
             return _TUNE.pack(130, instance, id_, priority, memory)
         case api.SetTimer(delay, token):
             return _TIMER.pack(50, instance, min(_ns(delay), LONGEST_TIMER_NS), token)
-        case api.Refuse(id_, retry_after):
+        case api.Refuse(id_, retry_after, _):
             return _REFUSE.pack(20, instance, id_, _ns(retry_after))
         case api.Fail(id_):
             return _TWO.pack(30, instance, id_)
@@ -327,6 +327,11 @@
     )
 
 
+def _account(facts: Facts) -> api.Account:
+    share, rate = facts.get("Share", float, 1.0), facts.get("QuotaRps", float, 0.0)
+    return api.Account(facts.get("Name", str), share, rate)
+
+
 def _listed(facts: Facts, name: str, length: int) -> list[Any]:
     values: list[Any] = facts.get(name, list)
     if len(values) < length or not all(isinstance(v, (int, float)) for v in values):
@@ -402,4 +407,5 @@
         marks_retry=facts.sub("Clients").get("MarksRetry", bool, False),
         tick=facts.seconds("TickNs"),
         tenants=tuple(Facts(a, f"Accounts[{i}]").get("Name", str) for i, a in enumerate(accounts)),
+        accounts=tuple(_account(Facts(a, f"Accounts[{i}]")) for i, a in enumerate(accounts)),
     )
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -97,16 +97,19 @@
 class Program:
     """The gateway's process, as it is deployed but with its asserts."""
 
-    def __init__(self, folder: Path, engine: str, coordinator: str = "127.0.0.1:1", **changes: Any) -> None:
+    def __init__(
+        self, folder: Path, engine: str, coordinator: str = "127.0.0.1:1", conf: str = "", **changes: Any
+    ) -> None:
         known = {"index": 1, "updates": [event(1, member("s-1", engine))]}
         config = {"name": "n0", "listen": "127.0.0.1:0", "seed": "1f", "coordinator": coordinator}
         config |= {"known": known, "settings": SETTINGS} | changes
-        self.config, self.path = config, folder / "config.json"
+        self.config, self.path, self.conf = config, folder / "config.json", folder / "tealwing.conf"
+        self.conf.write_text(conf)
         self.path.write_text(json.dumps(config))
         self.process = subprocess.Popen(
             ["/bin/sh", "-c", RUN],
             cwd=ROOT,
-            env={"LB_CONFIG": str(self.path)},
+            env={"LB_CONFIG": str(self.path)} | ({"TEALWING_CONF": str(self.conf)} if conf else {}),
             stdout=subprocess.PIPE,
             stderr=subprocess.PIPE,
             text=True,
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -14,6 +14,7 @@
 from tealwing.exchange import Abandoned, Query, Refused
 from tealwing.gateway.decisions import Decisions
 from tealwing.gateway.life import Life
+from tealwing.policy import Gateway
 from tealwing.resp import engine, messages
 from tealwing.resp.fleet import Fleet
 from tests.build import entry, listing, make_settings
@@ -32,6 +33,7 @@
     life.abandon()  # before the request has met the module
     assert isinstance(life.run(), Abandoned)
     module = decisions._gateway
+    assert isinstance(module, Gateway)
     assert not module.jobs and module.flows[0].out == 0 and module.engines[7].queries == 0
 
 
@@ -135,4 +137,5 @@
     life = Life(Query(b"1" * 16, 0, 0, 0.05, b"SELECT 1"), settings, decisions, fleet)
     assert isinstance(life.run(), Refused)
     module = decisions._gateway
+    assert isinstance(module, Gateway)
     assert not module.jobs and module.engines[7].queries == 0
