--- a/tealwing/commands/root.py
+++ b/tealwing/commands/root.py
@@ -96,9 +96,10 @@
 
 def main() -> int:
     """Run the command line; the exit code."""
-    from tealwing.commands import levels
+    from tealwing.commands import gossip, levels
 
     tealwing.add_command(levels.levels)
+    tealwing.add_command(gossip.gossip)
     try:
         tealwing.main(prog_name="tealwing")
     except SystemExit as end:
--- a/tealwing/conf/reader.py
+++ b/tealwing/conf/reader.py
@@ -13,6 +13,7 @@
 # A section's module is imported when a file has the section, and not before: memory is short.
 SECTIONS = {
     "levels": "tealwing.levels.section",
+    "gossip": "tealwing.gossip.section",
 }
 MOST_FILES = 64  # files that one file may include, in all
 LARGEST = 1 << 20  # bytes of one file
--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 from tealwing import interface as api
@@ -17,6 +18,9 @@
 from tealwing.resp.fleet import Fleet
 
 if TYPE_CHECKING:  # what the operators' file does not switch on is not imported
+    from tealwing.gossip.observe import Evidence
+    from tealwing.gossip.plan import Plan as GossipPlan
+    from tealwing.gossip.transport import Link
     from tealwing.levels.plan import Plan
 
 
@@ -25,6 +29,7 @@
 
     def __init__(self, config: Config) -> None:
         self._settings, self._cores = config.settings, config.cores
+        self._link: Link | None = None  # where gossip is on
         self._vitals: Vitals | None = None  # measured where service levels are on
         self._fleet = Fleet(config.settings.limits)
         self._decisions = Decisions(config.settings, config.seed, self._fleet)
@@ -52,8 +57,59 @@
         log.event("reconfigured", coordinator=config.coordinator)
 
     def operate(self, records: dict[str, Any]) -> None:
-        """Take the operators' file in whole: its records by section. PlanError leaves all as it is."""
-        self._levels(records.get("levels"))
+        """Take the operators' file in whole: its records by section. A ValueError leaves all as it is."""
+        undo = self._gossip(records.get("gossip"))
+        try:
+            self._levels(records.get("levels"))
+        except ValueError:
+            undo()
+            raise
+
+    def leave(self) -> None:
+        """The gateway ends: the other instances need not find out."""
+        if self._link is not None:
+            self._link.stop()
+
+    def _gossip(self, plan: GossipPlan | None) -> Callable[[], None]:
+        """Begin, change or end gossip; gives how to take that back."""
+        link = self._link
+        if plan is None and link is None:
+            return lambda: None
+        from tealwing.gossip.transport import GossipFault, Link  # only where gossip is on, or was
+
+        if plan is not None and not self._settings.limits.peers:
+            raise GossipFault("gossip: the platform's settings forbid talk among gateways (Allowed.Peers)")
+        if plan is not None and link is not None:
+            before = link.plan
+            link.change(plan)
+            return lambda: link.change(before)
+        if plan is not None:
+            self._link = made = Link(plan, self._evidence, self._decisions.submit)
+            made.start()
+            return self._gossip_ends
+        self._gossip_ends()
+        return lambda: None
+
+    def _gossip_ends(self) -> None:
+        link, self._link = self._link, None
+        if link is not None:
+            link.stop()
+            self._decisions.submit(api.Beliefs({}))
+
+    def _evidence(self) -> Evidence:
+        """What the module shows of its engines, and how many are ready."""
+        from tealwing.gossip import observe
+
+        found: list[Evidence] = []
+
+        def look(module: Module, _: float) -> Module:
+            gateway = module if isinstance(module, Gateway) else getattr(module, "gateway", None)
+            assert isinstance(gateway, Gateway)
+            found.append((observe.words(gateway), len(gateway.ready)))
+            return module
+
+        self._decisions.change(look)
+        return found[0]
 
     def _levels(self, plan: Plan | None) -> None:
         if plan is None and self._vitals is None:
--- /dev/null
+++ b/tealwing/gossip/beliefs.py
@@ -0,0 +1,166 @@
+"""What peers say of engines, weighed into what this gateway may believe; pure.
+
+A claim is evidence of bounded weight. For one start of one engine the words of distinct peers are drawn together into a
+trimmed mean: a third of the weight at either end is left out, so a minority can't move it far whatever it says, and
+it needs a quorum of weight behind it. A word weighs by the answers that it rests on, up to a few, and by the trust in
+its speaker. What is believed only makes us expect a longer latency there, by a factor up to MOST_DOUBT, for a bounded
+share of the fleet. Our own fresh evidence goes before it. Nothing here bars an engine.
+
+A peer whose words our own later answers contradict loses trust, quickly and down to a floor; it comes back slowly.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from math import ceil
+
+MOST_SAID = 10.0  # that a word may claim (ours): beyond it all are as bad
+MOST_DOUBT = 2.0  # that a belief multiplies the engine's expected latency by at most (ours)
+SLOW = 1.8  # slowness over the fleet's past which an engine is notable (ours): short of that it is noise
+FAILING = 0.3  # share of failures past which it is (ours)
+WELL = (1.3, 0.1)  # slowness and failures below which an engine is well: apart from the above (ours)
+ENOUGH = 0.5  # answers that a word must rest on at least (ours): where each sees little, all see enough
+FULL = 1.5  # answers at which a word has its full weight (ours): whoever claims more counts for no more
+JUDGE = 2.0  # of our own answers, faded, with which we hold others' words against them (ours)
+TRIMMED = 0.35  # of the weight at either end that is left out (ours): so much may lie together
+BELIEVED = 1.4  # mean slowness, failures included, at which a belief begins (ours): many words are quieter than one
+SPEAKERS = 24  # of the members that speak of one engine, about (ours): more words would only cost more
+SPEAK = (1.6, 1.0)  # slowness, and answers it rests on, at which one speaks up (ours): earlier than one would act
+FRESH_OWN = 4.0  # of our own answers, faded, with which we need nobody's word (ours)
+AGE = 6.0  # s after which a claim has aged out (ours): engines that are slow are so for 10 s or more
+QUORUM = (
+    2.0,
+    0.5,
+)  # weight behind a belief: at least, and for each member that may speak (ours): liars alone have none
+FLEET_SHARE = 0.25  # of the engines that beliefs lean on at once (ours): past it the fleet is the matter
+TRUST = (0.1, 1.0)  # floor, and full (ours): a liar's word keeps a tenth, so that it can come back
+LOSS, GAIN = 0.5, 0.02  # factor at a contradiction; step at a word that held (ours)
+
+
+@dataclass(frozen=True, slots=True)
+class Word:
+    """One instance's word on one start of one engine."""
+
+    engine: int
+    started: int  # ms
+    slow: float
+    failed: float
+    samples: float
+
+    @property
+    def key(self) -> tuple[int, int]:
+        """Which start of which engine."""
+        return self.engine, self.started
+
+    @property
+    def bad(self) -> bool:
+        """Whether it accuses the engine."""
+        return self.slow >= SLOW or self.failed >= FAILING
+
+    @property
+    def well(self) -> bool:
+        """Whether it clears the engine."""
+        return self.slow <= WELL[0] and self.failed <= WELL[1]
+
+    @property
+    def speaks(self) -> bool:
+        """Whether it is worth saying unasked."""
+        return self.samples >= SPEAK[1] and (self.slow >= SPEAK[0] or self.failed >= FAILING)
+
+    @property
+    def weight(self) -> float:
+        """What it weighs, up to 1."""
+        return min(self.samples / FULL, 1.0)
+
+    @property
+    def cost(self) -> float:
+        """How much longer a query takes there until it is served, over the fleet."""
+        return min(self.slow, MOST_SAID) / max(1 - self.failed, 1 / MOST_SAID)
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """What one peer said last, and when by our clock."""
+
+    at: float
+    words: tuple[Word, ...]
+
+
+class Beliefs:
+    """Keeps what was heard of each peer, and the trust in it."""
+
+    def __init__(self) -> None:
+        self._heard: dict[str, Heard] = {}
+        self.trust: dict[str, float] = {}
+        self._judged: dict[tuple[str, tuple[int, int]], float] = {}  # when a peer's word was held against ours
+
+    def hear(self, peer: str, at: float, words: Iterable[Word]) -> None:
+        """A peer's latest words; those before are gone. A start spoken of twice counts once."""
+        by_key = {word.key: word for word in words if word.samples >= ENOUGH}
+        self._heard[peer] = Heard(at, tuple(by_key.values()))
+
+    def accused(self, now: float) -> set[tuple[int, int]]:
+        """The starts that a peer accuses now: who knows better should speak."""
+        return {word.key for heard in self._heard.values() if now - heard.at <= AGE for word in heard.words if word.bad}
+
+    def weigh(
+        self, now: float, own: Mapping[tuple[int, int], Word], members: int, engines: int
+    ) -> dict[tuple[int, int], float]:
+        """The doubt by start of engine, above 1; own is our own evidence, members those live, engines those ready."""
+        self._judge(now, own)
+        said: dict[tuple[int, int], list[tuple[float, float]]] = {}
+        for peer, heard in self._heard.items():
+            if now - heard.at > AGE:
+                continue
+            for word in heard.words:
+                weight = self.trust.get(peer, TRUST[1]) * word.weight
+                said.setdefault(word.key, []).append((word.cost, weight))
+        quorum = max(QUORUM[0], QUORUM[1] * min(members, SPEAKERS))
+        found = {}
+        for key, words in said.items():
+            ours = own.get(key)
+            if ours is not None and ours.samples >= FRESH_OWN:
+                continue
+            if ours is not None:  # less than enough to stand alone, but a word like the others'
+                words.append((ours.cost, ours.weight))
+            if sum(weight for _, weight in words) >= quorum and (mean := trimmed(words)) >= BELIEVED:
+                found[key] = min(mean, MOST_DOUBT)
+        most = ceil(FLEET_SHARE * engines) if engines else 0
+        worst = sorted(found, key=lambda key: (-found[key], key))[:most]
+        return {key: found[key] for key in worst}
+
+    def _judge(self, now: float, own: Mapping[tuple[int, int], Word]) -> None:
+        """Hold fresh words against our own fresh evidence, each once."""
+        for peer, heard in self._heard.items():
+            for word in heard.words:
+                ours, mark = own.get(word.key), (peer, word.key)
+                if ours is None or ours.samples < JUDGE or now - heard.at > AGE:
+                    continue
+                if self._judged.get(mark, -AGE) >= heard.at:
+                    continue
+                before = self.trust.get(peer, TRUST[1])
+                if (word.bad and ours.well) or (word.well and ours.bad):
+                    self.trust[peer] = max(TRUST[0], before * LOSS)
+                elif (word.bad and ours.bad) or (word.well and ours.well):
+                    self.trust[peer] = min(TRUST[1], before + GAIN)
+                else:
+                    continue
+                self._judged[mark] = heard.at
+        self._judged = {mark: at for mark, at in self._judged.items() if now - at <= AGE}
+
+    def forget(self, peer: str) -> None:
+        """A member has been let go of; its trust is kept by whoever keeps its name."""
+        self._heard.pop(peer, None)
+        self.trust.pop(peer, None)
+
+
+def trimmed(words: Sequence[tuple[float, float]]) -> float:
+    """The mean of (value, weight) over the middle of the weight: TRIMMED of it is left out at either end."""
+    total = sum(weight for _, weight in words)
+    low, high = TRIMMED * total, (1 - TRIMMED) * total
+    mean = at = 0.0
+    for value, weight in sorted(words):
+        mean += value * max(0.0, min(at + weight, high) - max(at, low))
+        at += weight
+    return mean / (high - low) if high > low else 1.0
--- /dev/null
+++ b/tealwing/gossip/keys.py
@@ -0,0 +1,131 @@
+"""Ed25519 keys: our own from a file, and the list of those allowed, with a time until which each holds."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import os
+from collections.abc import Iterable
+from dataclasses import dataclass
+from math import inf
+from pathlib import Path
+
+from cryptography.exceptions import InvalidSignature
+from cryptography.hazmat.primitives import serialization
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey, Ed25519PublicKey
+
+from tealwing.gossip.messages import KEY_ID
+
+RAW = 32  # bytes of a public key (RFC 8032)
+MOST_KEYS = 4  # of one name at a time: the old, the new, and room for a mistake
+
+
+class KeyFault(ValueError):
+    """A key that can't be used; the text says which and why."""
+
+
+def key_id(public: bytes) -> bytes:
+    """The first bytes of a public key: enough to choose among those allowed, never a proof."""
+    return public[:KEY_ID]
+
+
+def read_public(text: str) -> bytes:
+    """A public key as the file has it, in base64."""
+    try:
+        raw = base64.b64decode(text, validate=True)
+    except (binascii.Error, ValueError):
+        raw = b""
+    if len(raw) != RAW:
+        raise KeyFault(f"{text[:60]!r} is not a public key of {RAW} bytes in base64")
+    return raw
+
+
+def write_public(raw: bytes) -> str:
+    """A public key as the file has it."""
+    return base64.b64encode(raw).decode()
+
+
+class OwnKey:
+    """Signs as this instance."""
+
+    def __init__(self, private: Ed25519PrivateKey) -> None:
+        self.private = private
+        self.public = private.public_key().public_bytes_raw()
+        self.key = key_id(self.public)
+
+    def sign(self, data: bytes) -> bytes:
+        """A signature."""
+        return self.private.sign(data)
+
+
+def generate() -> Ed25519PrivateKey:
+    """A new key."""
+    return Ed25519PrivateKey.generate()
+
+
+def from_seed(seed: bytes) -> OwnKey:
+    """A key from 32 bytes: for tests and trials only."""
+    return OwnKey(Ed25519PrivateKey.from_private_bytes(seed))
+
+
+def write_private(path: Path, private: Ed25519PrivateKey) -> None:
+    """A new file that only its owner reads; one that is there stays, with an error."""
+    pem = private.private_bytes(
+        serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()
+    )
+    with os.fdopen(os.open(path, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600), "wb") as file:
+        file.write(pem)
+
+
+def read_private(path: Path) -> OwnKey:
+    """The key in a file that others can't read."""
+    try:
+        mode = path.stat().st_mode & 0o077
+        data = path.read_bytes()
+    except OSError as error:
+        raise KeyFault(f"{path}: {error.strerror}") from None
+    if mode:
+        raise KeyFault(f"{path}: others may read it; allowed: mode 0600")
+    try:
+        private = serialization.load_pem_private_key(data, None)
+    except (ValueError, TypeError):
+        raise KeyFault(f"{path}: no private key in PEM without a password") from None
+    if not isinstance(private, Ed25519PrivateKey):
+        raise KeyFault(f"{path}: not an Ed25519 key")
+    return OwnKey(private)
+
+
+@dataclass(frozen=True, slots=True)
+class Allowed:
+    """One name's key, and the Unix time until which it holds."""
+
+    name: str
+    public: bytes
+    until: float = inf
+
+
+class Keyring:
+    """The keys allowed. `wall`, seconds of the Unix clock, is kept by whoever owns it."""
+
+    def __init__(self, allowed: Iterable[Allowed]) -> None:
+        self.wall = 0.0
+        self._keys: dict[tuple[str, bytes], tuple[Ed25519PublicKey, float]] = {}
+        self.replace(allowed)
+
+    def replace(self, allowed: Iterable[Allowed]) -> None:
+        """Another list, in whole: a key that it lacks holds no more."""
+        self._keys = {
+            (entry.name, key_id(entry.public)): (Ed25519PublicKey.from_public_bytes(entry.public), entry.until)
+            for entry in allowed
+        }
+
+    def verify(self, name: str, key: bytes, data: bytes, signature: bytes) -> bool:
+        """Whether that name signed that data, with a key that holds now."""
+        found = self._keys.get((name, key))
+        if found is None or self.wall >= found[1]:
+            return False
+        try:
+            found[0].verify(signature, data)
+        except InvalidSignature:
+            return False
+        return True
--- /dev/null
+++ b/tealwing/gossip/observe.py
@@ -0,0 +1,77 @@
+"""What the decision module shows of its engines, as words for the peers and as our own evidence; pure."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from typing import Protocol
+
+from tealwing.gossip.beliefs import ENOUGH, SPEAKERS, Word
+
+Evidence = tuple[dict[tuple[int, int], Word], int]  # our own by start of engine, and how many engines are ready
+
+
+class Estimate(Protocol):
+    """One class at one engine."""
+
+    success: float
+
+
+class Pace(Protocol):
+    """The last moments, faded: answers, and time that queries were out over the best of their class."""
+
+    done: float
+    exposed: float
+
+
+class Engine(Protocol):
+    """What is read of one engine."""
+
+    id: int
+    started: float
+    slow: float
+
+    @property
+    def pace(self) -> Pace:
+        """Its answers."""
+
+    @property
+    def estimates(self) -> Sequence[Estimate]:
+        """By class."""
+
+
+class Fleet(Protocol):
+    """What the decision module shows; tealwing.policy.Gateway has all of it."""
+
+    slow: float
+
+    @property
+    def ready(self) -> Sequence[Engine]:
+        """The engines that are ready."""
+
+
+def words(fleet: Fleet) -> dict[tuple[int, int], Word]:
+    """Our own evidence by start of engine: slowness over the fleet's, and failures beyond the common."""
+    found = {}
+    best = [
+        max((engine.estimates[cls].success for engine in fleet.ready), default=1.0)
+        for cls in range(len(fleet.ready[0].estimates) if fleet.ready else 0)
+    ]
+    for engine in fleet.ready:
+        shares = [e.success / max(b, 0.05) for e, b in zip(engine.estimates, best, strict=True)]
+        failed = max(0.0, 1 - min(shares, default=1.0))
+        slow = min(engine.slow / max(fleet.slow, 1.0), 1000.0)
+        # what it rests on: as many answers as were due by now of an engine that is like the others
+        due = max(engine.pace.done, engine.pace.exposed / max(fleet.slow, 1.0))
+        word = Word(engine.id, round(engine.started * 1e3), slow, min(failed, 1.0), min(due, 1e6))
+        found[word.key] = word
+    return found
+
+
+def worth_saying(own: Iterable[Word], accused: set[tuple[int, int]], lot: float, members: int) -> list[Word]:
+    """Words on engines that seem not well, and on those that another accuses: then all we saw helps to weigh it.
+
+    lot, from 0 to 1, is drawn once a speaker: among many only some speak, so that the cost does not grow with them.
+    """
+    if lot * members >= SPEAKERS:
+        return []
+    return [word for word in own if word.samples >= ENOUGH and (word.speaks or word.key in accused)]
--- /dev/null
+++ b/tealwing/gossip/section.py
@@ -0,0 +1,120 @@
+"""The section `gossip` of the operators' file."""
+
+from __future__ import annotations
+
+import datetime
+import ipaddress
+from math import inf
+
+import msgspec
+
+from tealwing.conf import values
+from tealwing.conf.schema import Block, Entry, Report, Section, Spec
+from tealwing.gossip import keys
+from tealwing.gossip.keys import Allowed
+from tealwing.gossip.messages import LARGEST, Name
+from tealwing.gossip.node import Times
+from tealwing.gossip.plan import Address, Plan
+
+LEAST_CEILING = 4 * LARGEST  # bytes a second: below that a probe and its answers do not fit a period
+MOST_KEYS = 4  # of one name
+
+
+def _name(words: values.Words) -> str:
+    try:
+        return msgspec.convert(words[0] if len(words) == 1 else None, Name)
+    except msgspec.ValidationError:
+        raise values.Unfit("one name of at most 32 letters, digits, dots, hyphens and underscores") from None
+
+
+def _address(words: values.Words) -> Address:
+    allowed = "one address, as 10.0.0.4:7946 or 127.0.0.1:0"
+    host, colon, port = words[0].rpartition(":") if len(words) == 1 else ("", "", "")
+    if not colon or not (port.isascii() and port.isdigit()) or len(port) > 5 or int(port) > 65535:
+        raise values.Unfit(allowed)
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        raise values.Unfit(allowed) from None
+    return host, int(port)
+
+
+def _peer(words: values.Words) -> Allowed:
+    allowed = "a name, its public key in base64, and if it ends, until and a time as 2027-01-31T12:00Z"
+    if len(words) not in (2, 4) or (len(words) == 4 and words[2] != "until"):
+        raise values.Unfit(allowed)
+    name, until = _name(words[:1]), inf
+    try:
+        public = keys.read_public(words[1])
+    except keys.KeyFault as error:
+        raise values.Unfit(f"{allowed}; {error}") from None
+    if len(words) == 4:
+        try:
+            when = datetime.datetime.fromisoformat(words[3])
+        except ValueError:
+            raise values.Unfit(allowed) from None
+        if when.tzinfo is None:
+            raise values.Unfit(f"{allowed}, with its zone")
+        until = when.timestamp()
+    return Allowed(name, public, until)
+
+
+SPECS = (
+    Spec("name", "NAME", "This instance's name, under which the others know its key.", _name, needed=True),
+    Spec("listen", "HOST:PORT", "UDP address, IPv4, at which this instance listens and is told to others.",
+         _address, needed=True),
+    Spec("key", "FILE", "This instance's private key, Ed25519 in PEM, mode 0600: `tealwing gossip keygen` makes one.",
+         values.text, needed=True),
+    Spec("peer", "NAME KEY [until TIME]",
+         "An instance that is heard, by its public key in base64; this one too. Two lines of one name let a key change"
+         " with an overlap; a line that goes is a key that holds no more, at SIGHUP.", _peer, many=True, needed=True),
+    Spec("seed", "HOST:PORT", "An address to ask first. One that answers is enough.", _address, many=True),
+    Spec("ceiling", "SIZE", "Bytes a second, headers included, that no second passes.",
+         values.sizes(LEAST_CEILING, 1 << 30), "16KB"),
+    Spec("period", "DURATION", "Between two probes of members.", values.durations(0.2, 60.0), "1s"),
+    Spec("answer", "DURATION", "How long a direct answer is waited for; below the period.",
+         values.durations(0.05, 30.0), "300ms"),
+    Spec("rumours", "DURATION", "Between two rounds of new rumours.", values.durations(0.05, 10.0), "200ms"),
+    Spec("compare", "DURATION", "Between two comparisons of all that is known, while they agree.",
+         values.durations(1.0, 3600.0), "10s"),
+    Spec("skew", "DURATION", "Most that two instances' clocks may be apart; older datagrams are dropped.",
+         values.durations(1.0, 300.0), "10s"),
+    Spec("file", "FILE", "Where members and trust are kept over a restart; absent: nowhere.", values.text),
+    Spec("control", "FILE", "Unix socket at which `tealwing gossip members` asks; absent: none.", values.text),
+)  # fmt: skip
+
+
+def build(block: Block, report: Report) -> Plan:
+    """The plan that a checked section makes."""
+    peers: list[Entry] = block.all("peer")
+    allowed = tuple(entry.value for entry in peers)
+    for entry in peers:
+        same = [a for a in allowed if a.name == entry.value.name]
+        if len(same) > MOST_KEYS:
+            report.add(entry.place, "peer", f"{len(same)} keys of {entry.value.name}", f"at most {MOST_KEYS}")
+        if any(a.public == entry.value.public and a.name != entry.value.name for a in allowed):
+            report.add(entry.place, "peer", f"a key of {entry.value.name} that another name has", "a key of its own")
+    name = block.one("name")
+    if all(a.name != name for a in allowed):
+        report.add(block.place("name", peers[0].place), "name", name, "a name that a peer line has, with its key")
+    times = Times(
+        block.one("period"), block.one("answer"), block.one("rumours"), block.one("compare"), block.one("skew"),
+        float(block.one("ceiling")),
+    )  # fmt: skip
+    if times.answer >= times.period / 2:
+        report.add(
+            block.place("answer", peers[0].place), "answer", values.written_duration(times.answer),
+            f"less than half of the period, {values.written_duration(times.period)}: others are asked after it",
+        )  # fmt: skip
+    seeds = tuple(entry.value for entry in block.all("seed"))
+    return Plan(
+        name, block.one("listen"), block.one("key"), allowed, seeds, times, block.one("file"), block.one("control")
+    )
+
+
+SECTION = Section(
+    "gossip",
+    "Instances that find each other and share suspicions about engines; see docs/operating/gossip.md. Absent: none.",
+    SPECS,
+    build,
+)
--- a/tealwing/interface.py
+++ b/tealwing/interface.py
@@ -342,6 +342,16 @@
         return not self.number and all(chance >= 1 for chances in self.admitted for chance in chances)
 
 
+@dataclass(frozen=True, slots=True)
+class Beliefs:
+    """What peers are believed about engines, from tealwing.gossip: all of it, each time.
+
+    By engine and start (ms of the Unix clock, 0 long ago), the factor, above 1, on the latency to expect there.
+    """
+
+    doubts: dict[tuple[int, int], float]
+
+
 @dataclass(frozen=True, slots=True)
 class HostLoad:
     """The gateway's own state, for tealwing.levels: means of the last moments.
@@ -367,6 +377,7 @@
     | TimerFired
     | ServiceLevel
     | HostLoad
+    | Beliefs
 )
 
 
--- /dev/null
+++ b/tealwing/lab/network.py
@@ -0,0 +1,231 @@
+"""A datagram network in virtual time: delay, loss, order, copies, cuts one way or both; and instances on it.
+
+Instances run `gossip.node.Node`, the code that runs on sockets; only the network and the clocks are modelled.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from tealwing.gossip import keys
+from tealwing.gossip.budget import Address
+from tealwing.gossip.members import State
+from tealwing.gossip.messages import KEY_ID, LARGEST, OVERHEAD, SIGNATURE
+from tealwing.gossip.node import Node, Times
+from tealwing.lab.clock import Clock
+
+TICK = 0.1  # s between two ticks of an instance
+DELAY = (0.0002, 0.003)  # s of a datagram on its way
+PORT = 7946
+EPOCH = 1_800_000_000.0  # s of the Unix clock at which virtual time begins
+
+
+class Toy:
+    """A keyed hash in place of a signature: as long, and a hundred times as quick, for hundreds of instances.
+
+    Whoever reads this code can forge it, so it is for trials of behaviour, never of security.
+    """
+
+    def __init__(self, name: str) -> None:
+        self._secret = hashlib.blake2b(name.encode(), digest_size=32).digest()
+        self.key = self._secret[:KEY_ID]
+
+    def sign(self, data: bytes) -> bytes:
+        """A tag of a signature's length."""
+        return hashlib.blake2b(data, key=self._secret, digest_size=SIGNATURE).digest()
+
+
+class ToyRing:
+    """Verifies what `Toy` signs."""
+
+    def __init__(self) -> None:
+        self.wall = 0.0
+        self._toys: dict[str, Toy] = {}
+
+    def verify(self, name: str, key: bytes, data: bytes, signature: bytes) -> bool:
+        """Whether that name signed that data."""
+        toy = self._toys.get(name) or self._toys.setdefault(name, Toy(name))
+        return toy.key == key and toy.sign(data) == signature
+
+
+def real_key(name: str) -> keys.OwnKey:
+    """An Ed25519 key that follows from a name, for trials."""
+    return keys.from_seed(hashlib.blake2b(name.encode(), digest_size=32).digest())
+
+
+@dataclass(eq=False, slots=True)
+class Instance:
+    """One instance on the network."""
+
+    node: Node
+    address: Address
+    skew: float  # s that its Unix clock is ahead
+    running: bool = True
+    paused: list[tuple[Address, bytes]] | None = None  # what came while its process stood still
+    seconds: dict[int, int] = field(default_factory=dict)  # bytes out by second
+    largest: int = 0
+
+
+@dataclass(slots=True)
+class Weather:
+    """What the network does to datagrams."""
+
+    loss: float = 0.0
+    copies: float = 0.0
+    delay: tuple[float, float] = DELAY
+    cut: Callable[[Address, Address], bool] = lambda source, to: False
+
+
+class Network:
+    """Instances, and the weather between them."""
+
+    def __init__(self, seed: int, times: Times | None = None, real_keys: bool = False) -> None:
+        self.clock, self.times = Clock(), times or Times()
+        self.weather = Weather()
+        self.instances: dict[str, Instance] = {}
+        self.events: list[tuple[float, str, str, dict[str, object]]] = []  # when, whose, what
+        self.tamper: dict[str, Callable[[Instance, Address, bytes], list[tuple[Address, bytes]]]] = {}
+        self._random, self._seed, self._real = random.Random(seed), seed, real_keys
+        self._by_address: dict[Address, Instance] = {}
+        self._hosts = 0
+
+    # Instances
+
+    def start(self, name: str, seeds: Sequence[Address], skew: float = 0.0, address: Address | None = None) -> Instance:
+        """A process begins under a name; one that ran under it is no more on the network at that address."""
+        if address is None:
+            self._hosts += 1
+            address = (f"10.{self._hosts >> 16}.{self._hosts >> 8 & 255}.{self._hosts & 255}", PORT)
+        rng = random.Random(f"{self._seed}/{name}/{self.clock.now}")
+        ring: ToyRing | keys.Keyring = ToyRing()
+        signer: Toy | keys.OwnKey = Toy(name)
+        if self._real:
+            signer = real_key(name)
+            ring = _Everybody()
+        wall = self.wall(skew)
+        node = Node(name, address, signer, ring.verify, self.times, seeds, rng, self.clock.now, wall)
+        instance = Instance(node, address, skew)
+        self.instances[name] = instance
+        self._by_address[address] = instance
+        self.clock.after(rng.random() * TICK, self._tick, instance)
+        return instance
+
+    def wall(self, skew: float) -> float:
+        """The Unix clock of an instance."""
+        return EPOCH + self.clock.now + skew
+
+    def kill(self, name: str) -> None:
+        """The process dies without a word."""
+        instance = self.instances[name]
+        instance.running = False
+        if self._by_address.get(instance.address) is instance:
+            del self._by_address[instance.address]
+
+    def pause(self, name: str, seconds: float) -> None:
+        """The process stands still for a while; what comes waits in its socket, 200 datagrams at most."""
+        instance = self.instances[name]
+        instance.paused = []
+        self.clock.after(seconds, self._resume, instance)
+
+    def _resume(self, instance: Instance) -> None:
+        waiting, instance.paused = instance.paused or [], None
+        for source, data in waiting[:200]:
+            instance.node.datagram(self.clock.now, self.wall(instance.skew), source, data)
+
+    def _tick(self, instance: Instance) -> None:
+        if not instance.running:
+            return
+        self.clock.after(TICK, self._tick, instance)
+        if instance.paused is None:
+            instance.node.tick(self.clock.now, self.wall(instance.skew))
+            self._flush(instance)
+
+    # Datagrams
+
+    def inject(self, source: Address, to: Address, data: bytes) -> None:
+        """A datagram from anybody."""
+        self._carry(source, to, data)
+
+    def _flush(self, instance: Instance) -> None:
+        node = instance.node
+        for name, fields in node.events:
+            self.events.append((self.clock.now, node.name, name, fields))
+        node.events.clear()
+        second = int(self.clock.now)
+        for to, data in node.out(self.clock.now):
+            instance.seconds[second] = instance.seconds.get(second, 0) + len(data) + OVERHEAD
+            instance.largest = max(instance.largest, len(data))
+            assert len(data) <= LARGEST, f"a datagram of {len(data)} bytes"
+            tamper = self.tamper.get(node.name)
+            for target, what in tamper(instance, to, data) if tamper else [(to, data)]:
+                self._carry(instance.address, target, what)
+
+    def _carry(self, source: Address, to: Address, data: bytes) -> None:
+        weather, rng = self.weather, self._random
+        if weather.cut(source, to) or (weather.loss and rng.random() < weather.loss):
+            return
+        for _ in range(1 + (rng.random() < weather.copies if weather.copies else 0)):
+            self.clock.after(rng.uniform(*weather.delay), self._land, source, to, data)
+
+    def _land(self, source: Address, to: Address, data: bytes) -> None:
+        instance = self._by_address.get(to)
+        if instance is None or not instance.running:
+            return
+        if instance.paused is not None:
+            instance.paused.append((source, data))
+            return
+        instance.node.datagram(self.clock.now, self.wall(instance.skew), source, data)
+        self._flush(instance)
+
+    # What is so
+
+    def live(self) -> list[Instance]:
+        """Instances that run and speak."""
+        return [i for i in self.instances.values() if i.running and not i.node.silent]
+
+    def agreed(self) -> bool:
+        """Whether all that run hold each other live, and nobody else."""
+        running = self.live()
+        if any(instance.node.members.live != len(running) - 1 for instance in running):
+            return False
+        names = {instance.node.name for instance in running}
+        return all(m.alive.name in names for i in running for m in i.node.members if m.state <= State.SUSPECT)
+
+    def until(self, holds: Callable[[], bool], limit: float, step: float = 0.25) -> float | None:
+        """Let time pass until something holds; how long that took, or None."""
+        begun = self.clock.now
+        while self.clock.now < begun + limit:
+            if holds():
+                return self.clock.now - begun
+            self.clock.run(self.clock.now + step)
+        return self.clock.now - begun if holds() else None
+
+    def most_bytes(self) -> int:
+        """The most that any instance sent in any second."""
+        return max((n for i in self.instances.values() for n in i.seconds.values()), default=0)
+
+
+class _Everybody(keys.Keyring):
+    """Allows every name its trial key."""
+
+    def __init__(self) -> None:
+        super().__init__(())
+
+    def verify(self, name: str, key: bytes, data: bytes, signature: bytes) -> bool:
+        if (name, key) not in self._keys:
+            public = real_key(name).public
+            self._keys |= keys.Keyring([keys.Allowed(name, public)])._keys
+        return super().verify(name, key, data, signature)
+
+
+def cluster(network: Network, count: int, seeds: int = 3, skew: float = 0.0) -> list[Instance]:
+    """So many instances that start together and know the first few."""
+    rng = random.Random(count)
+    made: list[Instance] = []
+    addresses = [(f"10.0.{(i + 1) >> 8}.{(i + 1) & 255}", PORT) for i in range(min(seeds, count))]
+    for number in range(count):
+        made.append(network.start(f"n{number}", addresses, rng.uniform(-skew, skew)))
+    return made
--- /dev/null
+++ b/tealwing/lab/processes.py
@@ -0,0 +1,174 @@
+"""A trial of gossip as processes over UDP on loopback: each instance is a process with the real transport."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+from tealwing import interface as api
+from tealwing import log
+from tealwing.gossip import keys
+from tealwing.gossip.beliefs import FRESH_OWN, SLOW, Word
+from tealwing.gossip.budget import Urgency
+from tealwing.gossip.keys import Allowed
+from tealwing.gossip.messages import Dead, Gossip, Rumour
+from tealwing.gossip.node import Times
+from tealwing.gossip.plan import Plan
+from tealwing.gossip.transport import Link
+from tealwing.lab import rumours
+from tealwing.lab.network import real_key
+
+JOINING = 15.0  # s in which all must have found each other
+REPORT = 0.05  # s between two looks of a process at itself
+
+
+def attempt(instances: int, liars: int, silent: int, seconds: float, seed: int) -> dict[str, Any]:
+    """All join, one engine grows slow, and the rest is watched; the figures of `rumours.attempt`."""
+    with tempfile.TemporaryDirectory() as folder:
+        for number in range(instances):
+            path = Path(folder) / f"n{number}.key"
+            keys.write_private(path, real_key(f"n{number}").private)
+        slow_at = time.time() + JOINING
+        plan = {
+            "folder": folder, "instances": instances, "seed": seed, "slow_at": slow_at, "end": slow_at + seconds,
+            "seed_ports": _free_ports(min(3, instances)),
+        }  # fmt: skip
+        kinds = ["liar"] * liars + ["silent"] * silent
+        processes = []
+        for number in range(instances):
+            kind = kinds[instances - 1 - number] if number >= instances - len(kinds) else "honest"
+            words = json.dumps(plan | {"number": number, "kind": kind})
+            processes.append(
+                subprocess.Popen(
+                    [sys.executable, "-m", "tealwing.lab.processes", words], stdout=subprocess.PIPE, text=True
+                )
+            )
+        reports = []
+        for process in processes:
+            out, _ = process.communicate(timeout=JOINING + seconds + 60)
+            reports.append(json.loads(out.splitlines()[-1]))
+    honest = [report for report in reports if report["kind"] == "honest"]
+    rejected: Counter[str] = Counter()
+    for report in reports:
+        rejected += Counter(report["rejected"])
+
+    def last(name: str) -> float | None:
+        times = [report[name] for report in honest]
+        return round(max(times), 3) if all(t is not None for t in times) else None
+
+    def mean(name: str) -> float | None:
+        times = [report[name] for report in honest if report[name] is not None]
+        return round(sum(times) / len(times), 3) if times else None
+
+    return {
+        "summary": True,
+        "instances": instances,
+        "liars": liars,
+        "silent": silent,
+        "seed": seed,
+        "members_converged_s": last("converged"),
+        "bytes_per_s_max": max(report["bytes_per_s_max"] for report in reports),
+        "ceiling_bytes_per_s": int(Times().ceiling),
+        "healthy_shunned": sum(report["shunned"] for report in honest),
+        "slow_engine_known_s": last("known"),
+        "slow_engine_known_alone_s": last("alone"),
+        "slow_engine_known_mean_s": mean("known"),
+        "slow_engine_known_alone_mean_s": mean("alone"),
+        "false_deaths": sum(report["deaths"] for report in honest),
+        "rejected": dict(rejected),
+    }
+
+
+def _free_ports(count: int) -> list[int]:
+    import socket
+
+    socks = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+def one(plan: dict[str, Any]) -> dict[str, Any]:
+    """One instance's process, until its end; what it saw."""
+    number, kind, names = plan["number"], plan["kind"], [f"n{i}" for i in range(plan["instances"])]
+    ports = plan["seed_ports"]
+    listen = ("127.0.0.1", ports[number] if number < len(ports) else 0)
+    allowed = tuple(Allowed(name, real_key(name).public) for name in names)
+    seeds = tuple(("127.0.0.1", port) for port in ports)
+    key = str(Path(plan["folder"]) / f"n{number}.key")
+    eyes, truth = rumours.Eyes((plan["seed"], number)), [1.0] * rumours.ENGINES
+    begun = time.time()
+    found: dict[str, Any] = {"kind": kind, "known": None, "alone": None, "converged": None, "shunned": 0}
+    doubts: dict[tuple[int, int], float] = {}
+    lock = threading.Lock()
+
+    def evidence() -> tuple[dict[tuple[int, int], Word], int]:
+        with lock:
+            own = eyes.evidence()
+        if kind == "liar":
+            return {key: Word(key[0], 0, 1.0 if truth[key[0]] > 1 else 9.0, 0.0, 1e5) for key in own}, len(truth)
+        return own, len(truth)
+
+    def tell(event: api.Event) -> None:
+        if isinstance(event, api.Beliefs):
+            doubts.clear()
+            doubts.update(event.doubts)
+
+    log.logger.disabled = True
+    link = Link(Plan(names[number], listen, key, allowed, seeds, Times(), None, None), evidence, tell)
+    deaths = Counter[str]()
+    if kind == "silent":
+        link.mute = True
+    link.heard = lambda name, _: deaths.update([name])
+    link.start()
+    seconds: dict[int, int] = {}
+    sent, seen = 0, time.time()
+    while (now := time.time()) < plan["end"]:
+        time.sleep(REPORT)
+        if now >= plan["slow_at"]:
+            truth[2] = rumours.TIMES_SLOWER
+        with lock:
+            eyes.see(truth, now - seen)
+            own = eyes.evidence()
+        seen = now
+        with link.lock:
+            total, live = link.node.budget.sent, link.node.members.live
+            if kind == "liar":
+                _slander(link)
+        seconds[int(now)] = seconds.get(int(now), 0) + total - sent
+        sent = total
+        if live == plan["instances"] - 1 and found["converged"] is None:
+            found["converged"] = now - begun
+        word = own[2, 0]
+        sees = word.samples >= FRESH_OWN and word.slow >= SLOW
+        if truth[2] > 1:
+            if sees and found["alone"] is None:
+                found["alone"] = now - plan["slow_at"]
+            if (sees or (2, 0) in doubts) and found["known"] is None:
+                found["known"] = now - plan["slow_at"]
+        found["shunned"] += sum(key[0] != 2 or truth[2] == 1 for key in list(doubts))
+    found["bytes_per_s_max"] = max(seconds.values(), default=0)
+    found["rejected"] = dict(link.node.counts.rejected)
+    found["deaths"] = deaths["gossip_dead"]
+    return found
+
+
+def _slander(link: Link) -> None:
+    node = link.node
+    slander: list[Rumour] = [Dead(m.alive.name, m.alive.boot, m.alive.incarnation) for m in list(node.members)[:8]]
+    for member in node.members.some(1):
+        node.tell(Urgency.RUMOUR, member.address, Gossip(), slander)
+
+
+if __name__ == "__main__":
+    print(json.dumps(one(json.loads(sys.argv[1]))), flush=True)
--- /dev/null
+++ b/tealwing/lab/rumours.py
@@ -0,0 +1,228 @@
+"""Trials of gossip in virtual time: convergence, bandwidth, engines that are slow, liars, and worth served.
+
+Liars speak with their own keys, as an instance that was taken over would: they accuse engines that are well, praise
+the one that is slow, and call live members dead.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable, Sequence
+from dataclasses import replace
+from typing import Any
+
+import numpy as np
+
+from tealwing import interface as api
+from tealwing.gossip import observe
+from tealwing.gossip.beliefs import FRESH_OWN, SLOW, Word
+from tealwing.gossip.budget import Address, Urgency
+from tealwing.gossip.messages import Dead, Gossip, Rumour
+from tealwing.gossip.node import Node, Times
+from tealwing.gossip.transport import only_own
+from tealwing.lab import arrivals, site, worth
+from tealwing.lab.harness import Deployment
+from tealwing.lab.network import Instance, Network, cluster
+from tealwing.policy import Gateway
+
+ENGINES = 8
+ANSWERS = 0.8  # a second, of one instance from one engine: 20 instances and 8 engines at some 130 queries a second
+LATENCY = 0.2  # s of a lookup at an engine that is well
+KEEP, PRIOR = 0.6, 3.0  # a second, and answers, as `policy.PACE_KEEP` and `policy.PACE_PRIOR`
+TIMES_SLOWER = 5.0
+LOOK = 0.25  # s between two looks, as `transport.LOOK`
+
+
+class Eyes:
+    """What one instance sees of modelled engines, counted as the decision module's pace counts it.
+
+    Lookups go out at random and come back after a scattered time; what is out counts while it is out, so a slow engine
+    shows before it answers.
+    """
+
+    def __init__(self, seed: tuple[int, int]) -> None:
+        self._rng = np.random.default_rng(seed)
+        self._out: list[list[tuple[float, float]]] = [[] for _ in range(ENGINES)]  # sent and due
+        self._exposed, self._done, self._now = [0.0] * ENGINES, [0.0] * ENGINES, 0.0
+
+    def see(self, truth: Sequence[float], seconds: float) -> None:
+        """Some time passes; attempts that are out run on at the pace they were sent with."""
+        begin, end = self._now, self._now + seconds
+        for engine, times in enumerate(truth):
+            for _ in range(int(self._rng.poisson(ANSWERS * seconds))):
+                sent = begin + float(self._rng.random()) * seconds
+                took = LATENCY * times * float(self._rng.lognormal(-0.08, 0.4))
+                self._out[engine].append((sent, sent + took))
+            for sent, due in self._out[engine]:
+                self._exposed[engine] += max(0.0, min(due, end) - max(sent, begin)) / LATENCY
+                self._done[engine] += due <= end
+            self._out[engine] = [(sent, due) for sent, due in self._out[engine] if due > end]
+            self._exposed[engine] *= KEEP**seconds
+            self._done[engine] *= KEEP**seconds
+        self._now = end
+
+    def evidence(self) -> dict[tuple[int, int], Word]:
+        """As `observe.words` would show it."""
+        found = {}
+        for engine in range(ENGINES):
+            exposed, done = self._exposed[engine], self._done[engine]
+            slow = max((exposed + PRIOR) / (done + PRIOR), 0.0)
+            found[engine, 0] = Word(engine, 0, slow, 0.0, max(done, exposed))
+        return found
+
+
+class Trial:
+    """A cluster whose instances see engines, some of them liars or silent."""
+
+    def __init__(self, instances: int, liars: int, silent: int, seed: int, times: Times | None = None) -> None:
+        self.network = Network(seed, times)
+        self.all = cluster(self.network, instances)
+        names = [instance.node.name for instance in self.all]
+        faulty = random.Random(seed).sample(names[3:] or names, min(liars + silent, max(len(names) - 3, 0)))
+        self.liars, self.silent = set(faulty[:liars]), set(faulty[liars:])
+        self.truth = [1.0] * ENGINES
+        self.eyes = {name: Eyes((seed, i)) for i, name in enumerate(names)}
+        self.doubts: dict[str, dict[tuple[int, int], float]] = {name: {} for name in names}
+        self.alone: dict[str, float] = {}  # when an instance's own evidence first showed the slow engine
+        self.known: dict[str, float] = {}  # when it leaned on it, by its own or by its peers' evidence
+        self.shunned = 0  # looks at which a healthy engine was doubted by an honest instance
+        for name in self.silent:
+            self.network.tamper[name] = _mute
+        self.network.clock.at(LOOK, self._look)
+
+    def honest(self) -> list[Instance]:
+        """Instances that do as they should."""
+        return [i for i in self.network.live() if i.node.name not in self.liars | self.silent]
+
+    def _look(self) -> None:
+        self.network.clock.after(LOOK, self._look)
+        now = self.network.clock.now
+        for instance in self.network.live():
+            node, eyes = instance.node, self.eyes[instance.node.name]
+            eyes.see(self.truth, LOOK)
+            own = eyes.evidence()
+            if node.name in self.liars:
+                self._lie(instance)
+                continue
+            said = _to_say(node, own, now)
+            if said:
+                node.say(said)
+            doubts = self.doubts[node.name] = node.beliefs.weigh(now, own, node.members.live, ENGINES)
+            for engine, times in enumerate(self.truth):
+                word = own[engine, 0]
+                sees = word.samples >= FRESH_OWN and word.slow >= SLOW
+                if times > 1:
+                    if sees:
+                        self.alone.setdefault(node.name, now)
+                    if sees or (engine, 0) in doubts:
+                        self.known.setdefault(node.name, now)
+                elif (engine, 0) in doubts and node.name not in self.silent:
+                    self.shunned += 1
+
+    def _lie(self, instance: Instance) -> None:
+        """Accuse what is well, praise what is slow, and call members dead: all liars say the same."""
+        node = instance.node
+        words = [Word(engine, 0, 1.0 if times > 1 else 9.0, 0.0, 1e5) for engine, times in enumerate(self.truth)]
+        node.say(words)
+        slander: list[Rumour] = [Dead(m.alive.name, m.alive.boot, m.alive.incarnation) for m in list(node.members)[:8]]
+        for member in node.members.some(3):
+            node.tell(Urgency.RUMOUR, member.address, Gossip(), slander)
+
+
+def _to_say(node: Node, own: dict[tuple[int, int], Word], now: float) -> list[Word]:
+    return observe.worth_saying(own.values(), node.beliefs.accused(now), node.lot, node.members.live)
+
+
+def _mute(instance: Instance, to: Address, data: bytes) -> list[tuple[Address, bytes]]:
+    """Probes, answers, and speaks of itself; passes nothing on."""
+    return [(to, only_own(data, instance.node))]
+
+
+def attempt(
+    instances: int, liars: int, silent: int, seconds: float, seed: int, times: Times | None = None
+) -> dict[str, Any]:
+    """A whole trial: all join, one engine grows slow at a third of the time, and the rest is watched."""
+    trial = Trial(instances, liars, silent, seed, times)
+    network = trial.network
+    converged = network.until(network.agreed, seconds / 3)
+    network.clock.run(seconds / 3)
+    trial.truth[2], begun = TIMES_SLOWER, network.clock.now
+    network.clock.run(seconds)
+    honest = {instance.node.name for instance in trial.honest()}
+    known = [trial.known[name] - begun if name in trial.known else None for name in sorted(honest)]
+    alone = [trial.alone[name] - begun if name in trial.alone else None for name in sorted(honest)]
+    lost: Counter[str] = Counter()
+    for instance in network.live():
+        lost += instance.node.counts.rejected
+    return {
+        "summary": True,
+        "instances": instances,
+        "liars": liars,
+        "silent": silent,
+        "seed": seed,
+        "members_converged_s": converged,
+        "bytes_per_s_max": network.most_bytes(),
+        "ceiling_bytes_per_s": int(network.times.ceiling),
+        "healthy_shunned": trial.shunned,
+        "slow_engine_known_s": _last(known),
+        "slow_engine_known_alone_s": _last(alone),
+        "slow_engine_known_mean_s": _mean(known),
+        "slow_engine_known_alone_mean_s": _mean(alone),
+        "false_deaths": sum(name == "gossip_dead" for _, whose, name, _ in network.events if whose in honest),
+        "rejected": dict(lost),
+    }
+
+
+def _last(times: Sequence[float | None]) -> float | None:
+    """When the last one knew; None where one never did."""
+    known = [time for time in times if time is not None]
+    return round(max(known), 3) if len(known) == len(times) and known else None
+
+
+def _mean(times: Sequence[float | None]) -> float | None:
+    known = [time for time in times if time is not None]
+    return round(sum(known) / len(known), 3) if known else None
+
+
+class Talking:
+    """A deployment of modelled engines whose gateways gossip, or do not."""
+
+    def __init__(self, seed: int, gateways: int, seconds: float, load: float, liars: int, talk: bool) -> None:
+        settings = replace(site.settings(gateways), gateways=gateways)
+        draws = site.draws(np.random.default_rng((seed, 30)), ENGINES)
+        mean = sum(mix.share * mix.work for mix in arrivals.BRIEF)
+        asked = arrivals.draw(np.random.default_rng((seed, 31)), site.rate(draws, mean, load), seconds, gateways)
+        self.seconds, self._talk = seconds, talk
+        self.deployment = Deployment(settings, draws, asked, Gateway, seed)
+        self.network = Network(seed)
+        self.network.clock = self.deployment.clock
+        self._believed: list[dict[tuple[int, int], float]] = [{} for _ in range(gateways)]
+        if talk:
+            self._nodes = cluster(self.network, gateways)
+            self._liars = set(random.Random(seed).sample(range(3, gateways), liars))
+            self.deployment.clock.at(LOOK, self._look)
+
+    def _look(self) -> None:
+        clock = self.deployment.clock
+        clock.after(LOOK, self._look)
+        for number, instance in enumerate(self._nodes):
+            node, module = instance.node, self.deployment.modules[number]
+            assert isinstance(module, Gateway)
+            own = observe.words(module)
+            if number in self._liars:
+                node.say([replace(w, slow=1.0 if w.bad else 9.0, failed=0.0, samples=1e5) for w in own.values()])
+                continue
+            said = _to_say(node, own, clock.now)
+            if said:
+                node.say(said)
+            doubts = node.beliefs.weigh(clock.now, own, node.members.live, len(module.ready))
+            if doubts != self._believed[number]:
+                self._believed[number] = doubts
+                module.handle(clock.now, api.Beliefs(doubts))
+
+    def run(self, trouble: Callable[[Deployment], None]) -> worth.Worth:
+        """What it was worth."""
+        trouble(self.deployment)
+        books = self.deployment.run(self.seconds + 26.0)
+        return worth.count(self.deployment.arrivals, books, self.deployment.settings)
--- a/tealwing/lab/swing.py
+++ b/tealwing/lab/swing.py
@@ -164,9 +164,7 @@
             continue
         for form in FORMS:
             period = float(rng.choice(PERIODS))
-            todo += [
-                (level.terms.name, Play(plan, seed, seconds, form, period, load, on)) for on in (True, False)
-            ]
+            todo += [(level.terms.name, Play(plan, seed, seconds, form, period, load, on)) for on in (True, False)]
     todo += [("flood", Play(plan, seed, seconds, "flood", seconds, USUAL, on)) for on in (True, False)]
     todo += [("calm", Play(plan, seed, seconds, "steady", seconds, CALM, on)) for on in (True, False)]
     return todo, [level.terms.name for level in plan.levels if level.terms.name not in found]
@@ -196,15 +194,11 @@
     yield summed(pairs, seed, seconds, unmet)
 
 
-def summed(
-    pairs: Sequence[dict[str, Any]], seed: int, seconds: float, unmet: Sequence[str]
-) -> dict[str, Any]:
+def summed(pairs: Sequence[dict[str, Any]], seed: int, seconds: float, unmet: Sequence[str]) -> dict[str, Any]:
     """The last record: the most changes in a minute at any gateway, and means over the plays."""
 
     def mean(figure: str) -> dict[str, float]:
-        return {
-            side: round(float(np.mean([pair[figure][side] for pair in pairs])), 4) for side in ("on", "off")
-        }
+        return {side: round(float(np.mean([pair[figure][side] for pair in pairs])), 4) for side in ("on", "off")}
 
     return {
         "summary": True,
--- a/tealwing/lab/worth.py
+++ b/tealwing/lab/worth.py
@@ -60,9 +60,7 @@
         return float(kept[of].sum()) / asked if asked else 1.0
 
     stretch = ((arrivals.at - begin) // STRETCH).astype(int)
-    worst = min(
-        (share(counted & (stretch == i)) for i in range(max(int(stretch.max(initial=0)), 1))), default=1.0
-    )
+    worst = min((share(counted & (stretch == i)) for i in range(max(int(stretch.max(initial=0)), 1))), default=1.0)
     by_class, timely, shed = {}, {}, {}
     for place, cls in enumerate(settings.classes):
         of = counted & (arrivals.cls == place)
--- a/tealwing/log.py
+++ b/tealwing/log.py
@@ -38,7 +38,7 @@
 logger.addHandler(Lines())
 
 
-def event(name: str, **fields: Any) -> None:
+def event(name: str, /, **fields: Any) -> None:
     """Write one event; fields are plain values."""
     # made by hand: finding the caller, as the logger's own methods do, is half of an event's cost
     record = logging.LogRecord(logger.name, logging.INFO, "", 0, name, None, None)
--- a/tealwing/policy.py
+++ b/tealwing/policy.py
@@ -200,6 +200,7 @@
         self.threads = self.queries = 0  # of this gateway's attempts there
         self.load, self.view_until = 0.0, -inf  # threads a core; until when load and indices hold
         self.sent: deque[tuple[float, float]] = deque()  # times and work sent while cold
+        self.doubt = 1.0  # what peers are believed of it: a factor on the latency to expect
         self.gone = False  # from the list; forgotten when nothing is out there
         self.loads: dict[float, int] = {}  # our loads out there, by the group of tables that each holds
         self.held: dict[float, float] = {}  # groups that others' loads hold, and until when we think so
@@ -342,6 +343,10 @@
                 self._note(event)
             case api.ServiceLevel():
                 self.reduced = None if event.full else event
+            case api.Beliefs():
+                for engine in self.engines.values():
+                    engine.doubt = event.doubts.get((engine.id, round(engine.started * 1e3)), 1.0)
+                    engine.view_until = -inf
             case api.StreamStarted() | api.PeerMessage() | api.ProbeResult():
                 pass
             case _:
@@ -499,7 +504,7 @@
             engine.load = max(busy, told + self.echo * unseen / cores)
         pressed = engine.pressed(now, busy)
         for cls, (flow, estimate) in enumerate(zip(self.flows, engine.estimates, strict=True)):
-            mu = estimate.mu(flow)
+            mu = estimate.mu(flow) / engine.doubt
             estimate.index, estimate.past, estimate.m = flow.h / mu, 0.0, inf
             if pressed:
                 m = max(1.0, self.level * cores / flow.cls.threads)
--- a/tealwing/service.py
+++ b/tealwing/service.py
@@ -46,6 +46,7 @@
         if reload(daemon, server, conf):
             again = 0
     stopped = time.monotonic()
+    daemon.leave()
     log.event("draining")
     time.sleep(STILL_COMING)
     server.stop_listening()
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -20,7 +20,7 @@
 LIMIT = 30.0  # s after which a test gives up: nothing here waits for a time to pass
 ROOT = Path(__file__).parent.parent
 DEPLOYED = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
-RUN = DEPLOYED.replace(".venv/bin/python -O", sys.executable)
+RUN = DEPLOYED.replace(".venv/bin/python -O", sys.executable).replace("TEALWING_CONF=deploy/tealwing.conf ", "")
 GRADE = {"Credit": 1, "DeadlineNs": 20_000_000_000, "Effect": "repeatable", "TargetNs": 1_000_000_000}
 SETTINGS = FACTS | {
     "Accounts": [{"Name": "acme", "QuotaRps": 5.0, "Share": 1.0}],
