--- /dev/null
+++ b/tealwing/commands/demo.py
@@ -0,0 +1,59 @@
+"""`tealwing demo`: the whole deployment on this machine, with a crash, a drain and a slow engine."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import click
+import orjson
+
+from tealwing.commands.root import Finding
+
+
+@click.command()
+@click.option("--seconds", type=click.FloatRange(5, 3600), default=30.0, show_default=True, help="Of load.")
+@click.option("--seed", type=click.IntRange(0, 10**6), default=1, show_default=True)
+@click.option("--plain", is_flag=True, help="Lines in place of a live table.")
+def demo(seconds: float, seed: int, plain: bool) -> None:
+    """Run a coordinator, 8 modelled engines, 3 gateways and clients on loopback.
+
+    One engine dies at a quarter of the time and comes back cold, one drains, one runs five times slower for a while.
+    The last line is JSON: asked, served, refused, failed, rules_broken, and in_time, the share of what was asked that
+    was served within its aim. Needs the extra `lab`. Exit code 1 where a rule was broken.
+
+    Example: tealwing demo --seconds 20 --plain
+    """
+    try:
+        from rich.live import Live
+        from rich.table import Table
+
+        from tealwing.lab import demo as module
+    except ImportError as error:
+        raise Finding(f"demo needs the extra lab: pip install 'tealwing[lab]' ({error})") from None
+    run = module.Demo(seconds, seed)
+    addresses = run.start()
+    for host, port in addresses:
+        click.echo(f"a gateway for MySQL clients: {host}:{port}, user app, no password, database reports")
+
+    def table(state: Any) -> Table:
+        found = Table(title=f"{state.seconds:5.1f} s   {state.note}")
+        for head in ("engine", "state", "queries there"):
+            found.add_column(head)
+        for name, what, there in state.engines:
+            found.add_row(name, what, str(there))
+        found.caption = ", ".join(f"{word} {n}" for word, n in sorted(state.ends.items()))
+        return found
+
+    if plain:
+        for number, state in enumerate(run.run(addresses)):
+            if number % 10 == 0:
+                there = " ".join(f"{name}:{count}" for name, _, count in state.engines)
+                click.echo(f"{state.seconds:6.1f} s  {state.ends}  {there}  {state.note}")
+    else:
+        with Live(refresh_per_second=4) as live:
+            for state in run.run(addresses):
+                live.update(table(state))
+    found = run.end()
+    click.echo(orjson.dumps(found).decode())
+    if found["rules_broken"]:
+        raise SystemExit(1)
--- a/tealwing/commands/root.py
+++ b/tealwing/commands/root.py
@@ -96,10 +96,12 @@
 
 def main() -> int:
     """Run the command line; the exit code."""
-    from tealwing.commands import gossip, levels
+    from tealwing.commands import demo, gossip, levels, load
 
     tealwing.add_command(levels.levels)
     tealwing.add_command(gossip.gossip)
+    tealwing.add_command(load.load)
+    tealwing.add_command(demo.demo)
     try:
         tealwing.main(prog_name="tealwing")
     except SystemExit as end:
--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 from tealwing import interface as api
@@ -58,41 +57,33 @@
 
     def operate(self, records: dict[str, Any]) -> None:
         """Take the operators' file in whole: its records by section. A ValueError leaves all as it is."""
-        undo = self._gossip(records.get("gossip"))
-        try:
-            self._levels(records.get("levels"))
-        except ValueError:
-            undo()
-            raise
+        levels: Plan | None = records.get("levels")
+        if levels is not None:
+            levels.measures(self._settings)  # may not fit; what comes after it can't fail on the levels
+        self._gossip(records.get("gossip"))
+        self._levels(levels)
 
     def leave(self) -> None:
         """The gateway ends: the other instances need not find out."""
         if self._link is not None:
             self._link.stop()
 
-    def _gossip(self, plan: GossipPlan | None) -> Callable[[], None]:
-        """Begin, change or end gossip; gives how to take that back."""
+    def _gossip(self, plan: GossipPlan | None) -> None:
+        """Begin, change or end gossip; a GossipFault leaves it as it is."""
         link = self._link
         if plan is None and link is None:
-            return lambda: None
+            return
         from tealwing.gossip.transport import GossipFault, Link  # only where gossip is on, or was
 
         if plan is not None and not self._settings.limits.peers:
             raise GossipFault("gossip: the platform's settings forbid talk among gateways (Allowed.Peers)")
         if plan is not None and link is not None:
-            before = link.plan
             link.change(plan)
-            return lambda: link.change(before)
-        if plan is not None:
-            self._link = made = Link(plan, self._evidence, self._decisions.submit)
-            made.start()
-            return self._gossip_ends
-        self._gossip_ends()
-        return lambda: None
-
-    def _gossip_ends(self) -> None:
-        link, self._link = self._link, None
-        if link is not None:
+        elif plan is not None:
+            self._link = Link(plan, self._evidence, self._decisions.submit)
+            self._link.start()
+        elif link is not None:
+            self._link = None
             link.stop()
             self._decisions.submit(api.Beliefs({}))
 
--- a/tealwing/gossip/beliefs.py
+++ b/tealwing/gossip/beliefs.py
@@ -28,6 +28,7 @@
 SPEAKERS = 24  # of the members that speak of one engine, about (ours): more words would only cost more
 SPEAK = (1.6, 1.0)  # slowness, and answers it rests on, at which one speaks up (ours): earlier than one would act
 FRESH_OWN = 4.0  # of our own answers, faded, with which we need nobody's word (ours)
+HOLD = 0.2  # s for which a belief must have been there before it counts (ours): a second look
 AGE = 6.0  # s after which a claim has aged out (ours): engines that are slow are so for 10 s or more
 QUORUM = (
     2.0,
@@ -93,6 +94,7 @@
     def __init__(self) -> None:
         self._heard: dict[str, Heard] = {}
         self.trust: dict[str, float] = {}
+        self._since: dict[tuple[int, int], float] = {}  # when a belief was first there
         self._judged: dict[tuple[str, tuple[int, int]], float] = {}  # when a peer's word was held against ours
 
     def hear(self, peer: str, at: float, words: Iterable[Word]) -> None:
@@ -120,12 +122,15 @@
         found = {}
         for key, words in said.items():
             ours = own.get(key)
-            if ours is not None and ours.samples >= FRESH_OWN:
-                continue
+            if ours is not None and ours.samples >= FRESH_OWN and (ours.bad or ours.cost < BELIEVED):
+                continue  # we know; what lies between the two we do not
             if ours is not None:  # less than enough to stand alone, but a word like the others'
                 words.append((ours.cost, ours.weight))
             if sum(weight for _, weight in words) >= quorum and (mean := trimmed(words)) >= BELIEVED:
                 found[key] = min(mean, MOST_DOUBT)
+        # one look may catch a quorum by chance: a belief must be there at a second one too
+        self._since = {key: self._since.get(key, now) for key in found}
+        found = {key: doubt for key, doubt in found.items() if now - self._since[key] >= HOLD}
         most = ceil(FLEET_SHARE * engines) if engines else 0
         worst = sorted(found, key=lambda key: (-found[key], key))[:most]
         return {key: found[key] for key in worst}
--- a/tealwing/gossip/transport.py
+++ b/tealwing/gossip/transport.py
@@ -45,22 +45,27 @@
         self._ring = keys.Keyring(plan.allowed)
         self.lock = threading.Lock()
         self._stopped = threading.Event()
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
-            self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE)
             self._sock.bind(plan.listen)
         except OSError as error:
+            self._sock.close()
             raise GossipFault(f"gossip: listen {plan.listen[0]}:{plan.listen[1]}: {error.strerror}") from None
         host, port = self._sock.getsockname()
         now, wall = time.monotonic(), time.time()
         self.node = Node(
             plan.name, (host, port), own, self._ring.verify, plan.times, plan.seeds, random.Random(), now, wall
         )
-        self._recall()
-        self._control = Control(plan.control, self.members) if plan.control else None
         self.mute = False  # for trials: passes no rumour of others on
         self.heard: Callable[[str, dict[str, Any]], None] = lambda name, fields: log.event(name, **fields)
         self._believed: dict[tuple[int, int], float] = {}
+        try:
+            self._recall()
+            self._control = Control(plan.control, self.members) if plan.control else None
+        except ValueError:
+            self._sock.close()
+            raise
 
     def _check_own(self, own: keys.OwnKey, plan: Plan) -> None:
         if not any(a.name == plan.name and a.public == own.public for a in plan.allowed):
--- a/tealwing/lab/arrivals.py
+++ b/tealwing/lab/arrivals.py
@@ -106,9 +106,9 @@
     work, need = np.empty(n), np.empty(n)
     for place, m in enumerate(mix):
         of = cls == place
-        work[of] = _lognormal(rng, m.work, m.spread, int(of.sum()))
-        need[of] = _lognormal(rng, m.memory * MEMORY_UNIT, 0.5, int(of.sum()))
-    cost = work * _lognormal(rng, 1.0, ESTIMATE, n)
+        work[of] = lognormal(rng, m.work, m.spread, int(of.sum()))
+        need[of] = lognormal(rng, m.memory * MEMORY_UNIT, 0.5, int(of.sum()))
+    cost = work * lognormal(rng, 1.0, ESTIMATE, n)
     io = np.array([m.io for m in mix])[cls]
     gateway = rng.integers(0, gateways, n)
     return Arrivals(at, cls, account, gateway, work, cost, group, need, io)
@@ -129,6 +129,7 @@
     return np.array(weights) / sum(weights)
 
 
-def _lognormal(rng: np.random.Generator, mean: float, spread: float, n: int) -> Any:
+def lognormal(rng: np.random.Generator, mean: float, spread: float, n: int) -> Any:
+    """So many draws of that mean, spread being their standard deviation over it."""
     sigma = sqrt(log(1 + spread * spread))
     return mean * exp(-sigma * sigma / 2) * np.exp(sigma * rng.standard_normal(n))
--- /dev/null
+++ b/tealwing/lab/client.py
@@ -0,0 +1,82 @@
+"""A lean MySQL client for loads: one session, one query at a time, parsers of the project's own."""
+
+from __future__ import annotations
+
+import socket
+from dataclasses import dataclass
+
+from tealwing.mysql import packets
+from tealwing.mysql.packets import CONNECT_WITH_DB, PLUGIN_AUTH, PROTOCOL_41, SECURE_CONNECTION
+
+READ = 64 * 1024  # bytes of a read
+LOGIN_LIMIT = 5.0  # s for a connect and a login
+FLAGS = PROTOCOL_41 | CONNECT_WITH_DB | PLUGIN_AUTH | SECURE_CONNECTION
+QUERY, PING, QUIT = 0x03, 0x0E, 0x01
+REFUSED = (1040, 1203, 1226)  # errors that say that trying again is harmless (the protocol's)
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """How a query ended: served, refused or failed, the rows that came, and what an error said."""
+
+    word: str
+    rows: int
+    text: str = ""
+
+    @property
+    def pushback(self) -> float:
+        """The s that a refusal asks to stay away; 0 where it says none."""
+        digits = self.text.partition("pushback=")[2]
+        return int(digits) / 1e3 if digits.isdigit() else 0.0
+
+
+class Session:
+    """One connection."""
+
+    def __init__(self, address: tuple[str, int], user: str = "app", database: str = "reports") -> None:
+        self._sock = socket.create_connection(address, LOGIN_LIMIT)
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._parser = packets.Parser()
+        login = FLAGS.to_bytes(4, "little") + (packets.LARGEST).to_bytes(4, "little") + bytes([packets.UTF8MB4])
+        login += bytes(23) + user.encode() + b"\0\0" + database.encode() + b"\0" + packets.PLUGIN + b"\0"
+        self._sock.sendall(packets.packet(1, login))
+        greeting = self._next()
+        self.number = int.from_bytes(greeting[greeting.index(b"\0") + 1 :][:4], "little")
+        answer = self._next()
+        if answer[:1] != b"\0":
+            raise ConnectionError(f"the login was turned down: {answer[9:].decode('utf-8', 'replace')}")
+
+    def ask(self, text: bytes, limit: float) -> Answer:
+        """One query, waited for so many seconds; OSError where the connection or the time ends first."""
+        self._sock.settimeout(limit)
+        self._sock.sendall(packets.packet(0, bytes([QUERY]) + text))
+        first = self._next()
+        if first[:1] == b"\xff":
+            code, said = int.from_bytes(first[1:3], "little"), first[9:].decode("utf-8", "replace")
+            return Answer("refused" if code in REFUSED else "failed", 0, said)
+        if first[:1] == b"\0":
+            return Answer("served", 0)
+        while not _eof(self._next()):
+            pass  # the columns
+        rows = 0
+        while not _eof(payload := self._next()):
+            if payload[:1] == b"\xff":
+                return Answer("failed", rows, payload[9:].decode("utf-8", "replace"))
+            rows += 1
+        return Answer("served", rows)
+
+    def close(self) -> None:
+        """End it."""
+        self._sock.close()
+
+    def _next(self) -> bytes:
+        while (message := self._parser.next()) is None:
+            data = self._sock.recv(READ)
+            if not data:
+                raise ConnectionError("the gateway closed the connection")
+            self._parser.feed(data)
+        return message[1]
+
+
+def _eof(payload: bytes) -> bool:
+    return payload[:1] == b"\xfe" and len(payload) < 9
--- /dev/null
+++ b/tealwing/lab/load.py
@@ -0,0 +1,185 @@
+"""Open-loop load on a real gateway: a schedule drawn ahead, and latency counted from when a request should have gone.
+
+A client that waits for an answer before it sends the next hides every stall (Tene's "coordinated omission"). Here the
+schedule does not wait: a request that goes late, for want of a free session or of processor time, counts from its due
+time. How late the tool itself was is told, and past a bound the run is spoilt, as it then measured the tool.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import numpy as np
+from hdrh.histogram import HdrHistogram
+
+from tealwing.lab import arrivals
+from tealwing.lab.client import Session
+
+STACK = 256 * 1024  # bytes a thread
+MOST_LATENCY = 120_000_000  # us that a histogram holds
+DIGITS = 3  # that a latency is kept to
+SPOILT = 0.01  # s of our own lateness, at the 99th percentile, past which the run measured us
+PERCENTILES = (50.0, 90.0, 99.0, 99.9, 100.0)
+NAMES = ("lookup", "report", "load")
+DEADLINES = (3.0, 20.0, 25.0)  # s by class (the operators' brief)
+ACCOUNTS = ("graan-koop", "veldsure")
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """What is asked for."""
+
+    addresses: tuple[tuple[str, int], ...]
+    rate: float  # requests a second, over all addresses
+    seconds: float
+    sessions: int  # open at once, over all addresses
+    seed: int
+    shape: arrivals.Shape = arrivals.steady
+    mix: tuple[arrivals.Mix, ...] = arrivals.BRIEF
+    names: tuple[str, ...] = NAMES
+    deadlines: tuple[float, ...] = DEADLINES
+    accounts: tuple[str, ...] = ACCOUNTS
+
+
+class Load:
+    """One run."""
+
+    def __init__(self, order: Order) -> None:
+        self._order = order
+        rng = np.random.default_rng((order.seed, 40))
+        shares = arrivals.ACCOUNTS if len(order.accounts) == len(arrivals.ACCOUNTS) else (1.0,) * len(order.accounts)
+        drawn = arrivals.draw(rng, order.rate, order.seconds, len(order.addresses), order.shape, order.mix, shares)
+        columns = (drawn.at, drawn.cls, drawn.account, drawn.gateway, drawn.cost, drawn.group, drawn.need)
+        self._plan: list[tuple[Any, ...]] = list(zip(*(column.tolist() for column in columns), strict=True))
+        self._next, self._lock = 0, threading.Lock()
+        self._begun = 0.0
+        self.latency = {name: HdrHistogram(1, MOST_LATENCY, DIGITS) for name in order.names}
+        self.lateness = HdrHistogram(1, MOST_LATENCY, DIGITS)
+        self.ends: dict[str, Counter[str]] = {name: Counter() for name in order.names}
+        self.rows = 0
+
+    def run(self) -> dict[str, Any]:
+        """Play the schedule; the figures."""
+        threading.stack_size(STACK)
+        self._begun = time.monotonic() + 0.2  # s for the threads to start
+        workers = [
+            threading.Thread(target=self._work, name=f"load-{i}", daemon=True)
+            for i in range(min(self._order.sessions, max(len(self._plan), 1)))
+        ]
+        for worker in workers:
+            worker.start()
+        for worker in workers:
+            worker.join()
+        return self.figures()
+
+    def _work(self) -> None:
+        """One session's thread: the next request of the schedule, when it is due or as soon as it can."""
+        sessions: dict[int, Session] = {}
+        while True:
+            with self._lock:
+                place = self._next
+                self._next += 1
+            if place >= len(self._plan):
+                break
+            at, cls, account, gateway, cost, group, need = self._plan[place]
+            due = self._begun + at
+            if (wait := due - time.monotonic()) > 0:
+                time.sleep(wait)
+            text = self._text(place, cls, account, cost, group, need)
+            late = time.monotonic() - due
+            word, rows = self._ask(sessions, gateway, text, self._order.deadlines[cls] - late)
+            took = time.monotonic() - due
+            name = self._order.names[cls]
+            with self._lock:
+                self.lateness.record_value(max(round(late * 1e6), 1))
+                self.ends[name][word] += 1
+                self.rows += rows
+                if word == "served":
+                    self.latency[name].record_value(min(max(round(took * 1e6), 1), MOST_LATENCY))
+        for session in sessions.values():
+            session.close()
+
+    def _ask(self, sessions: dict[int, Session], gateway: int, text: bytes, left: float) -> tuple[str, int]:
+        if left <= 0:
+            return "not sent in time", 0
+        try:
+            session = sessions.get(gateway)
+            if session is None:
+                session = sessions[gateway] = Session(self._order.addresses[gateway])
+            answer = session.ask(text, left)
+            return answer.word, answer.rows
+        except TimeoutError:
+            word = "no answer in time"
+        except OSError:
+            word = "connection lost"
+        if (gone := sessions.pop(gateway, None)) is not None:
+            gone.close()
+        return word, 0
+
+    def _text(self, place: int, cls: int, account: int, cost: float, group: int, need: float) -> bytes:
+        order = self._order
+        call = f"{order.seed & 0xFFFF:04x}{place:012x}"
+        fields = (
+            f"op={order.names[cls]},call={call},ttl={round(order.deadlines[cls] * 1e3)},org={order.accounts[account]}"
+        )
+        fields += f",work={cost * 1e3:.1f},heap_mb={need:.0f}"
+        if order.names[cls] == "load":
+            fields += f",dedupe={call}"
+        return f"/* {fields} */ SELECT day, count(*), max(note) FROM sales_{group}.orders GROUP BY day".encode()
+
+    def figures(self) -> dict[str, Any]:
+        """What came of it: counts, latencies in ms from the due time, and our own lateness."""
+        total = Counter[str]()
+        for ends in self.ends.values():
+            total += ends
+        own = self.lateness.get_value_at_percentile(99.0) / 1e6 if self._plan else 0.0
+        return {
+            "asked": len(self._plan),
+            "seconds": self._order.seconds,
+            "ends": dict(total),
+            "by_class": {
+                name: {
+                    "asked": sum(self.ends[name].values()),
+                    "ends": dict(self.ends[name]),
+                    "latency_ms": {f"p{p:g}": histogram.get_value_at_percentile(p) / 1e3 for p in PERCENTILES},
+                }
+                for name, histogram in self.latency.items()
+            },
+            "rows": self.rows,
+            "own_lateness_ms_p99": round(own * 1e3, 3),
+            "spoilt": own > SPOILT,
+        }
+
+
+def text(figures: dict[str, Any]) -> str:
+    """The figures as a table."""
+    heads = [f"p{p:g}" for p in PERCENTILES]
+    lines = [
+        f"{'class':10} {'asked':>7} {'served':>7} {'refused':>8} {'other':>6} " + "".join(f"{h:>10}" for h in heads)
+    ]
+    for name, row in figures["by_class"].items():
+        ends = row["ends"]
+        served, refused = ends.get("served", 0), ends.get("refused", 0)
+        other = row["asked"] - served - refused
+        cells = "".join(f"{row['latency_ms'][head]:>10.1f}" for head in heads)
+        lines.append(f"{name:10} {row['asked']:>7} {served:>7} {refused:>8} {other:>6} {cells}")
+    lines.append(f"latency in ms from the due time; our own lateness, p99: {figures['own_lateness_ms_p99']:.1f} ms")
+    if figures["spoilt"]:
+        lines.append("SPOILT: this tool went late itself, so the figures tell of it; use more sessions or a lower rate")
+    return "\n".join(lines)
+
+
+def addresses(words: Sequence[str]) -> tuple[tuple[str, int], ...]:
+    """HOST:PORT words as pairs; ValueError names the first that is none."""
+    found = []
+    for word in words:
+        host, colon, port = word.rpartition(":")
+        if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+            raise ValueError(f"found {word!r}; allowed: HOST:PORT")
+        found.append((host, int(port)))
+    return tuple(found)
