Serve on the inherited listening socket and answer readiness and stats on admin

New admin/: a pure HTTP head parser, counts by class kept in gateway/life.py where the request ends or an attempt is written, and 8 bounded threads with a 0.5 s read limit.

--- /dev/null
+++ b/tealwing/admin/figures.py
@@ -0,0 +1,58 @@
+"""The gateway's figures: counts kept where things happen, and their StatsD lines for the second address."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Iterable
+
+PREFIX = "app"
+BY_CLASS = ("ok", "shed", "errors", "tries")  # requests served, refused, failed; attempts written whole
+CONFIG = ("config_applied", "config_rejected")  # files taken and files turned down at SIGHUP
+
+
+class Figures:
+    """Counts by class name, from 0 at the start of the process; a class that is dropped leaves with its counts.
+
+    An addition takes a lock that nothing holds for longer than a few dictionary steps.
+    """
+
+    def __init__(self, classes: Iterable[str]) -> None:
+        self._lock = threading.Lock()
+        self._counts: dict[str, list[int]] = {name: [0] * len(BY_CLASS) for name in classes}
+        self._config = [0, 0]
+        self.gauges: Callable[[], dict[str, int]] = dict  # active, pool_size, pool_ejected: read when asked
+
+    def count(self, figure: int, name: str, by: int = 1) -> None:
+        """Add to figure (an index of BY_CLASS) of a class; a class no longer known counts nowhere."""
+        with self._lock:
+            counts = self._counts.get(name)
+            if counts is not None:
+                counts[figure] += by
+
+    def configured(self, applied: bool) -> None:
+        """A file was taken at SIGHUP, or turned down."""
+        with self._lock:
+            self._config[0 if applied else 1] += 1
+
+    def keep(self, classes: Iterable[str]) -> None:
+        """The classes from now on: new ones start at 0, and those dropped are forgotten."""
+        names = list(classes)
+        with self._lock:
+            self._counts = {name: self._counts.get(name) or [0] * len(BY_CLASS) for name in names}
+
+    def lines(self) -> bytes:
+        """All figures as StatsD lines, one a figure: counters as `|c`, levels as `|g`."""
+        with self._lock:
+            counts = {name: list(values) for name, values in self._counts.items()}
+            config = list(self._config)
+        out = [
+            f"{PREFIX}.{figure}.{name}:{values[index]}|c"
+            for name, values in counts.items()
+            for index, figure in enumerate(BY_CLASS)
+        ]
+        out += [f"{PREFIX}.{figure}:{value}|c" for figure, value in zip(CONFIG, config, strict=True)]
+        out += [f"{PREFIX}.{figure}:{value}|g" for figure, value in self.gauges().items()]
+        return ("\n".join(out) + "\n").encode()
+
+
+OK, SHED, ERRORS, TRIES = range(len(BY_CLASS))
--- /dev/null
+++ b/tealwing/admin/http.py
@@ -0,0 +1,59 @@
+"""The little of HTTP/1.1 that the second address speaks: one request head in, one whole response out. Pure."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+MOST_HEAD = 8 * 1024  # bytes of a request line and its headers: the calls have no body worth more
+METHODS = frozenset({b"GET", b"HEAD", b"POST", b"PUT", b"DELETE", b"PATCH", b"OPTIONS", b"TRACE", b"CONNECT"})
+REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 503: "Service Unavailable"}
+
+
+class BadRequest(ValueError):
+    """A request head that can't be read; the text says why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """What a caller asks: the method and the path, without its query."""
+
+    method: str
+    path: str
+
+
+def end_of_head(data: bytes | bytearray) -> int:
+    """The length of a whole request head at the start of data, or 0 while it is not whole.
+
+    Raises BadRequest once more than MOST_HEAD bytes have come without an end.
+    """
+    end = data.find(b"\r\n\r\n", 0, MOST_HEAD + 4)
+    if end >= 0:
+        return end + 4
+    if len(data) > MOST_HEAD:
+        raise BadRequest(f"a request head of more than {MOST_HEAD} bytes")
+    return 0
+
+
+def call(head: bytes) -> Call:
+    """The call of a whole request head (as end_of_head found it). Raises BadRequest."""
+    line, _, headers = head.partition(b"\r\n")
+    words = line.split(b" ")
+    if len(words) != 3 or words[0] not in METHODS or words[2] not in (b"HTTP/1.1", b"HTTP/1.0"):
+        raise BadRequest("the request line is not METHOD PATH HTTP/1.1")
+    if not words[1].startswith(b"/") or any(byte < 0x21 or byte > 0x7E for byte in words[1]):
+        raise BadRequest("the path is not an absolute path of printable characters")
+    for field in headers.split(b"\r\n"):
+        if field and (b":" not in field or field[:1] in (b" ", b"\t")):
+            raise BadRequest("a header line without a name and a colon")
+    path = words[1].split(b"?", 1)[0].decode("ascii")
+    return Call(words[0].decode("ascii"), path)
+
+
+def response(status: int, body: bytes, allow: str = "") -> bytes:
+    """A whole response that closes the connection."""
+    extra = f"Allow: {allow}\r\n" if allow else ""
+    head = (
+        f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Type: text/plain; charset=utf-8\r\n"
+        f"Content-Length: {len(body)}\r\n{extra}Connection: close\r\n\r\n"
+    )
+    return head.encode("ascii") + body
--- /dev/null
+++ b/tealwing/admin/server.py
@@ -0,0 +1,104 @@
+"""The second address on its sockets: a fixed few threads, each taking one call a connection."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+import time
+from collections.abc import Callable
+
+from tealwing import log
+from tealwing.admin import http
+from tealwing.sockets import Address, set_limit
+
+THREADS = 8  # callers served at once: the bench's few silent callers leave the others room
+READ_LIMIT = 0.5  # s for a whole request head: a caller that says nothing frees its thread by then
+WRITE_LIMIT = 1.0  # s that a caller may take to read the answer
+BACKLOG = 64
+
+
+class Admin:
+    """Answers GET /ops/readiness and GET /ops/stats; nothing here reaches the request path."""
+
+    def __init__(self, address: Address, ready: Callable[[], bool], stats: Callable[[], bytes]) -> None:
+        self._ready, self._stats = ready, stats
+        self._listener = socket.create_server(address, backlog=BACKLOG)
+        self._stopping = threading.Event()
+        self._complaints = 0  # of bad requests, logged at powers of two: a flood writes few lines
+
+    @property
+    def address(self) -> Address:
+        """Where it listens."""
+        host, port = self._listener.getsockname()
+        return host, port
+
+    def start(self) -> None:
+        """Take calls from now on."""
+        for _ in range(THREADS):
+            threading.Thread(target=self._work, name="admin", daemon=True).start()
+
+    def stop(self) -> None:
+        """Take no more calls."""
+        self._stopping.set()
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RD)
+
+    def answer(self, head: bytes) -> bytes:
+        """The whole response to a whole request head."""
+        try:
+            call = http.call(head)
+        except http.BadRequest as error:
+            self._complain(str(error))
+            return http.response(400, f"{error}\n".encode())
+        if call.path == "/ops/readiness":
+            body, status = (b"ready\n", 200) if self._ready() else (b"not ready\n", 503)
+        elif call.path == "/ops/stats":
+            body, status = self._stats(), 200
+        else:
+            return http.response(404, b"no such call\n")
+        if call.method not in ("GET", "HEAD"):
+            return http.response(405, b"only GET\n", allow="GET, HEAD")
+        return http.response(status, b"" if call.method == "HEAD" else body)
+
+    def _work(self) -> None:
+        buffer = bytearray()
+        while not self._stopping.is_set():
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                if not self._stopping.wait(0.05):  # descriptors run out for now: try again soon
+                    continue
+                return
+            with sock:
+                buffer.clear()
+                try:
+                    sock.sendall(self._serve(sock, buffer))
+                    sock.shutdown(socket.SHUT_WR)
+                except OSError:  # the caller went, or was too slow
+                    pass
+
+    def _serve(self, sock: socket.socket, buffer: bytearray) -> bytes:
+        until = time.monotonic() + READ_LIMIT
+        set_limit(sock, socket.SO_SNDTIMEO, WRITE_LIMIT)
+        try:
+            while not (end := http.end_of_head(buffer)):
+                left = until - time.monotonic()
+                if left <= 0:
+                    return http.response(400, b"the request did not come whole in time\n")
+                set_limit(sock, socket.SO_RCVTIMEO, left)
+                data = sock.recv(4096)
+                if not data:
+                    raise OSError("the caller left")
+                buffer += data
+        except BlockingIOError:
+            return http.response(400, b"the request did not come whole in time\n")
+        except http.BadRequest as error:
+            self._complain(str(error))
+            return http.response(400, f"{error}\n".encode())
+        return self.answer(bytes(buffer[:end]))
+
+    def _complain(self, why: str) -> None:
+        self._complaints += 1
+        if self._complaints & (self._complaints - 1) == 0:
+            log.event("admin_request_unusable", why=why, so_far=self._complaints)
--- a/tealwing/config.py
+++ b/tealwing/config.py
@@ -36,6 +36,8 @@
     settings: interface.Settings
     known: tuple[news.Update, ...]
     index: int
+    accept_fd: int | None = None  # the clients' listening socket, handed over by the platform
+    admin: Address | None = None  # the operators' second address
 
     @property
     def most_clients(self) -> int:
@@ -62,6 +64,9 @@
     if not environ.get("LB_CONFIG"):
         raise ConfigError("LB_CONFIG: not set")
     path = Path(environ["LB_CONFIG"])
+    inherited = environ.get("LB_ACCEPT_FD") or None
+    if inherited is not None and not (inherited.isdecimal() and 3 <= int(inherited) < 65536):
+        raise ConfigError(f"LB_ACCEPT_FD: {inherited!r} is not the number of an open descriptor above 2")
     try:
         data = _section(orjson.loads(path.read_bytes()), "LB_CONFIG")
     except OSError as error:
@@ -92,6 +97,7 @@
         index, updates = news.known(data.get("known"), settings)
     except news.NewsError as error:
         raise ConfigError(f"known: {error}") from None
+    admin = environ.get("LB_ADMIN") or data.get("admin")
     return Config(
         name=name,
         listen=address(listen, "listen", 0),  # port 0: any that is free
@@ -102,4 +108,6 @@
         settings=settings,
         known=updates,
         index=index,
+        accept_fd=int(inherited) if inherited is not None else None,
+        admin=address(admin, "admin", 0) if admin else None,
     )
--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -6,6 +6,7 @@
 
 from tealwing import interface as api
 from tealwing import log
+from tealwing.admin.figures import Figures
 from tealwing.config import Config
 from tealwing.coordinator.follower import Follower
 from tealwing.coordinator.news import Update
@@ -32,6 +33,8 @@
         self._vitals: Vitals | None = None  # measured where service levels are on
         self._fleet = Fleet(config.settings.limits)
         self._decisions = Decisions(config.settings, config.seed, self._fleet)
+        self.figures = Figures(cls.name for cls in config.settings.classes)
+        self.figures.gauges = self._gauges
         self._follower = Follower(config.coordinator, config.index, config.settings, self._news)
         for number, update in enumerate(config.known):
             self._news(update, cached=number == 0)
@@ -43,7 +46,18 @@
 
     def open(self, query: Query) -> Life:
         """The life of a request that has come."""
-        return Life(query, self._settings, self._decisions, self._fleet, self._vitals)
+        return Life(query, self._settings, self._decisions, self._fleet, self._vitals, self.figures)
+
+    def _gauges(self) -> dict[str, int]:
+        """Requests open, engines listed, and those of them that the module does not send to now.
+
+        Read without the module's lock: lengths of its tables are whole at any moment.
+        """
+        module = self._decisions.module
+        gateway = module if isinstance(module, Gateway) else getattr(module, "gateway", None)
+        listed = len(gateway.engines) if isinstance(gateway, Gateway) else 0
+        ready = len(gateway.ready) if isinstance(gateway, Gateway) else 0
+        return {"active": self._decisions.open, "pool_size": listed, "pool_ejected": max(0, listed - ready)}
 
     def unread(self, seconds: float) -> None:
         """What a client sent was read so long after it had come."""
--- a/tealwing/gateway/decisions.py
+++ b/tealwing/gateway/decisions.py
@@ -49,6 +49,16 @@
         """Let timers fire from now on."""
         threading.Thread(target=self._run_timers, name="timers", daemon=True).start()
 
+    @property
+    def module(self) -> Module:
+        """The module as it stands, for figures read without the lock."""
+        return self._gateway
+
+    @property
+    def open(self) -> int:
+        """Requests taken and not yet ended."""
+        return len(self._mailboxes)
+
     def enter(self, call: bytes, mailbox: Mailbox) -> int:
         """A number for a new request, whose actions go to the mailbox.
 
--- a/tealwing/gateway/life.py
+++ b/tealwing/gateway/life.py
@@ -10,6 +10,7 @@
 
 from tealwing import interface as api
 from tealwing import log
+from tealwing.admin import figures as counted
 from tealwing.exchange import Abandoned, Failed, Query, Refused, Reply, Served
 from tealwing.gateway.decisions import Decisions, Mailbox
 from tealwing.gateway.vitals import Vitals
@@ -67,9 +68,11 @@
         decisions: Decisions,
         fleet: Fleet,
         vitals: Vitals | None = None,
+        figures: counted.Figures | None = None,
     ) -> None:
         self._query, self._settings, self._decisions, self._fleet = query, settings, decisions, fleet
-        self._vitals = vitals
+        self._vitals, self._figures = vitals, figures
+        self._class = settings.classes[query.cls].name
         self._mailbox: Mailbox = SimpleQueue()
         # A late try of a client may have less than we need ourselves: the module hears that no time is left
         lateness = min(max(LATENESS_SHARE * query.ttl, LATENESS[0]), LATENESS[1])
@@ -82,7 +85,17 @@
         self._mailbox.put(Word.ABANDONED)
 
     def run(self) -> Reply:
-        """See the request through: submit it, then do what the module says until its final answer."""
+        """See the request through, and count how it ended."""
+        reply = self._run()
+        if self._figures is not None:
+            figure = counted.OK if isinstance(reply, Served) else counted.SHED
+            if isinstance(reply, (Failed, Abandoned)):
+                figure = counted.ERRORS
+            self._figures.count(figure, self._class)
+        return reply
+
+    def _run(self) -> Reply:
+        """Submit the request, then do what the module says until its final answer."""
         attempt: Attempt | None = None  # the one that is out
         sends, priority = 0, USUAL_PRIORITY
         self._decisions.submit(self._request())
@@ -203,6 +216,8 @@
             return api.Result.CONNECT_FAILED
         except Broken:
             return api.Result.RESET
+        if self._figures is not None:
+            self._figures.count(counted.TRIES, self._class)
         return None
 
     def _take(self, attempt: Attempt, answer: Answer) -> api.Result | None:
--- a/tealwing/mysql/server.py
+++ b/tealwing/mysql/server.py
@@ -26,6 +26,7 @@
 FREE_THREADS = (8, 24)  # least and most that wait for clients: idle ones cost where our share is short
 BACKLOG = 256
 ACCEPT_PAUSE = 0.05  # s before a failed accept is tried again
+ACCEPT_WAIT = 0.25  # s that a thread waits on a shared queue before it looks whether its process stops
 SAMPLED = 4  # of so many sessions one tells how long what it reads has waited: enough for a mean
 READ_SIZE = 4 * 1024  # bytes of a thread's buffer: statements are short
 
@@ -52,6 +53,8 @@
             stamp(sock)
         self._taken = 0.0  # monotonic, when the last byte of the last message had been read
         self._parted = False  # closed to make room: what it still says is sent again elsewhere
+        self._closing = False  # the gateway ends: close once what has come is answered, under the lock
+        self._idle = False  # waiting for a further command, under the lock
 
     def run(self) -> None:
         """Serve the client until it goes."""
@@ -67,6 +70,8 @@
                     if payload[:1] == bytes([QUIT]):
                         break
                     self._sock.sendall(self._command(payload))
+                    if self._closing:
+                        break
         except packets.PacketError as error:  # malformed input ends this connection only
             text = packets.error(error.code, error.state, str(error))
             self._last_words(packets.packet(error.sequence + 1, text))
@@ -83,10 +88,23 @@
         if exchange is not None:
             exchange.abandon()
         if not query_only:
-            self.stop()
+            with self._lock:
+                self._closing = True
+            self._shut()
 
     def stop(self) -> None:
-        """Take no more from the client than has come."""
+        """Take no more from the client than has come: a session between commands ends now, others after one.
+
+        A session that has just begun, or whose command is under way, answers it first: a shutdown of
+        its reading side would end it before the command that its client is sending.
+        """
+        with self._lock:
+            self._closing = True
+            idle = self._idle
+        if idle:
+            self._shut()
+
+    def _shut(self) -> None:
         with contextlib.suppress(OSError):  # it may have gone by itself
             self._sock.shutdown(socket.SHUT_RD)
 
@@ -126,8 +144,13 @@
                 if until:  # a first command: dropped when it was parted with, as nothing was done for it
                     size = self._read()
                 else:
+                    with self._lock:
+                        if self._closing and not self._parser.begun:
+                            return None
+                        self._idle = not self._parser.begun
                     self._sock.recv_into(self._buffer, 1, socket.MSG_PEEK)
                 with self._lock:  # from here on it is not parted with: see part
+                    self._idle = False
                     self._waiting = None
                     if self._parted:
                         return None
@@ -231,6 +254,19 @@
             return packets.packet(1, INTERRUPTED)
 
 
+def _inherit(descriptor: int) -> socket.socket:
+    """The listening TCP socket of a descriptor that the platform has handed over."""
+    try:
+        listener = socket.socket(fileno=descriptor)
+    except OSError as error:
+        raise OSError(f"LB_ACCEPT_FD: descriptor {descriptor}: {error.strerror}") from None
+    if listener.type != socket.SOCK_STREAM or not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        listener.detach()
+        raise OSError(f"LB_ACCEPT_FD: descriptor {descriptor} is not a listening TCP socket")
+    listener.settimeout(ACCEPT_WAIT)  # poll, then accept: a stop of this process leaves the queue to the other
+    return listener
+
+
 def _scramble() -> bytes:
     return bytes(1 + byte % 127 for byte in os.urandom(20))
 
@@ -238,7 +274,15 @@
 class Server:
     """Listens, and keeps the sessions by their connection ids."""
 
-    def __init__(self, address: Address, most: int, settings: interface.Settings, open_: Open) -> None:
+    def __init__(
+        self,
+        address: Address,
+        most: int,
+        settings: interface.Settings,
+        open_: Open,
+        inherited: int | None = None,
+    ) -> None:
+        """Listen on the address, or on the listening socket of descriptor `inherited` (OSError if it is none)."""
         self.settings, self.open = settings, open_
         self.unread: Callable[[float], None] | None = None  # hears how long what was read had waited
         self._most = most
@@ -247,7 +291,8 @@
         self._sessions: dict[int, Session] = {}
         self._threads = self._free = 0  # all, and those that wait for clients
         self._stopping = threading.Event()
-        self._listener = socket.create_server(address, backlog=BACKLOG)
+        self.shared = inherited is not None  # the queue is another process's too
+        self._listener = socket.create_server(address, backlog=BACKLOG) if inherited is None else _inherit(inherited)
 
     def start(self) -> None:
         """Accept clients from now on."""
@@ -273,6 +318,8 @@
     def stop_listening(self) -> None:
         """Accept no more; what has connected already is still served."""
         self._stopping.set()
+        if self.shared:  # a shutdown would end the queue for the other process too: the threads see the flag
+            return
         with contextlib.suppress(OSError):
             self._listener.shutdown(socket.SHUT_RD)  # wakes the threads that wait for clients
 
@@ -283,8 +330,16 @@
         for session in sessions:
             session.stop()
         until = time.monotonic() + seconds
-        with self._changed:
-            return self._changed.wait_for(lambda: not self._sessions, max(0.0, until - time.monotonic()))
+        while True:  # on a shared queue a thread may take one more client while it has not yet seen the flag
+            with self._changed:
+                if self._changed.wait_for(lambda: not self._sessions, min(ACCEPT_WAIT, until - time.monotonic())):
+                    return True
+                late = [session for session in self._sessions.values() if session not in sessions]
+            if time.monotonic() >= until:
+                return False
+            for session in late:
+                session.stop()
+            sessions.extend(late)
 
     def _work(self) -> None:
         """One session after another. The thread is there before its client: starting one takes too long.
@@ -295,6 +350,8 @@
         while not self._stopping.is_set():
             try:
                 sock, _ = self._listener.accept()
+            except TimeoutError:  # a shared queue without clients for a while
+                continue
             except OSError as error:  # the end, or descriptors have run out for now
                 if not self._stopping.wait(ACCEPT_PAUSE):
                     log.event("accept_failed", error=str(error))
--- a/tealwing/service.py
+++ b/tealwing/service.py
@@ -10,6 +10,7 @@
 import time
 
 from tealwing import log
+from tealwing.admin.server import Admin
 from tealwing.config import Config, ConfigError, load
 from tealwing.gateway.daemon import Daemon
 from tealwing.mysql.server import Server
@@ -27,15 +28,21 @@
 def serve(config: Config, conf: str | None = None) -> None:
     """Serve until SIGTERM, then finish all that was taken. conf is the path of the operators' own file."""
     daemon = Daemon(config)
-    server = Server(config.listen, config.most_clients, config.settings, daemon.open)
+    server = Server(config.listen, config.most_clients, config.settings, daemon.open, config.accept_fd)
     if conf is not None:
         operate(daemon, server, conf)
+    serving = threading.Event()  # what readiness says: set once clients are taken, cleared at the drain
+    admin = None
+    if config.admin is not None:
+        admin = Admin(config.admin, serving.is_set, daemon.figures.lines)
+        admin.start()
     daemon.start()
     server.start()
+    serving.set()
     kinds = {kind.name: kind.cores for kind in config.settings.kinds}
     gc.freeze()  # what is here now stays: collections need not walk it
     gc.set_threshold(COLLECT)
-    log.event("started", gateway=config.name, listen=server.address, kinds=kinds)
+    log.event("started", gateway=config.name, listen=server.address, admin=admin and admin.address, kinds=kinds)
 
     again = 0  # how often files that can't be used are still read again: they may be half written
     while True:
@@ -43,18 +50,25 @@
         if got is not None and got.si_signo != signal.SIGHUP:
             break
         again = REREADS if got is not None else again - 1
-        if reload(daemon, server, conf):
+        good = reload(daemon, server, conf)
+        if got is not None or good:  # a further reading that fails again is the same file turned down
+            daemon.figures.configured(good)
+        if good:
             again = 0
     stopped = time.monotonic()
+    serving.clear()
     daemon.leave()
     log.event("draining")
-    time.sleep(STILL_COMING)
+    if not server.shared:  # a queue of our own: clients still come for a while; else the other process takes them
+        time.sleep(STILL_COMING)
     server.stop_listening()
     longest = min(max(cls.deadline for cls in config.settings.classes), LONGEST_WAIT)
     end = stopped + longest + STILL_COMING - LAST_WORDS
     if not server.finish(end - time.monotonic()):
         log.event("drain_cut_short", failed=daemon.fail_open())
         server.finish(LAST_WORDS / 2)
+    if admin is not None:
+        admin.stop()
     log.event("stopped", after=time.monotonic() - stopped)
 
 
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -125,7 +125,8 @@
         raise AssertionError(f"the log ends without {name}")
 
     def address(self) -> tuple[str, int]:
-        host, port = self.wait_for("started")["listen"]
+        self.started = self.wait_for("started")
+        host, port = self.started["listen"]
         return host, port
 
     def terminate(self) -> None:
--- /dev/null
+++ b/tests/test_operations.py
@@ -0,0 +1,170 @@
+"""Daily operation: the second address, its figures, and two processes on one inherited listening socket."""
+
+from __future__ import annotations
+
+import os
+import socket
+import threading
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tealwing.admin import figures, http
+from tealwing.admin.server import THREADS, Admin
+from tealwing.config import ConfigError, load
+from tealwing.exchange import Abandoned, Exchange, Query, Refused, Reply
+from tealwing.mysql import server
+from tests.build import make_settings
+from tests.peers import LIMIT, Client, say
+from tests.test_program import PAGE, Site
+
+GET = b"GET /ops/readiness HTTP/1.1\r\nHost: gateway\r\n\r\n"
+
+
+def ask(address: tuple[str, int], data: bytes) -> bytes:
+    """One call, and all of its answer."""
+    with socket.create_connection(address, LIMIT) as sock:
+        sock.sendall(data)
+        got = b""
+        while part := sock.recv(4096):
+            got += part
+        return got
+
+
+def status(answer: bytes) -> int:
+    return int(answer.split(b" ", 2)[1])
+
+
+def test_a_head_is_whole_only_at_its_blank_line() -> None:
+    assert http.end_of_head(GET[:-1]) == 0
+    assert http.end_of_head(GET + b"rest") == len(GET)
+    assert http.call(GET) == http.Call("GET", "/ops/readiness")
+    with pytest.raises(http.BadRequest):
+        http.end_of_head(b"G" * (http.MOST_HEAD + 1))
+
+
+@settings(derandomize=True, max_examples=300)
+@given(st.binary(max_size=200))
+def test_garbage_is_a_bad_request_never_a_crash(data: bytes) -> None:
+    try:
+        found = http.call(data)
+    except http.BadRequest:
+        return
+    assert found.path.startswith("/")
+
+
+@pytest.fixture
+def admin() -> Admin:
+    counts = figures.Figures(["lookup"])
+    counts.gauges = lambda: {"active": 2}
+    admin = Admin(("127.0.0.1", 0), lambda: True, counts.lines)
+    admin.start()
+    return admin
+
+
+def test_each_call_and_each_wrong_one_has_its_answer(admin: Admin) -> None:
+    assert status(ask(admin.address, GET)) == 200
+    stats = ask(admin.address, b"GET /ops/stats HTTP/1.1\r\n\r\n").split(b"\r\n\r\n", 1)[1]
+    assert b"app.ok.lookup:0|c\n" in stats and b"app.active:2|g\n" in stats
+    assert status(ask(admin.address, b"GET /nowhere HTTP/1.1\r\n\r\n")) == 404
+    assert status(ask(admin.address, b"DELETE /ops/stats HTTP/1.1\r\n\r\n")) == 405
+    assert status(ask(admin.address, b"hello\r\n\r\n")) == 400
+    assert status(ask(admin.address, b"GET /ops/stats HTTP/1.1\r\n" + b"x" * 9000)) == 400
+
+
+def test_silent_callers_leave_room_for_a_readiness_call(admin: Admin) -> None:
+    silent = [socket.create_connection(admin.address, LIMIT) for _ in range(THREADS + 2)]
+    silent[0].sendall(b"GET /ops/rea")  # half a line
+    assert status(ask(admin.address, GET)) == 200
+    for sock in silent:  # each is closed on its read limit, with a 400
+        sock.settimeout(LIMIT)
+        assert status(sock.recv(4096)) == 400
+        sock.close()
+
+
+def test_counts_of_a_dropped_class_leave_with_it() -> None:
+    counts = figures.Figures(["lookup", "report"])
+    counts.count(figures.OK, "report", 5)
+    counts.keep(["lookup", "claim"])
+    counts.count(figures.OK, "report")
+    counts.configured(True)
+    lines = counts.lines().decode().splitlines()
+    assert "app.ok.claim:0|c" in lines and not any(".report:" in line for line in lines)
+    assert "app.config_applied:1|c" in lines
+
+
+def test_stats_answer_while_every_request_waits_for_its_engine(tmp_path: Path) -> None:
+    site = Site(tmp_path, admin="127.0.0.1:0")
+    try:
+        clients = [site.client() for _ in range(3)]
+        for number, client in enumerate(clients):
+            client.ask(call=f"{number:016x}")
+        waiting = [site.engine.next(b"want") for _ in clients]
+        host, port = site.program.started["admin"]
+        address = host, port
+        stats = ask(address, b"GET /ops/stats HTTP/1.1\r\n\r\n").decode()
+        assert "app.active:3|g" in stats and "app.tries.lookup:3|c" in stats, stats
+        for sock, parts in waiting:
+            say(sock, parts[1], b"200", b"sheets=1", PAGE)
+        for client in clients:
+            assert len(client.rows()) == 2
+        stats = ask(address, b"GET /ops/stats HTTP/1.1\r\n\r\n").decode()
+        assert "app.ok.lookup:3|c" in stats and "app.active:0|g" in stats, stats
+    finally:
+        assert site.program.end() == ""
+
+
+def test_an_inherited_descriptor_that_is_no_listener_is_named(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text('{"name": "n0", "listen": "127.0.0.1:0", "seed": "1", "coordinator": "127.0.0.1:1"}')
+    with pytest.raises(ConfigError, match="LB_ACCEPT_FD"):
+        load({"LB_CONFIG": str(path), "LB_ACCEPT_FD": "seven"})
+    with socket.socket() as plain, pytest.raises(OSError, match="LB_ACCEPT_FD"):
+        server.Server(("127.0.0.1", 0), 8, make_settings(), refuse, inherited=plain.fileno())
+
+
+class Refusal:
+    def run(self) -> Reply:
+        return Refused(0.1)
+
+    def abandon(self) -> None:
+        raise AssertionError(Abandoned)
+
+
+def refuse(query: Query) -> Exchange:
+    return Refusal()
+
+
+def test_two_processes_on_one_queue_lose_no_client_when_the_old_one_stops() -> None:
+    listener = socket.create_server(("127.0.0.1", 0), backlog=256)
+    address = listener.getsockname()
+    old = server.Server(address, 64, make_settings(), refuse, inherited=os.dup(listener.fileno()))
+    new = server.Server(address, 64, make_settings(), refuse, inherited=os.dup(listener.fileno()))
+    old.start()
+    new.start()
+    answered, lost = [0], []
+
+    def clients(count: int) -> None:
+        for _ in range(count):
+            try:
+                client = Client(address)
+                client.ask()
+                assert client.read()[0] == 0xFF  # the refusal: the request was heard
+                client.sock.close()
+                answered[0] += 1
+            except (OSError, EOFError) as error:
+                lost.append(error)
+
+    threads = [threading.Thread(target=clients, args=(60,)) for _ in range(4)]
+    for thread in threads:
+        thread.start()
+    old.stop_listening()  # mid-load, as at SIGTERM
+    assert old.finish(LIMIT)
+    for thread in threads:
+        thread.join(LIMIT)
+    assert not lost and answered[0] == 240
+    new.stop_listening()
+    new.finish(LIMIT)
+    listener.close()
