Take new settings at SIGHUP: a new module for new requests, the old one for its own

Ruled out: the check of the file (it passed: config.load took it whole, Daemon.reconfigure dropped all but the coordinator, the lines at fault).

Changed: gateway/decisions.py keeps the module of the settings in force and, while they hold requests, modules of earlier settings; events of a request go to its module, timers to the one that set them, lists and other news to all; a new module is told the list as the old one knew it. The statement reader, the life and the figures take one settings object. Bad files log one line (not one a further reading), and config_rejected counts them.

--- a/tealwing/exchange.py
+++ b/tealwing/exchange.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Any, Protocol
 
 
 class Unusable(ValueError):
@@ -64,4 +64,4 @@
         """Give the request up, from any thread."""
 
 
-Open = Callable[[Query], Exchange]  # may raise Unusable
+Open = Callable[[Query, Any], Exchange]  # a query and the settings it was read under; may raise Unusable
--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -7,7 +7,7 @@
 from tealwing import interface as api
 from tealwing import log
 from tealwing.admin.figures import Figures
-from tealwing.config import Config
+from tealwing.config import Config, ConfigError
 from tealwing.coordinator.follower import Follower
 from tealwing.coordinator.news import Update
 from tealwing.exchange import Query
@@ -44,9 +44,9 @@
         self._decisions.start()
         self._follower.start()
 
-    def open(self, query: Query) -> Life:
-        """The life of a request that has come."""
-        return Life(query, self._settings, self._decisions, self._fleet, self._vitals, self.figures)
+    def open(self, query: Query, settings: api.Settings | None = None) -> Life:
+        """The life of a request that has come, read under the settings (the ones in force if None)."""
+        return Life(query, settings or self._settings, self._decisions, self._fleet, self._vitals, self.figures)
 
     def _gauges(self) -> dict[str, int]:
         """Requests open, engines listed, and those of them that the module does not send to now.
@@ -64,10 +64,24 @@
         if self._vitals is not None:
             self._vitals.waited(seconds)
 
-    def reconfigure(self, config: Config) -> None:
-        """Take what may change under load: the coordinator. Its events' numbers go on."""
+    def reconfigure(self, config: Config) -> api.Settings:
+        """Take what may change under load: the coordinator, and the settings. Its events' numbers go on.
+
+        New settings bind new requests; open ones keep theirs. Gives the settings in force. Raises ConfigError,
+        with nothing changed, where the settings change and service levels or gossip are on.
+        """
+        changed = config.settings != self._settings
+        if changed and (self._vitals is not None or self._link is not None):
+            raise ConfigError("settings: a change of settings needs a restart where levels or gossip are on")
         self._follower.move(config.coordinator)
+        if changed:
+            version = self._decisions.renew(config.settings)
+            self._settings = config.settings
+            self.figures.keep(cls.name for cls in config.settings.classes)
+            classes = {cls.name: cls.effect.name for cls in config.settings.classes}
+            log.event("settings_changed", version=version, classes=classes)
         log.event("reconfigured", coordinator=config.coordinator)
+        return self._settings
 
     def operate(self, records: dict[str, Any]) -> None:
         """Take the operators' file in whole: its records by section. A ValueError leaves all as it is."""
--- a/tealwing/gateway/decisions.py
+++ b/tealwing/gateway/decisions.py
@@ -21,6 +21,7 @@
 GRAIN = 0.02  # s: timers fire at its multiples, some together; none is due more exactly
 MOST_AT_ONCE = 32  # timers handled before others may have the lock
 Mailbox = SimpleQueue[Any]  # of the module's actions and the engines' answers for one request
+OWN = (api.Request, api.Outcome, api.StreamStarted, api.Note, api.HungUp)  # events of one request: to its module
 
 
 class Module(Protocol):
@@ -35,6 +36,12 @@
 
     def __init__(self, settings: api.Settings, seed: int, fleet: Fleet) -> None:
         self._gateway: Module = Gateway(settings, seed)
+        self._settings, self._seed, self._version = settings, seed, 0  # of the module that takes new requests
+        self._older: dict[int, tuple[api.Settings, Module]] = {}  # by version: modules that still hold requests
+        self._owners: dict[int, int] = {}  # request id: the version of the module that decides it
+        self._held: dict[int, int] = {}  # version: its requests still open
+        self._listed: dict[int, api.ListEntry] = {}  # the engine list as the modules know it, for a new one
+        self._list_version = 0
         self._fleet = fleet
         self._lock = threading.Lock()
         self._grain = max(settings.tick, GRAIN)
@@ -42,7 +49,7 @@
         self._mailboxes: dict[int, Mailbox] = {}
         self._calls: set[bytes] = set()  # the clients' ids of the open requests
         self._ids = itertools.count(1)
-        self._timers: list[tuple[float, int]] = []  # due (monotonic) and token
+        self._timers: list[tuple[float, int, int]] = []  # due (monotonic), token, version of the module
         self._changed = threading.Condition(threading.Lock())
 
     def start(self) -> None:
@@ -59,26 +66,82 @@
         """Requests taken and not yet ended."""
         return len(self._mailboxes)
 
-    def enter(self, call: bytes, mailbox: Mailbox) -> int:
-        """A number for a new request, whose actions go to the mailbox.
+    @property
+    def settings(self) -> api.Settings:
+        """The settings of the module that takes new requests."""
+        return self._settings
+
+    def enter(self, call: bytes, mailbox: Mailbox, settings: api.Settings | None = None) -> int:
+        """A number for a new request, whose actions go to the mailbox; it was read under those settings.
 
         Engines tell requests apart by these ids: a second one of an open id would get the first's rows.
+        Raises Unusable for an open call, or for settings of which no module is left.
         """
         with self._lock:
             if call in self._calls:
                 raise Unusable("call is that of an open request")
+            version = self._version_of(settings or self._settings)
             self._calls.add(call)
             number = next(self._ids)
             self._mailboxes[number] = mailbox
+            self._owners[number] = version
+            self._held[version] = self._held.get(version, 0) + 1
             return number
 
     def leave(self, number: int, call: bytes) -> list[object]:
-        """The request has its final answer; what is left in its mailbox."""
+        """The request has its final answer; what is left in its mailbox. Old settings' module goes with its last."""
         with self._lock:
             self._calls.remove(call)
             mailbox = self._mailboxes.pop(number)
+            version = self._owners.pop(number)
+            self._held[version] -= 1
+            if not self._held[version]:
+                del self._held[version]
+                if self._older.pop(version, None) is not None:
+                    log.event("settings_retired", version=version)
             return [mailbox.get_nowait() for _ in range(mailbox.qsize())]
 
+    def renew(self, settings: api.Settings) -> int:
+        """New requests go to a new module of these settings, told the engine list; the old keeps what it holds.
+
+        Gives the new version's number.
+        """
+        with self._lock:
+            if self._held.get(self._version):
+                self._older[self._version] = self._settings, self._gateway
+            self._version += 1
+            self._settings, self._gateway = settings, Gateway(settings, self._seed + self._version)
+            listed = api.EngineList(api.ListKind.FULL, self._list_version, tuple(self._listed.values()))
+            self._handle(listed, (self._version,))
+            return self._version
+
+    def _version_of(self, settings: api.Settings) -> int:
+        if settings is self._settings:
+            return self._version
+        for version, (older, _) in self._older.items():
+            if older is settings:
+                return version
+        raise Unusable("the settings changed while the request was read; send it again")
+
+    def _module(self, version: int) -> Module | None:
+        if version == self._version:
+            return self._gateway
+        older = self._older.get(version)
+        return older[1] if older is not None else None
+
+    def _note_list(self, event: api.EngineList) -> None:
+        """Keep the list that a module made now would need."""
+        if event.kind is api.ListKind.FAILED:
+            return
+        if event.kind is not api.ListKind.DELTA:
+            self._listed.clear()
+        for entry in event.entries:
+            if entry.health is api.Health.GONE:
+                self._listed.pop(entry.engine, None)
+            else:
+                self._listed[entry.engine] = entry
+        self._list_version = event.version
+
     def tell_all(self, word: object) -> int:
         """Put a word into the mailbox of every open request; how many there are."""
         with self._lock:
@@ -100,19 +163,47 @@
         for engine in idle:
             self._fleet.close_idle(engine)
 
-    def _handle(self, event: api.Event) -> list[int]:
-        """Hand one event to the module and its actions on; gives the engines whose idle connections close."""
+    def _fire(self, due: list[tuple[int, int]]) -> None:
+        """Timers, each to the module that set it; those of a module let go are dropped."""
+        idle: list[int] = []
+        with self._lock:
+            for token, version in due:
+                if self._module(version) is not None:
+                    idle += self._handle(api.TimerFired(token), (version,))
+        for engine in idle:
+            self._fleet.close_idle(engine)
+
+    def _handle(self, event: api.Event, versions: tuple[int, ...] = ()) -> list[int]:
+        """Hand one event to its module (a request's own, else all) and its actions on.
+
+        Gives the engines whose idle connections close.
+        """
+        if not versions:
+            if isinstance(event, OWN):
+                versions = (self._owners.get(event.id, self._version),)
+            else:
+                versions = (self._version, *self._older)
+                if isinstance(event, api.EngineList):
+                    self._note_list(event)
+        idle: list[int] = []
+        for version in versions:
+            module = self._module(version)
+            if module is not None:
+                idle += self._decide(module, version, event)
+        return idle
+
+    def _decide(self, module: Module, version: int, event: api.Event) -> list[int]:
         idle: list[int] = []
         now = time.monotonic()
         try:
-            actions = self._gateway.handle(now + self._offset, event)
+            actions = module.handle(now + self._offset, event)
         except Exception:  # a fault in a decision fails its request, not the gateway
             log.event("decision_failed", of=type(event).__name__, trace=traceback.format_exc(limit=-3))
             actions = [api.Fail(event.id)] if isinstance(event, api.Request | api.Outcome) else []
         for action in actions:
             match action:
                 case api.SetTimer(delay, token):
-                    self._set(now + delay, token)
+                    self._set(now + delay, token, version)
                 case api.Log(text):
                     log.event("decision_log", text=text)
                 case api.CloseIdle(engine):
@@ -126,11 +217,11 @@
                     log.must_hold(False, f"{type(action).__name__} is not allowed here")
         return idle
 
-    def _set(self, due: float, token: int) -> None:
+    def _set(self, due: float, token: int, version: int) -> None:
         due = ceil(due / self._grain) * self._grain  # as the simulator's ticks do: one wake serves many
         with self._changed:
-            heapq.heappush(self._timers, (due, token))
-            if self._timers[0] == (due, token):
+            heapq.heappush(self._timers, (due, token, version))
+            if self._timers[0] == (due, token, version):
                 self._changed.notify()
 
     def _run_timers(self) -> None:
@@ -138,7 +229,8 @@
             with self._changed:
                 while not self._timers or self._timers[0][0] > time.monotonic():
                     self._changed.wait(self._timers[0][0] - time.monotonic() if self._timers else None)
-                now, due = time.monotonic(), list[api.Event]()
+                now, due = time.monotonic(), list[tuple[int, int]]()
                 while self._timers and self._timers[0][0] <= now and len(due) < MOST_AT_ONCE:
-                    due.append(api.TimerFired(heapq.heappop(self._timers)[1]))
-            self.submit(*due)
+                    _, token, version = heapq.heappop(self._timers)
+                    due.append((token, version))
+            self._fire(due)
--- a/tealwing/gateway/life.py
+++ b/tealwing/gateway/life.py
@@ -77,7 +77,7 @@
         # A late try of a client may have less than we need ourselves: the module hears that no time is left
         lateness = min(max(LATENESS_SHARE * query.ttl, LATENESS[0]), LATENESS[1])
         self._deadline = time.monotonic() + query.ttl - lateness
-        self._id = decisions.enter(query.call, self._mailbox)
+        self._id = decisions.enter(query.call, self._mailbox, settings)
         self._clear = 0.0  # when the engine of an attempt given up knows of it
 
     def abandon(self) -> None:
--- a/tealwing/mysql/server.py
+++ b/tealwing/mysql/server.py
@@ -216,8 +216,9 @@
 
     def _query(self, text: bytes) -> bytes:
         try:
-            query = statements.query(text, self.server.settings, self._taken)
-            exchange = self.server.open(query)
+            settings = self.server.settings  # one version for the reading and the deciding
+            query = statements.query(text, settings, self._taken)
+            exchange = self.server.open(query, settings)
         except Unusable as error:
             log.event("request_unusable", error=str(error))
             return packets.packet(1, packets.error(1210, "HY000", f"Incorrect arguments: {error}"))
--- a/tealwing/service.py
+++ b/tealwing/service.py
@@ -50,7 +50,7 @@
         if got is not None and got.si_signo != signal.SIGHUP:
             break
         again = REREADS if got is not None else again - 1
-        good = reload(daemon, server, conf)
+        good = reload(daemon, server, conf, say=got is not None)
         if got is not None or good:  # a further reading that fails again is the same file turned down
             daemon.figures.configured(good)
         if good:
@@ -89,19 +89,24 @@
     log.event("operators_file", path=conf, sections=sorted(read.records))
 
 
-def reload(daemon: Daemon, server: Server, conf: str | None) -> bool:
-    """Read both files again; of each, one that can't be used is logged, and the old one stays. Whether both held."""
+def reload(daemon: Daemon, server: Server, conf: str | None, say: bool = True) -> bool:
+    """Read both files again; of each, one that can't be used is logged if say, and the old one stays.
+
+    Whether both held. A file is taken whole or not at all: it is read and checked before anything changes.
+    """
     good = True
     try:
-        daemon.reconfigure(load(os.environ))
+        server.settings = daemon.reconfigure(load(os.environ))
     except (ConfigError, OSError) as error:
-        log.event("configuration_unusable", error=str(error))
+        if say:
+            log.event("configuration_unusable", error=str(error))
         good = False
     try:
         if conf is not None:
             operate(daemon, server, conf)
     except FileUnusable as error:
-        log.event("operators_file_unusable", path=conf, problems=str(error).splitlines())
+        if say:
+            log.event("operators_file_unusable", path=conf, problems=str(error).splitlines())
         good = False
     return good
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import os
 import socket
 import threading
@@ -17,7 +18,7 @@
 from tealwing.exchange import Abandoned, Exchange, Query, Refused, Reply
 from tealwing.mysql import server
 from tests.build import make_settings
-from tests.peers import LIMIT, Client, say
+from tests.peers import GRADE, LIMIT, SETTINGS, Client, say
 from tests.test_program import PAGE, Site
 
 GET = b"GET /ops/readiness HTTP/1.1\r\nHost: gateway\r\n\r\n"
@@ -133,7 +134,7 @@
         raise AssertionError(Abandoned)
 
 
-def refuse(query: Query) -> Exchange:
+def refuse(query: Query, settings: object = None) -> Exchange:
     return Refusal()
 
 
@@ -168,3 +169,68 @@
     new.stop_listening()
     new.finish(LIMIT)
     listener.close()
+
+
+def stats(site: Site) -> str:
+    host, port = site.program.started["admin"]
+    return ask((host, port), b"GET /ops/stats HTTP/1.1\r\n\r\n").decode()
+
+
+def test_a_dropped_class_finishes_its_open_request_and_a_new_one_binds(tmp_path: Path) -> None:
+    site = Site(tmp_path, admin="127.0.0.1:0")
+    try:
+        client = site.client()
+        client.ask(op="load", call="00000000000000a1", dedupe="5c0f")
+        sock, parts = site.engine.next(b"want")  # the load is open while its class is dropped
+        grades = [GRADE | {"Name": "lookup"}, GRADE | {"Name": "claim", "Effect": "once"}]
+        family = SETTINGS["FamilyInfo"] | {"WidthByClass": [1, 1]}
+        changed = SETTINGS | {"Grades": grades, "FamilyInfo": family}
+        site.program.reload(json.dumps(site.program.config | {"settings": changed}))
+        assert site.program.wait_for("settings_changed")["classes"] == {"lookup": "SAFE", "claim": "UNSAFE"}
+        other = site.client()
+        other.ask(op="claim", call="00000000000000b2")
+        claim, asked = site.engine.next(b"want")
+        assert b"lane=claim" in b" ".join(asked)
+        say(claim, asked[1], b"200", b"sheets=1", PAGE)
+        assert len(other.rows()) == 2
+        say(sock, parts[1], b"200", b"sheets=1", PAGE)  # the old class's request ends by its own rules
+        assert len(client.rows()) == 2
+        site.program.wait_for("settings_retired")
+        other.ask(op="load", call="00000000000000c3", dedupe="5c10")
+        assert other.error()[0] == 1210  # unknown from now on
+        figures = stats(site)
+        assert "app.ok.claim:1|c" in figures and ".load:" not in figures and "app.config_applied:1|c" in figures
+    finally:
+        assert site.program.end() == ""
+
+
+@pytest.mark.parametrize(
+    "bad",
+    ["", '{"name": "n0", "sett', "lacks coordinator", "deadline 0", "attempts 0", "attempts text"],
+)
+def test_a_bad_file_is_turned_down_whole_in_one_line(tmp_path: Path, bad: str) -> None:
+    site = Site(tmp_path, admin="127.0.0.1:0")
+    try:
+        config = site.program.config
+        grades = [GRADE | {"Name": "lookup", "DeadlineNs": 0}, GRADE | {"Name": "load"}]
+        allowed = SETTINGS["Allowed"]
+        text = {
+            "lacks coordinator": json.dumps({key: value for key, value in config.items() if key != "coordinator"}),
+            "deadline 0": json.dumps(config | {"settings": SETTINGS | {"Grades": grades}}),
+            "attempts 0": json.dumps(config | {"settings": SETTINGS | {"Allowed": allowed | {"MaxAttempts": 0}}}),
+            "attempts text": json.dumps(config | {"settings": SETTINGS | {"Allowed": allowed | {"MaxAttempts": "3"}}}),
+        }.get(bad, bad)
+        site.program.reload(text)
+        error = site.program.wait_for("configuration_unusable")["error"]
+        assert error.split(":")[0] in ("LB_CONFIG", "coordinator", "settings"), error
+        site.program.reload(json.dumps(config))  # the good one again: taken, and no second line of the bad one
+        assert site.program.wait_for("reconfigured")
+        figures = stats(site)
+        assert "app.config_rejected:1|c" in figures and "app.config_applied:1|c" in figures, figures
+        client = site.client()
+        client.ask()
+        sock, parts = site.engine.next(b"want")
+        say(sock, parts[1], b"200", b"sheets=1", PAGE)
+        assert len(client.rows()) == 2
+    finally:
+        assert site.program.end() == ""
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -25,7 +25,7 @@
         raise AssertionError(Abandoned)
 
 
-def refuse(query: Query) -> Exchange:
+def refuse(query: Query, settings: object = None) -> Exchange:
     return Refusal()
 
 
