Let a request's module hear its last outcome before a module of old settings goes

Seen on reading the change again: Life._leave submits the outcome of a send that the end overtook after Decisions.leave, which had already dropped the request's owner, so after a change of settings that outcome went to the new module, which never knew the request. Changed: leave keeps the owner, and a new forget, called by the life last, lets it go (and with it a module of earlier settings). A test with a recording module causes the case and fails without the change.

--- a/tealwing/gateway/decisions.py
+++ b/tealwing/gateway/decisions.py
@@ -89,17 +89,21 @@
             return number
 
     def leave(self, number: int, call: bytes) -> list[object]:
-        """The request has its final answer; what is left in its mailbox. Old settings' module goes with its last."""
+        """The request has its final answer; what is left in its mailbox. Its module still hears of it until forget."""
         with self._lock:
             self._calls.remove(call)
             mailbox = self._mailboxes.pop(number)
+            return [mailbox.get_nowait() for _ in range(mailbox.qsize())]
+
+    def forget(self, number: int) -> None:
+        """Nothing more comes of the request: a module of earlier settings goes with its last."""
+        with self._lock:
             version = self._owners.pop(number)
             self._held[version] -= 1
             if not self._held[version]:
                 del self._held[version]
                 if self._older.pop(version, None) is not None:
                     log.event("settings_retired", version=version)
-            return [mailbox.get_nowait() for _ in range(mailbox.qsize())]
 
     def renew(self, settings: api.Settings) -> int:
         """New requests go to a new module of these settings, told the engine list; the old keeps what it holds.
--- a/tealwing/gateway/life.py
+++ b/tealwing/gateway/life.py
@@ -170,6 +170,7 @@
         for left in self._decisions.leave(self._id, self._query.call):
             if isinstance(left, api.Send):
                 self._outcome(Attempt(sends, left.engine, left.timeout), api.Result.MOOT, over=True)
+        self._decisions.forget(self._id)
 
     def _request(self) -> api.Request:
         query = self._query
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -6,18 +6,24 @@
 import os
 import socket
 import threading
+import time
 from pathlib import Path
+from queue import SimpleQueue
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from tealwing import interface as api
 from tealwing.admin import figures, http
 from tealwing.admin.server import THREADS, Admin
 from tealwing.config import ConfigError, load
-from tealwing.exchange import Abandoned, Exchange, Query, Refused, Reply
+from tealwing.exchange import Abandoned, Exchange, Query, Refused, Reply, Unusable
+from tealwing.gateway.decisions import Decisions
 from tealwing.mysql import server
-from tests.build import make_settings
+from tealwing.policy import Gateway
+from tealwing.resp.fleet import Fleet
+from tests.build import entry, listing, make_settings
 from tests.peers import GRADE, LIMIT, SETTINGS, Client, say
 from tests.test_program import PAGE, Site
 
@@ -103,16 +109,14 @@
         for number, client in enumerate(clients):
             client.ask(call=f"{number:016x}")
         waiting = [site.engine.next(b"want") for _ in clients]
-        host, port = site.program.started["admin"]
-        address = host, port
-        stats = ask(address, b"GET /ops/stats HTTP/1.1\r\n\r\n").decode()
-        assert "app.active:3|g" in stats and "app.tries.lookup:3|c" in stats, stats
+        figures = stats(site, "app.active:3|g", "app.tries.lookup:3|c")
+        assert "app.active:3|g" in figures and "app.tries.lookup:3|c" in figures, figures
         for sock, parts in waiting:
             say(sock, parts[1], b"200", b"sheets=1", PAGE)
         for client in clients:
             assert len(client.rows()) == 2
-        stats = ask(address, b"GET /ops/stats HTTP/1.1\r\n\r\n").decode()
-        assert "app.ok.lookup:3|c" in stats and "app.active:0|g" in stats, stats
+        figures = stats(site, "app.ok.lookup:3|c", "app.active:0|g")
+        assert "app.ok.lookup:3|c" in figures and "app.active:0|g" in figures, figures
     finally:
         assert site.program.end() == ""
 
@@ -171,9 +175,15 @@
     listener.close()
 
 
-def stats(site: Site) -> str:
+def stats(site: Site, *wanted: str) -> str:
+    """The figures once they hold the wanted lines: a count follows its event, as the page allows, by a little."""
     host, port = site.program.started["admin"]
-    return ask((host, port), b"GET /ops/stats HTTP/1.1\r\n\r\n").decode()
+    until = time.monotonic() + LIMIT
+    while True:
+        figures = ask((host, port), b"GET /ops/stats HTTP/1.1\r\n\r\n").decode()
+        if all(f"\n{line}\n" in figures for line in wanted) or time.monotonic() > until:
+            return figures
+        time.sleep(0.02)
 
 
 def test_a_dropped_class_finishes_its_open_request_and_a_new_one_binds(tmp_path: Path) -> None:
@@ -198,7 +208,7 @@
         site.program.wait_for("settings_retired")
         other.ask(op="load", call="00000000000000c3", dedupe="5c10")
         assert other.error()[0] == 1210  # unknown from now on
-        figures = stats(site)
+        figures = stats(site, "app.ok.claim:1|c", "app.config_applied:1|c")
         assert "app.ok.claim:1|c" in figures and ".load:" not in figures and "app.config_applied:1|c" in figures
     finally:
         assert site.program.end() == ""
@@ -225,7 +235,7 @@
         assert error.split(":")[0] in ("LB_CONFIG", "coordinator", "settings"), error
         site.program.reload(json.dumps(config))  # the good one again: taken, and no second line of the bad one
         assert site.program.wait_for("reconfigured")
-        figures = stats(site)
+        figures = stats(site, "app.config_rejected:1|c", "app.config_applied:1|c")
         assert "app.config_rejected:1|c" in figures and "app.config_applied:1|c" in figures, figures
         client = site.client()
         client.ask()
@@ -234,3 +244,36 @@
         assert len(client.rows()) == 2
     finally:
         assert site.program.end() == ""
+
+
+class Recorder:
+    """A module that only notes what it is told."""
+
+    def __init__(self) -> None:
+        self.heard: list[object] = []
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        self.heard.append(event)
+        return []
+
+
+def test_events_of_a_request_reach_the_module_of_its_settings_to_the_end() -> None:
+    # guards the outcome of a send that the end overtook: it came after leave, and went to the new module
+    old, new = make_settings(), make_settings()
+    decisions = Decisions(old, 1, Fleet(old.limits))
+    decisions.submit(listing(entry(7)))
+    recorder = Recorder()
+    decisions.change(lambda module, now: recorder)
+    number = decisions.enter(b"a" * 16, SimpleQueue(), old)
+    assert decisions.renew(new) == 1 and decisions.settings is new
+    with pytest.raises(Unusable):  # read under settings of which no module is left
+        decisions.enter(b"b" * 16, SimpleQueue(), make_settings())
+    decisions.leave(number, b"a" * 16)
+    late = api.Outcome(number, 0, 7, api.Result.MOOT, 0.0, True)
+    decisions.submit(late, api.EngineList(api.ListKind.DELTA, 2, (entry(8),)))
+    assert recorder.heard[-2:] == [late, api.EngineList(api.ListKind.DELTA, 2, (entry(8),))]
+    decisions.forget(number)  # its last request: the old module goes
+    decisions.submit(api.EngineList(api.ListKind.DELTA, 3, (entry(9),)))
+    assert len(recorder.heard) == 2  # nothing more reaches it
+    module = decisions.module
+    assert isinstance(module, Gateway) and set(module.engines) == {7, 8, 9}
