Test a request that comes one byte at a time and a coordinator that stops mid-line

A login and query written byte by byte is read whole and answered; a coordinator that breaks off in the middle of a line and closes is asked again from the same index, and the half line is not taken.

--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -20,11 +20,11 @@
 from tealwing.config import ConfigError, load
 from tealwing.exchange import Abandoned, Exchange, Query, Refused, Reply, Unusable
 from tealwing.gateway.decisions import Decisions
-from tealwing.mysql import server
+from tealwing.mysql import packets, server
 from tealwing.policy import Gateway
 from tealwing.resp.fleet import Fleet
 from tests.build import entry, listing, make_settings
-from tests.peers import GRADE, LIMIT, SETTINGS, Client, say
+from tests.peers import GRADE, LIMIT, SETTINGS, Client, event, member, request, say
 from tests.test_program import PAGE, Site
 
 GET = b"GET /ops/readiness HTTP/1.1\r\nHost: gateway\r\n\r\n"
@@ -277,3 +277,37 @@
     assert len(recorder.heard) == 2  # nothing more reaches it
     module = decisions.module
     assert isinstance(module, Gateway) and set(module.engines) == {7, 8, 9}
+
+
+def test_a_request_written_one_byte_at_a_time_is_answered() -> None:
+    few = server.Server(("127.0.0.1", 0), 8, make_settings(), refuse)
+    few.start()
+    login = (0xA20D).to_bytes(4, "little") + bytes(28) + b"app\0\0reports\0"
+    query = packets.packet(0, b"\x03" + request(op="look"))
+    with socket.create_connection(few.address, LIMIT) as sock:
+        for byte in packets.packet(1, login) + query:
+            sock.sendall(bytes([byte]))
+        parser, got = packets.Parser(), list[bytes]()
+        while len(got) < 3:  # greeting, login, answer
+            parser.feed(sock.recv(4096))
+            while (message := parser.next()) is not None:
+                got.append(message[1])
+    assert got[1] == packets.ok() and got[2][0] == 0xFF and b"refused" in got[2]
+    few.stop_listening()
+    assert few.finish(LIMIT)
+
+
+def test_a_coordinator_that_stops_mid_line_is_asked_again_from_the_same_index(tmp_path: Path) -> None:
+    site = Site(tmp_path)
+    try:
+        sock, words = site.coordinator.next(b"follow")
+        assert words[1] == b"1"
+        line = json.dumps(event(2, member("s-2", "127.0.0.1:1"))).encode() + b"\n"
+        sock.sendall(line[: len(line) // 2])  # breaks off in the middle of a line, and stalls
+        sock.shutdown(socket.SHUT_RDWR)
+        sock, words = site.coordinator.next(b"follow")
+        assert words[1] == b"1"  # half a line was not taken
+        sock.sendall(line)
+        assert "s-2" in site.program.wait_for("engine_list")["members"]
+    finally:
+        assert site.program.end() == ""
