Take the refusing exchange of the server's tests instead of a second copy

Reading the change again: tests/test_operations.py had written Refusal and refuse again as they stand in tests/test_server.py.

--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -18,7 +18,7 @@
 from tealwing.admin import figures, http
 from tealwing.admin.server import THREADS, Admin
 from tealwing.config import ConfigError, load
-from tealwing.exchange import Abandoned, Exchange, Query, Refused, Reply, Unusable
+from tealwing.exchange import Unusable
 from tealwing.gateway.decisions import Decisions
 from tealwing.mysql import packets, server
 from tealwing.policy import Gateway
@@ -26,6 +26,7 @@
 from tests.build import entry, listing, make_settings
 from tests.peers import GRADE, LIMIT, SETTINGS, Client, event, member, request, say
 from tests.test_program import PAGE, Site
+from tests.test_server import refuse
 
 GET = b"GET /ops/readiness HTTP/1.1\r\nHost: gateway\r\n\r\n"
 
@@ -130,18 +131,6 @@
         server.Server(("127.0.0.1", 0), 8, make_settings(), refuse, inherited=plain.fileno())
 
 
-class Refusal:
-    def run(self) -> Reply:
-        return Refused(0.1)
-
-    def abandon(self) -> None:
-        raise AssertionError(Abandoned)
-
-
-def refuse(query: Query, settings: object = None) -> Exchange:
-    return Refusal()
-
-
 def test_two_processes_on_one_queue_lose_no_client_when_the_old_one_stops() -> None:
     listener = socket.create_server(("127.0.0.1", 0), backlog=256)
     address = listener.getsockname()
