Answer a request whose engine reader thread is refused, and count threads

When Thread.start() failed for an engine's reader, the RuntimeError left Engine._reserve from its finally clause, went past Session.run (which catches OSError and PacketError only) and the session closed its socket with no answer. Ruled out: session threads, whose failed start was already caught (the thread that asked goes on).

A refused reader is a failed connect (nothing was sent): its socket is closed and the module may try elsewhere or answer. A session answers FAILED if a thread it needed was refused. /ops/stats gains the gauge `threads`.

--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 from typing import TYPE_CHECKING, Any
 
 from tealwing import interface as api
@@ -49,7 +50,7 @@
         return Life(query, settings or self._settings, self._decisions, self._fleet, self._vitals, self.figures)
 
     def _gauges(self) -> dict[str, int]:
-        """Requests open, engines listed, and those of them that the module does not send to now.
+        """Requests open, engines listed, those of them that the module does not send to now, and threads.
 
         Read without the module's lock: lengths of its tables are whole at any moment.
         """
@@ -57,7 +58,12 @@
         gateway = module if isinstance(module, Gateway) else getattr(module, "gateway", None)
         listed = len(gateway.engines) if isinstance(gateway, Gateway) else 0
         ready = len(gateway.ready) if isinstance(gateway, Gateway) else 0
-        return {"active": self._decisions.open, "pool_size": listed, "pool_ejected": max(0, listed - ready)}
+        return {
+            "active": self._decisions.open,
+            "pool_size": listed,
+            "pool_ejected": max(0, listed - ready),
+            "threads": threading.active_count(),
+        }
 
     def unread(self, seconds: float) -> None:
         """What a client sent was read so long after it had come."""
--- a/tealwing/mysql/server.py
+++ b/tealwing/mysql/server.py
@@ -11,7 +11,7 @@
 import traceback
 from collections.abc import Callable
 
-from tealwing import interface, log
+from tealwing import interface, log, threads
 from tealwing.exchange import Abandoned, Exchange, Failed, Open, Refused, Reply, Served, Unusable
 from tealwing.mysql import packets, statements
 from tealwing.sockets import Address, receive, set_limit, stamp
@@ -69,7 +69,11 @@
                         raise packets.PacketError("Got packets out of order", 1156, "08S01", sequence)
                     if payload[:1] == bytes([QUIT]):
                         break
-                    self._sock.sendall(self._command(payload))
+                    try:
+                        reply = self._command(payload)
+                    except threads.NoThread:  # a thread the request needed: it gets its whole answer still
+                        reply = packets.packet(1, FAILED)
+                    self._sock.sendall(reply)
                     if self._closing:
                         break
         except packets.PacketError as error:  # malformed input ends this connection only
@@ -385,9 +389,8 @@
         with self._changed:
             self._threads, self._free = self._threads + 1, self._free + 1
         try:
-            threading.Thread(target=self._work, name="session", daemon=True).start()
-        except RuntimeError as error:  # the system gives no more for now
-            log.event("thread_failed", error=str(error))
+            threads.start(self._work, "session")
+        except threads.NoThread:  # logged there; the thread that asked goes on accepting after its session
             with self._changed:
                 self._threads, self._free = self._threads - 1, self._free - 1
 
--- a/tealwing/resp/engine.py
+++ b/tealwing/resp/engine.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from tealwing import log
+from tealwing import log, threads
 from tealwing.resp import messages
 from tealwing.sockets import Address, set_limit
 
@@ -99,7 +99,7 @@
 
     def start(self) -> None:
         """Begin to read."""
-        threading.Thread(target=self._read, name="engine-reader", daemon=True).start()
+        threads.start(self._read, "engine-reader")
 
     def takes(self, call: bytes) -> bool:
         """Whether an attempt of this id may go here: an answer to an earlier one must not be its own."""
@@ -159,6 +159,13 @@
         with contextlib.suppress(OSError):  # it may have ended by itself
             self._sock.shutdown(socket.SHUT_RDWR)
 
+    def discard(self) -> None:
+        """End a connection whose reader never started: nothing else will close its descriptor."""
+        with self._lock:
+            self._alive = False
+        with self._writing:
+            self._sock.close()
+
     def _write(self, data: bytes) -> None:
         with self._writing:
             sent = 0
@@ -273,6 +280,12 @@
         opened: Connection | None = None
         try:
             opened = self._connect(limit)
+            try:
+                opened.start()
+            except threads.NoThread:  # nothing was sent: the module may try elsewhere or answer at once
+                opened.discard()
+                opened = None
+                raise ConnectFailed("no thread to read the connection") from None
             return opened
         finally:
             with self._changed:
@@ -282,7 +295,6 @@
                 else:
                     opened.reserved += 1
                     self._open.append(opened)
-                    opened.start()
                     if self._retired:
                         opened.retire()
                 self._changed.notify_all()
--- /dev/null
+++ b/tests/test_threads.py
@@ -0,0 +1,108 @@
+"""A machine short of tasks: threads that can't be started cost no request its whole answer."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import threading
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from tealwing import threads
+from tealwing.config import load
+from tealwing.gateway.daemon import Daemon
+from tealwing.mysql import packets
+from tealwing.mysql.server import Server
+from tests.peers import LIMIT, SETTINGS, Client, Peer, event, member, request, say
+
+CLIENTS = 40  # at once: more than the server keeps free threads for, so that it has to start more
+PAGE = b"a\tb\tc\n"
+
+
+class Refuser:
+    """Refuses the first start of the threads named, and every second after: short now and then, not for good."""
+
+    def __init__(self, *names: str) -> None:
+        self.names, self.asked, self.refused = names, itertools.count(), 0
+
+    def __call__(self, name: str) -> bool:
+        if name not in self.names or next(self.asked) % 2 == 1:
+            return False
+        self.refused += 1
+        return True
+
+
+@pytest.fixture
+def gateway(tmp_path: Path) -> Iterator[tuple[Server, Peer]]:
+    engine = Peer()
+    known = {"index": 1, "updates": [event(1, member("s-1", engine.address))]}
+    config = {"name": "n0", "listen": "127.0.0.1:0", "seed": "1f", "coordinator": "127.0.0.1:1"}
+    (tmp_path / "config.json").write_text(json.dumps(config | {"known": known, "settings": SETTINGS}))
+    loaded = load({"LB_CONFIG": str(tmp_path / "config.json")})
+    daemon = Daemon(loaded)
+    server = Server(loaded.listen, loaded.most_clients, loaded.settings, daemon.open)
+    daemon.start()
+    server.start()
+    yield server, engine
+    threads.refuse = None
+    server.stop_listening()
+    server.finish(LIMIT)
+    engine.listener.close()
+
+
+def answer_engine(engine: Peer, stop: threading.Event) -> None:
+    """Serve every attempt that reaches the engine, with one page."""
+    while not stop.is_set():
+        try:
+            sock, parts = engine.got.get(timeout=0.05)
+        except Exception:  # noqa: BLE001 - an empty queue for now
+            continue
+        if parts[0] == b"want":
+            say(sock, parts[1], b"200", b"sheets=1", PAGE)
+
+
+def test_every_request_has_its_whole_answer_when_threads_are_refused(gateway: tuple[Server, Peer]) -> None:
+    # guards the standing test's lost answers: a refused reader thread ended its session with no answer
+    server, engine = gateway
+    refuser = Refuser("engine-reader")
+    threads.refuse = refuser
+    stop = threading.Event()
+    serving = threading.Thread(target=answer_engine, args=(engine, stop), daemon=True)
+    serving.start()
+    asks = [packets.packet(0, b"\x03" + request(call=f"{number:016x}")) for number in range(CLIENTS)]
+    clients = [Client(server.address, also=ask) for ask in asks]  # each asks as it logs in
+    answers = {"rows": 0, "errors": 0}
+    try:
+        for client in clients:
+            client.sock.settimeout(LIMIT)
+            payload = client.read()  # EOFError where the connection was ended with no answer
+            answers["errors" if payload[:1] == b"\xff" else "rows"] += 1
+            if payload[:1] != b"\xff":
+                while client.read() != packets.eof():
+                    pass
+                while client.read() != packets.eof():
+                    pass
+    finally:
+        stop.set()
+        serving.join(LIMIT)
+        for client in clients:
+            client.sock.close()
+    assert refuser.refused > 0  # the failure was caused, not hoped for
+    assert answers["rows"] + answers["errors"] == CLIENTS
+    assert answers["rows"] > 0
+
+
+def test_a_refused_start_is_logged_once_an_episode(capsys: pytest.CaptureFixture[str]) -> None:
+    threads.refuse = lambda name: True
+    try:
+        for _ in range(5):
+            with pytest.raises(threads.NoThread):
+                threads.start(lambda: None, "probe")
+    finally:
+        threads.refuse = None
+    threads.start(lambda: None, "probe")
+    lines = [json.loads(line)["event"] for line in capsys.readouterr().out.splitlines()]
+    assert lines.count("thread_refused") == 1
+    assert lines.count("threads_again") == 1
