Part with an idle client when no session thread can be started; keep 4 to 8 free

Change: a refused session start makes room as a crowded server does; idle threads kept free go from 8-24 to 4-8.

--- a/tealwing/mysql/server.py
+++ b/tealwing/mysql/server.py
@@ -23,7 +23,7 @@
 IDLE_LIMIT = 60.0  # s between commands: usual clients close after 4, some ask once and stay for good
 WRITE_LIMIT = 5  # s that a client may take nothing
 SPARE = 11  # one place in so many is kept free for who comes next: what usual clients may not hold
-FREE_THREADS = (8, 24)  # least and most that wait for clients: idle ones cost where our share is short
+FREE_THREADS = (4, 8)  # least and most that wait for clients: each is a task of a table that all processes share
 BACKLOG = 256
 ACCEPT_PAUSE = 0.05  # s before a failed accept is tried again
 ACCEPT_WAIT = 0.25  # s that a thread waits on a shared queue before it looks whether its process stops
@@ -369,8 +369,9 @@
                 self._free -= 1
                 short = self._free < FREE_THREADS[0] and self._threads < self._most
                 crowded = len(self._sessions) > self._most - self._most // SPARE
-            if short:
-                self._start_thread()
+            if short and not self._start_thread():  # the machine is short of tasks: ours is the ceiling now
+                with self._changed:
+                    crowded = crowded or self._free <= 0
             if crowded:
                 self._make_room()
             try:
@@ -385,7 +386,12 @@
             if enough:
                 return
 
-    def _start_thread(self) -> None:
+    def _start_thread(self) -> bool:
+        """Whether a further thread waits for clients now.
+
+        Where none can be had, those that there are part with the client that has let most of its time
+        pass, so that one who connects finds a thread before its time is over and not at its end.
+        """
         with self._changed:
             self._threads, self._free = self._threads + 1, self._free + 1
         try:
@@ -393,6 +399,8 @@
         except threads.NoThread:  # logged there; the thread that asked goes on accepting after its session
             with self._changed:
                 self._threads, self._free = self._threads - 1, self._free - 1
+            return False
+        return True
 
     def _make_room(self) -> None:
         """Part with the client that has let most of its time pass: usual ones need the thread.
--- a/tests/test_threads.py
+++ b/tests/test_threads.py
@@ -4,6 +4,7 @@
 
 import itertools
 import json
+import socket
 import threading
 from collections.abc import Iterator
 from pathlib import Path
@@ -14,7 +15,9 @@
 from tealwing.config import load
 from tealwing.gateway.daemon import Daemon
 from tealwing.mysql import packets
+from tealwing.mysql import server as server_module
 from tealwing.mysql.server import Server
+from tests.build import make_settings
 from tests.peers import LIMIT, SETTINGS, Client, Peer, event, member, request, say
 
 CLIENTS = 40  # at once: more than the server keeps free threads for, so that it has to start more
@@ -106,3 +109,25 @@
     lines = [json.loads(line)["event"] for line in capsys.readouterr().out.splitlines()]
     assert lines.count("thread_refused") == 1
     assert lines.count("threads_again") == 1
+
+
+def test_a_client_finds_a_thread_when_none_can_be_started(monkeypatch: pytest.MonkeyPatch) -> None:
+    # guards the standing test's requests of 0 attempts: clients between commands held every thread there was
+    from tests.test_server import ping, refuse
+
+    monkeypatch.setattr(server_module, "FREE_THREADS", (2, 2))
+    started = itertools.count()
+    threads.refuse = lambda name: name == "session" and next(started) >= 2  # two session threads, then none
+    few = Server(("127.0.0.1", 0), 64, make_settings(), refuse)
+    few.start()
+    try:
+        staying = []
+        for _ in range(2):  # each holds a thread between commands, once it has asked
+            staying.append(Client(few.address))
+            ping(staying[-1])
+        ping(Client(few.address))  # without room made it waits until a staying client's 60 s are over
+        assert sum(1 for client in staying if not client.sock.recv(1, socket.MSG_PEEK)) >= 1  # one was parted
+    finally:
+        threads.refuse = None
+        few.stop_listening()
+        few.finish(LIMIT)
