Let clients between commands hold no thread, and read all engines on one

Change: sessions between commands, silent ones and those that drip wait with the listening socket in one epoll set, armed for one event each, and a free thread takes what is ready; engine connections are read by one thread (resp/reader.py), which also keeps their limit on unfinished messages. Session threads have a ceiling from the deployment: 8,192 over the number of gateways (a quarter of the usual pid_max), 32 at least, clients at most. Past it, requests wait in the set and the backlog with their time running on (TCP_INFO tells when the data came), and past their deadline are refused at once. Rejected: a smaller pool that parts with idle clients for their threads: it makes clients reconnect, and a client that drips still holds a thread. accept is under the lock, so that a stop sees every session (a test on a shared queue hung before that).

--- a/tealwing/config.py
+++ b/tealwing/config.py
@@ -17,6 +17,10 @@
 SOCKETS = 1024  # descriptors, where the file names no limit
 MOST_CORES = 1024  # beyond which a limit is a mistake
 CORES = 1.0  # of the processor, where the file names no limit
+# tasks that the gateways of one deployment may fill with commands under way, should they all share one machine: a
+# quarter of Linux's usual kernel.pid_max of 32,768, as each has further threads and other programs want theirs
+TASKS = 8192
+LEAST_THREADS = 32  # commands under way at once that a gateway can take however many gateways there are
 
 
 class ConfigError(ValueError):
@@ -44,6 +48,11 @@
         """Client connections held at once: the clients' share of the descriptors, and a tenth for others."""
         return self.sockets * 11 // (10 * CLIENT_SHARE)
 
+    @property
+    def most_threads(self) -> int:
+        """Threads that serve clients at most: one for each command under way, whatever the number of clients."""
+        return min(self.most_clients, max(LEAST_THREADS, TASKS // max(1, self.settings.gateways)))
+
 
 def address(text: Any, key: str, least: int = 1) -> Address:
     """HOST:PORT as a pair, the port at least so much."""
--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -42,6 +42,7 @@
 
     def start(self) -> None:
         """Follow the coordinator and let timers fire."""
+        self._fleet.start()
         self._decisions.start()
         self._follower.start()
 
--- a/tealwing/mysql/server.py
+++ b/tealwing/mysql/server.py
@@ -1,10 +1,17 @@
-"""The MySQL server: threads that wait for clients, and serve one session each at a time."""
+"""The MySQL server: sessions, and the threads that serve whichever client says something.
+
+A client that says nothing holds a descriptor and no thread: all sessions between two commands wait in one epoll set,
+with the listening socket, and each free thread takes what is ready next. A thread for each client was our way before;
+at 200 gateways their clients between commands filled the machine's table of tasks.
+"""
 
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 import itertools
 import os
+import select
 import socket
 import threading
 import time
@@ -14,7 +21,7 @@
 from tealwing import interface, log, threads
 from tealwing.exchange import Abandoned, Exchange, Failed, Open, Refused, Reply, Served, Unusable
 from tealwing.mysql import packets, statements
-from tealwing.sockets import Address, receive, set_limit, stamp
+from tealwing.sockets import Address, receive, set_limit, silence, stamp
 
 USER, DATABASE = b"app", b"reports"
 COLUMNS = (b"column_1", b"column_2", b"column_3")  # engines send no names
@@ -26,10 +33,11 @@
 FREE_THREADS = (4, 8)  # least and most that wait for clients: each is a task of a table that all processes share
 BACKLOG = 256
 ACCEPT_PAUSE = 0.05  # s before a failed accept is tried again
-ACCEPT_WAIT = 0.25  # s that a thread waits on a shared queue before it looks whether its process stops
+LOOK = 0.25  # s between two looks at the time limits of clients, and at who is late to leave
 SAMPLED = 4  # of so many sessions one tells how long what it reads has waited: enough for a mean
 READ_SIZE = 4 * 1024  # bytes of a thread's buffer: statements are short
 
+ARMED = select.EPOLLIN | select.EPOLLONESHOT
 QUIT, INIT_DB, QUERY, PROCESS_KILL, PING, RESET_CONNECTION = 0x01, 0x02, 0x03, 0x0C, 0x0E, 0x1F
 
 UNKNOWN_COMMAND = packets.error(1047, "08S01", "Unknown command")
@@ -41,49 +49,54 @@
 class Session:
     """One client connection."""
 
-    def __init__(self, server: Server, sock: socket.socket, number: int, buffer: bytearray) -> None:
+    def __init__(self, server: Server, sock: socket.socket, number: int) -> None:
         self.server, self.number = server, number
-        self._sock, self._buffer = sock, memoryview(buffer)
+        self._sock = sock
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        set_limit(sock, socket.SO_SNDTIMEO, WRITE_LIMIT)
         self._parser = packets.Parser()
         self._lock = threading.Lock()
         self._exchange: Exchange | None = None  # the request that is open, under the lock
-        self._waiting: tuple[float, float] | None = None  # for its client: since when, and until when
+        self._since = time.monotonic()  # when the client was last answered
+        self._first = self._since + FIRST_LIMIT  # until when its first command is due; 0 after that
+        self._rest = 0.0  # until when the rest of a command that has begun is due
+        self._waiting: tuple[float, float] | None = None  # for its client: since when, and until when, under the lock
         self._stamped = server.unread is not None and number % SAMPLED == 0
         if self._stamped:
             stamp(sock)
+        self._greeted = self._in = False
         self._taken = 0.0  # monotonic, when the last byte of the last message had been read
-        self._parted = False  # closed to make room: what it still says is sent again elsewhere
+        self._late = 0.0  # s that it had waited for a thread by then
+        self._parted = False  # closed to make room or as its time is over: what it still says is sent again elsewhere
         self._closing = False  # the gateway ends: close once what has come is answered, under the lock
         self._idle = False  # waiting for a further command, under the lock
 
-    def run(self) -> None:
-        """Serve the client until it goes."""
-        first = time.monotonic() + FIRST_LIMIT
+    def fileno(self) -> int:
+        """The client's descriptor."""
+        return self._sock.fileno()
+
+    def run(self, buffer: memoryview, short: float = 0.0) -> bool:
+        """Serve what has come; whether the client is waited for again. Else the session is over and closed.
+
+        short is for how many seconds no thread has been free for it, at most.
+        """
+        going = False
         try:
-            self._sock.sendall(packets.packet(0, packets.greeting(self.number, _scramble())))
-            if self._login(first):
-                while (message := self._receive(first)) is not None:
-                    first = 0.0
-                    sequence, payload = message
-                    if sequence != 0:
-                        raise packets.PacketError("Got packets out of order", 1156, "08S01", sequence)
-                    if payload[:1] == bytes([QUIT]):
-                        break
-                    try:
-                        reply = self._command(payload)
-                    except threads.NoThread:  # a thread the request needed: it gets its whole answer still
-                        reply = packets.packet(1, FAILED)
-                    self._sock.sendall(reply)
-                    if self._closing:
-                        break
+            going = self._serve(buffer, short) and self._wait()
         except packets.PacketError as error:  # malformed input ends this connection only
             text = packets.error(error.code, error.state, str(error))
             self._last_words(packets.packet(error.sequence + 1, text))
         except OSError as error:
             log.event("client_lost", error=str(error))
         finally:
-            self.server.ended(self)
-            self._sock.close()
+            if not going:
+                self.close()
+        return going
+
+    def close(self) -> None:
+        """It is over."""
+        self.server.ended(self)
+        self._sock.close()
 
     def kill(self, query_only: bool) -> None:
         """KILL: give the open request up, and end the session unless only the query was meant."""
@@ -130,60 +143,71 @@
             self._sock.shutdown(socket.SHUT_RDWR)
         return True
 
-    def _receive(self, until: float = 0.0) -> tuple[int, bytes] | None:
-        """The next message; None when the client has gone, or has not sent it whole in time.
+    def _wait(self) -> bool:
+        """Give the client its time to say something; whether it may.
 
-        The limits are on the whole of it: a client that drips must not hold a thread, nor a silent one.
+        The limits are on the whole of a command: a client that drips must not stay, nor a silent one.
         """
-        begun = now = time.monotonic()
-        limit = until or now + IDLE_LIMIT
-        while (message := self._parser.next()) is None:
-            if self._parser.begun:
-                limit = min(limit, now + PACKET_LIMIT)
-            if now >= limit:
-                return None
-            set_limit(self._sock, socket.SO_RCVTIMEO, limit - now)
-            self._waiting = begun, limit
-            try:
-                if until:  # a first command: dropped when it was parted with, as nothing was done for it
-                    size = self._read()
-                else:
-                    with self._lock:
-                        if self._closing and not self._parser.begun:
-                            return None
-                        self._idle = not self._parser.begun
-                    self._sock.recv_into(self._buffer, 1, socket.MSG_PEEK)
-                with self._lock:  # from here on it is not parted with: see part
-                    self._idle = False
-                    self._waiting = None
-                    if self._parted:
-                        return None
-                    if not until:
-                        size = self._read()
-            except BlockingIOError:  # the limit has passed
-                size = 0
-            if not size:
-                return None
-            self._parser.feed(self._buffer[:size])
-            now = time.monotonic()
-        self._taken = now
-        return message
+        begun, now = self._parser.begun, time.monotonic()
+        self._rest = (self._rest or now + PACKET_LIMIT) if begun else 0.0
+        limit = self._first or self._since + IDLE_LIMIT
+        with self._lock:
+            if self._closing and not self._first and not begun:
+                return False
+            self._waiting = self._since, min(limit, self._rest) if self._rest else limit
+            self._idle = not self._first and not begun
+        return True
+
+    def _serve(self, buffer: memoryview, short: float) -> bool:
+        """Read once, and answer the messages that are whole; whether the session goes on."""
+        with self._lock:  # from here on it is not parted with: see part
+            self._idle, self._waiting = False, None
+            if self._parted:
+                return False
+        if not self._greeted:
+            self._sock.sendall(packets.packet(0, packets.greeting(self.number, _scramble())))
+            self._greeted = True
+        self._late = min(short, silence(self._sock)) if short else 0.0
+        try:
+            size = self._read(buffer)
+        except BlockingIOError:  # nothing has come yet
+            return True
+        if not size:
+            return False
+        self._parser.feed(buffer[:size])
+        self._taken = time.monotonic()
+        while (message := self._parser.next()) is not None:
+            self._rest = 0.0
+            if not (self._answer(*message) if self._in else self._login(*message)):
+                return False
+            self._since = time.monotonic()
+        return True
 
-    def _read(self) -> int:
+    def _answer(self, sequence: int, payload: bytes) -> bool:
+        """One command; whether the session goes on."""
+        self._first = 0.0
+        if sequence != 0:
+            raise packets.PacketError("Got packets out of order", 1156, "08S01", sequence)
+        if payload[:1] == bytes([QUIT]):
+            return False
+        try:
+            reply = self._command(payload)
+        except threads.NoThread:  # a thread the request needed: it gets its whole answer still
+            reply = packets.packet(1, FAILED)
+        self._sock.sendall(reply)
+        return not self._closing
+
+    def _read(self, buffer: memoryview) -> int:
         """Read what has come; of a sample of sessions, how long it waited for that is told."""
         if not self._stamped:
-            return self._sock.recv_into(self._buffer)
-        size, came = receive(self._sock, self._buffer)
+            return self._sock.recv_into(buffer, 0, socket.MSG_DONTWAIT)
+        size, came = receive(self._sock, buffer, socket.MSG_DONTWAIT)
         unread = self.server.unread
         if came is not None and unread is not None:
             unread(max(0.0, time.time() - came))
         return size
 
-    def _login(self, until: float) -> bool:
-        message = self._receive(until)
-        if message is None:
-            return False
-        sequence, payload = message
+    def _login(self, sequence: int, payload: bytes) -> bool:
         login = packets.login(payload)
         answer = packets.ok()
         if login.user != USER or login.auth:
@@ -192,7 +216,8 @@
         elif login.database not in (b"", DATABASE):
             answer = self._no_database(login.database)
         self._sock.sendall(packets.packet(sequence + 1, answer))
-        return answer == packets.ok()
+        self._in = answer == packets.ok()
+        return self._in
 
     def _no_database(self, name: bytes) -> bytes:
         return packets.error(1049, "42000", f"Unknown database '{name.decode('utf-8', 'replace')}'")
@@ -222,6 +247,8 @@
         try:
             settings = self.server.settings  # one version for the reading and the deciding
             query = statements.query(text, settings, self._taken)
+            if self._late:  # its time has run since it came: past its deadline it is refused at once
+                query = dataclasses.replace(query, ttl=query.ttl - self._late)
             exchange = self.server.open(query, settings)
         except Unusable as error:
             log.event("request_unusable", error=str(error))
@@ -268,7 +295,6 @@
     if listener.type != socket.SOCK_STREAM or not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
         listener.detach()
         raise OSError(f"LB_ACCEPT_FD: descriptor {descriptor} is not a listening TCP socket")
-    listener.settimeout(ACCEPT_WAIT)  # poll, then accept: a stop of this process leaves the queue to the other
     return listener
 
 
@@ -277,7 +303,7 @@
 
 
 class Server:
-    """Listens, and keeps the sessions by their connection ids."""
+    """Listens, keeps the sessions by their connection ids, and the threads that serve them."""
 
     def __init__(
         self,
@@ -286,22 +312,36 @@
         settings: interface.Settings,
         open_: Open,
         inherited: int | None = None,
+        most_threads: int | None = None,
     ) -> None:
-        """Listen on the address, or on the listening socket of descriptor `inherited` (OSError if it is none)."""
+        """Listen on the address, or on the listening socket of descriptor `inherited` (OSError if it is none).
+
+        most is the number of clients at once; most_threads that of commands under way at once (most if None).
+        """
         self.settings, self.open = settings, open_
         self.unread: Callable[[float], None] | None = None  # hears how long what was read had waited
-        self._most = most
+        self._most, self._most_threads = most, min(most, most_threads or most)
         self._numbers = itertools.count(1)
         self._changed = threading.Condition()
         self._sessions: dict[int, Session] = {}
-        self._threads = self._free = 0  # all, and those that wait for clients
-        self._stopping = threading.Event()
+        self._waiting: dict[int, Session] = {}  # by descriptor: those in the epoll set
+        self._threads = self._free = 0  # all, and those that wait for something to do
+        self._short = 0.0  # monotonic, since when no thread has been free; 0: one has
+        self._full = False  # nobody is accepted until a session ends
+        self._stopping, self._over = threading.Event(), threading.Event()
         self.shared = inherited is not None  # the queue is another process's too
         self._listener = socket.create_server(address, backlog=BACKLOG) if inherited is None else _inherit(inherited)
+        self._listener.setblocking(False)  # of several that wait, one may come too late
+        self._ready = select.epoll()  # each takes an event once, and waits for more where it is armed again
+        self._ready.register(self._listener, ARMED)
+        self._ends, self._alive = os.pipe()  # once its other end is closed it is ready for every thread
+        self._ready.register(self._ends, 0)
 
     def start(self) -> None:
         """Accept clients from now on."""
-        self._start_thread()
+        if not self._start_thread():
+            raise OSError("no thread can be started to serve clients")
+        threads.start(self._look, "session-limits")
 
     @property
     def address(self) -> Address:
@@ -315,29 +355,37 @@
             return self._sessions.get(number)
 
     def ended(self, session: Session) -> None:
-        """A session is over."""
+        """A session is over; its descriptor is closed next."""
         with self._changed:
             self._sessions.pop(session.number, None)
+            if self._waiting.pop(session.fileno(), None) is not None:
+                self._ready.unregister(session.fileno())
+            full, self._full = self._full, False
             self._changed.notify_all()
+        if full:
+            self._listen()
 
     def stop_listening(self) -> None:
         """Accept no more; what has connected already is still served."""
-        self._stopping.set()
-        if self.shared:  # a shutdown would end the queue for the other process too: the threads see the flag
-            return
+        with self._changed:
+            self._stopping.set()
         with contextlib.suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RD)  # wakes the threads that wait for clients
+            self._ready.unregister(self._listener)
+        if not self.shared:  # a shutdown would end the queue for the other process too
+            with contextlib.suppress(OSError):
+                self._listener.shutdown(socket.SHUT_RD)
 
     def finish(self, seconds: float) -> bool:
-        """Let each session end with its open request; whether all did in time."""
+        """Let each session end with its open request; whether all did in time. Then the threads end."""
         with self._changed:
             sessions = list(self._sessions.values())
         for session in sessions:
             session.stop()
         until = time.monotonic() + seconds
-        while True:  # on a shared queue a thread may take one more client while it has not yet seen the flag
+        while True:  # a thread may take one more client while it has not yet seen that none is wanted
             with self._changed:
-                if self._changed.wait_for(lambda: not self._sessions, min(ACCEPT_WAIT, until - time.monotonic())):
+                if self._changed.wait_for(lambda: not self._sessions, min(LOOK, until - time.monotonic())):
+                    self._end()
                     return True
                 late = [session for session in self._sessions.values() if session not in sessions]
             if time.monotonic() >= until:
@@ -346,36 +394,34 @@
                 session.stop()
             sessions.extend(late)
 
+    def _end(self) -> None:
+        """Let the threads go."""
+        if not self._over.is_set():
+            self._over.set()
+            os.close(self._alive)
+
     def _work(self) -> None:
-        """One session after another. The thread is there before its client: starting one takes too long.
+        """Serve one client after another, each as far as what it has sent goes.
 
-        Its buffer lasts as it does: one made for each read and cut to what came left holes in the heap.
+        The thread is there before its client: starting one takes too long. Its buffer lasts as it does: one made
+        for each read and cut to what came left holes in the heap.
         """
-        buffer = bytearray(READ_SIZE)
-        while not self._stopping.is_set():
-            try:
-                sock, _ = self._listener.accept()
-            except TimeoutError:  # a shared queue without clients for a while
-                continue
-            except OSError as error:  # the end, or descriptors have run out for now
-                if not self._stopping.wait(ACCEPT_PAUSE):
-                    log.event("accept_failed", error=str(error))
-                continue
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            set_limit(sock, socket.SO_SNDTIMEO, WRITE_LIMIT)
-            session = Session(self, sock, next(self._numbers) & 0xFFFFFFFF, buffer)
+        buffer = memoryview(bytearray(READ_SIZE))
+        while True:
+            session = self._next()
+            if session is None:
+                return
             with self._changed:
-                self._sessions[session.number] = session
                 self._free -= 1
-                short = self._free < FREE_THREADS[0] and self._threads < self._most
-                crowded = len(self._sessions) > self._most - self._most // SPARE
-            if short and not self._start_thread():  # the machine is short of tasks: ours is the ceiling now
-                with self._changed:
-                    crowded = crowded or self._free <= 0
-            if crowded:
-                self._make_room()
+                more = self._free < FREE_THREADS[0] and self._threads < self._most_threads
+                since = self._short
+                if self._free <= 0 and not since:
+                    self._short = time.monotonic()
+            if more:
+                self._start_thread()
             try:
-                session.run()
+                if session.run(buffer, time.monotonic() - since if since else 0.0):
+                    self._await(session)  # from here on it may be another thread's
             except Exception:  # a fault of ours ends one session, not the thread that other clients need
                 log.must_hold(False, f"a session ends by itself: {traceback.format_exc(limit=-3)}")
             with self._changed:
@@ -386,24 +432,93 @@
             if enough:
                 return
 
-    def _start_thread(self) -> bool:
-        """Whether a further thread waits for clients now.
+    def _next(self) -> Session | None:
+        """A new client, or one that has said something or gone; None at the end."""
+        while not self._over.is_set():
+            short = self._short
+            ready = self._ready.poll(0 if short else None, 1)
+            if not ready:  # nobody waits for a thread any more
+                self._short = 0.0
+                continue
+            number = ready[0][0]
+            if number == self._listener.fileno():
+                session = self._accept()
+            else:
+                with self._changed:
+                    session = self._waiting.get(number)
+            if session is not None:
+                return session
+        return None
 
-        Where none can be had, those that there are part with the client that has let most of its time
-        pass, so that one who connects finds a thread before its time is over and not at its end.
-        """
+    def _accept(self) -> Session | None:
+        """Take a new client, if one is still there, and let the next thread take the next."""
+        try:
+            with self._changed:  # accepting never blocks here; what is taken after the stop would be nobody's
+                if self._stopping.is_set():
+                    return None
+                sock, _ = self._listener.accept()
+                session = Session(self, sock, next(self._numbers) & 0xFFFFFFFF)
+                self._sessions[session.number] = session
+                crowded = len(self._sessions) > self._most - self._most // SPARE
+                full = self._full = len(self._sessions) >= self._most
+        except OSError as error:  # taken by another; or descriptors have run out for now
+            if not isinstance(error, BlockingIOError) and not self._stopping.wait(ACCEPT_PAUSE):
+                log.event("accept_failed", error=str(error))
+            self._listen()
+            return None
+        if crowded:
+            self._make_room()
+        if not full:
+            self._listen()
+        return session
+
+    def _listen(self) -> None:
+        """Have the next new client taken."""
+        if not self._stopping.is_set():
+            with contextlib.suppress(OSError):  # stopped between the two
+                self._ready.modify(self._listener, ARMED)
+
+    def _await(self, session: Session) -> None:
+        """Have the session served when its client says something; another thread may have it at once."""
+        number = session.fileno()
+        with self._changed:
+            new = number not in self._waiting
+            self._waiting[number] = session
+            try:
+                if new:
+                    self._ready.register(number, ARMED)
+                else:
+                    self._ready.modify(number, ARMED)
+                return
+            except OSError as error:  # the system's room for what is waited for has run out
+                del self._waiting[number]
+                why = str(error)
+        log.event("client_lost", error=why)
+        session.close()
+
+    def _start_thread(self) -> bool:
+        """Whether a further thread waits for clients now; where none can be had, those that are there go on."""
         with self._changed:
             self._threads, self._free = self._threads + 1, self._free + 1
         try:
             threads.start(self._work, "session")
-        except threads.NoThread:  # logged there; the thread that asked goes on accepting after its session
+        except threads.NoThread:  # logged there, once an episode
             with self._changed:
                 self._threads, self._free = self._threads - 1, self._free - 1
             return False
         return True
 
+    def _look(self) -> None:
+        """Part with the clients whose time is over."""
+        while not self._over.wait(LOOK):
+            now = time.monotonic()
+            with self._changed:
+                over = [session for session in self._sessions.values() if session.waited(now) >= 1]
+            for session in over:
+                session.part()
+
     def _make_room(self) -> None:
-        """Part with the client that has let most of its time pass: usual ones need the thread.
+        """Part with the client that has let most of its time pass: usual ones need the descriptor.
 
         That is one that says nothing sooner than one that has asked and holds its connection open.
         """
--- a/tealwing/resp/engine.py
+++ b/tealwing/resp/engine.py
@@ -1,4 +1,4 @@
-"""Connections to one engine: opened as needed, shared by many attempts, one reader thread each."""
+"""Connections to one engine: opened as needed, shared by many attempts, read on the reader's one thread."""
 
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
 
 from tealwing import log, threads
 from tealwing.resp import messages
+from tealwing.resp.reader import Watch
 from tealwing.sockets import Address, set_limit
 
 WRITE_LIMIT = 0.25  # s that a write may wait for an engine which takes nothing
@@ -18,7 +19,6 @@
 MOST_CONNECTIONS = 16  # to one engine: clients hold a third of the descriptors, so fewer do
 SPENT = 1000  # ids of the past that a connection remembers, many more than one round trip's
 MESSAGE_LIMIT = 0.5  # s for the rest of a message that has begun: pages are short and engines near
-READ_SIZE = 64 * 1024  # bytes of a reader's buffer, which lasts: see mysql.server
 
 
 class ConnectFailed(Exception):
@@ -86,7 +86,7 @@
 
 
 class Connection:
-    """One open connection. Its reader thread hands answers to the streams' sinks."""
+    """One open connection. The reader hands answers to the streams' sinks."""
 
     def __init__(self, sock: socket.socket, closed: Callable[[Connection], None]) -> None:
         self._sock, self._closed = sock, closed
@@ -96,10 +96,12 @@
         self._alive, self._retired = True, False
         self.idle_since = time.monotonic()
         self.reserved = 0  # attempts that hold a place here; the engine's lock guards it
+        self._parser = messages.Parser()
+        self._begun = 0.0  # when the message that waits for its rest cannot have begun yet
 
-    def start(self) -> None:
-        """Begin to read."""
-        threads.start(self._read, "engine-reader")
+    def fileno(self) -> int:
+        """The descriptor."""
+        return self._sock.fileno()
 
     def takes(self, call: bytes) -> bool:
         """Whether an attempt of this id may go here: an answer to an earlier one must not be its own."""
@@ -160,7 +162,7 @@
             self._sock.shutdown(socket.SHUT_RDWR)
 
     def discard(self) -> None:
-        """End a connection whose reader never started: nothing else will close its descriptor."""
+        """End a connection that nobody reads: nothing else will close its descriptor."""
         with self._lock:
             self._alive = False
         with self._writing:
@@ -178,37 +180,38 @@
                     raise Broken(str(error)) from None
                 raise ConnectFailed(str(error)) from None
 
-    def _read(self) -> None:
-        parser, buffer = messages.Parser(), memoryview(bytearray(READ_SIZE))
-        begun = time.monotonic()  # when the message that waits for its rest cannot have begun yet
+    def read(self, buffer: memoryview) -> float | None:
+        """Hand on what has come; until when the rest of a message that has begun must come."""
         try:
-            while size := self._receive(buffer):
-                found = parser.feed(buffer[: max(size, 0)])
-                for parts in found:
-                    self._hand_on(parts)
-                if found or not parser.begun:  # on a busy connection most reads end within a further message
-                    begun = time.monotonic()
-                elif time.monotonic() > begun + MESSAGE_LIMIT:
-                    raise messages.RespError("a message that does not end")
-        except (OSError, messages.RespError) as error:  # malformed input ends this connection only
-            log.event("engine_connection_failed", error=str(error))
-        finally:
-            with self._lock:
-                self._alive = False
-                left = list(self._streams.values())
-                self._streams.clear()
-            self._closed(self)
-            with self._writing:
-                self._sock.close()
-            for stream in left:
-                stream.sink(Lost(stream))
-
-    def _receive(self, buffer: memoryview) -> int:
-        """The number of bytes that came; 0 at the end, -1 when none came in time."""
-        try:
-            return self._sock.recv_into(buffer)
-        except BlockingIOError:
-            return -1
+            size = self._sock.recv_into(buffer, 0, socket.MSG_DONTWAIT)
+        except BlockingIOError:  # there was nothing after all
+            return self._begun + MESSAGE_LIMIT if self._parser.begun else None
+        if not size:
+            raise EOFError
+        found = self._parser.feed(buffer[:size])
+        for parts in found:
+            self._hand_on(parts)
+        if not self._parser.begun:
+            self._begun = 0.0
+            return None
+        if found or not self._begun:  # on a busy connection most reads end within a further message
+            self._begun = time.monotonic()
+        return self._begun + MESSAGE_LIMIT
+
+    def ended(self, why: Exception | None) -> None:
+        """Nothing more is read: its attempts hear that it is lost."""
+        if not isinstance(why, EOFError):  # malformed input ends this connection only
+            log.event("engine_connection_failed", error=str(why))
+        with self._lock:
+            self._alive = False
+            left = list(self._streams.values())
+            self._streams.clear()
+        self._closed(self)
+        self.close()  # a writer that waits for the engine to take something waits no more
+        with self._writing:
+            self._sock.close()
+        for stream in left:
+            stream.sink(Lost(stream))
 
     def _hand_on(self, parts: list[bytes]) -> None:
         if len(parts) != 4:
@@ -223,8 +226,10 @@
 class Engine:
     """One process of one engine, at one address. A later process gets an Engine of its own."""
 
-    def __init__(self, address: Address, streams: int, connect_limit: float, idle_limit: float) -> None:
-        self.address = address
+    def __init__(
+        self, address: Address, streams: int, connect_limit: float, idle_limit: float, watch: Watch
+    ) -> None:
+        self.address, self._watch = address, watch
         self._streams, self._connect_limit, self._idle_limit = streams, connect_limit, idle_limit
         self._changed = threading.Condition()
         self._open: list[Connection] = []
@@ -281,11 +286,11 @@
         try:
             opened = self._connect(limit)
             try:
-                opened.start()
-            except threads.NoThread:  # nothing was sent: the module may try elsewhere or answer at once
+                self._watch(opened)
+            except (threads.NoThread, OSError) as error:  # nothing was sent: the module may try elsewhere
                 opened.discard()
                 opened = None
-                raise ConnectFailed("no thread to read the connection") from None
+                raise ConnectFailed(f"nobody reads the connection: {error}") from None
             return opened
         finally:
             with self._changed:
@@ -316,7 +321,6 @@
         sock.settimeout(None)  # blocking from here on; the kernel keeps the limit on writes
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         set_limit(sock, socket.SO_SNDTIMEO, WRITE_LIMIT)
-        set_limit(sock, socket.SO_RCVTIMEO, MESSAGE_LIMIT)
         return Connection(sock, self._drop)
 
     def _drop(self, connection: Connection) -> None:
--- a/tealwing/resp/fleet.py
+++ b/tealwing/resp/fleet.py
@@ -7,6 +7,7 @@
 from tealwing import interface, log
 from tealwing.coordinator.news import Member
 from tealwing.resp.engine import ConnectFailed, Engine, Sink, Stream
+from tealwing.resp.reader import Reader
 
 
 class Fleet:
@@ -16,6 +17,11 @@
         self._limits = limits
         self._lock = threading.Lock()
         self._engines: dict[int, tuple[Member, Engine]] = {}
+        self._reader = Reader()
+
+    def start(self) -> None:
+        """Have the thread that reads all connections before there is a request that needs it."""
+        self._reader.start()
 
     def update(self, members: tuple[Member, ...], complete: bool) -> None:
         """Take in news of the list."""
@@ -57,7 +63,8 @@
 
     def _engine(self, member: Member) -> Engine:
         limits = self._limits
-        return Engine((member.host, member.port), limits.multiplex, limits.connect_timeout, limits.idle_time)
+        address = member.host, member.port
+        return Engine(address, limits.multiplex, limits.connect_timeout, limits.idle_time, self._reader.watch)
 
 
 def _same(one: Member, other: Member) -> bool:
--- a/tealwing/service.py
+++ b/tealwing/service.py
@@ -28,7 +28,9 @@
 def serve(config: Config, conf: str | None = None) -> None:
     """Serve until SIGTERM, then finish all that was taken. conf is the path of the operators' own file."""
     daemon = Daemon(config)
-    server = Server(config.listen, config.most_clients, config.settings, daemon.open, config.accept_fd)
+    server = Server(
+        config.listen, config.most_clients, config.settings, daemon.open, config.accept_fd, config.most_threads
+    )
     if conf is not None:
         operate(daemon, server, conf)
     serving = threading.Event()  # what readiness says: set once clients are taken, cleared at the drain
--- a/tealwing/sockets.py
+++ b/tealwing/sockets.py
@@ -25,11 +25,22 @@
         sock.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
 
 
-def receive(sock: socket.socket, buffer: memoryview) -> tuple[int, float | None]:
+def receive(sock: socket.socket, buffer: memoryview, flags: int = 0) -> tuple[int, float | None]:
     """Read into the buffer; the bytes that came, and the Unix time of their arrival if the kernel tells it."""
-    size, notes, _, _ = sock.recvmsg_into([buffer], socket.CMSG_SPACE(STAMP.size))
+    size, notes, _, _ = sock.recvmsg_into([buffer], socket.CMSG_SPACE(STAMP.size), flags)
     for level, kind, data in notes:
         if level == socket.SOL_SOCKET and kind == SO_TIMESTAMPNS and len(data) == STAMP.size:
             seconds, nanoseconds = STAMP.unpack(data)
             return size, seconds + nanoseconds / 1e9
     return size, None
+
+
+LAST_DATA = struct.Struct("=52xI")  # of struct tcp_info (linux/tcp.h): tcpi_last_data_recv, milliseconds
+
+
+def silence(sock: socket.socket) -> float:
+    """Seconds since data last came on a TCP connection, by the kernel's books; 0 where it can't tell."""
+    try:
+        return float(LAST_DATA.unpack(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA.size))[0]) / 1e3
+    except (OSError, struct.error):
+        return 0.0
--- a/tealwing/threads.py
+++ b/tealwing/threads.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import threading
+from collections import Counter
 from collections.abc import Callable
 
 from tealwing import log
@@ -48,4 +49,5 @@
     if refused:
         log.event("threads_again", refused=refused, threads=count)
     if peak:
-        log.event("threads_peak", threads=count)
+        names = Counter(thread.name for thread in threading.enumerate())
+        log.event("threads_peak", threads=count, names=names)
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -5,6 +5,7 @@
 import ast
 import queue
 import socket
+import time
 from pathlib import Path
 
 import pytest
@@ -17,6 +18,7 @@
 from tealwing.policy import Gateway
 from tealwing.resp import engine, messages
 from tealwing.resp.fleet import Fleet
+from tealwing.resp.reader import Reader
 from tests.build import entry, listing, make_settings
 from tests.peers import LIMIT
 
@@ -81,16 +83,17 @@
 
 def test_a_busy_connection_is_not_taken_for_a_stalled_one(monkeypatch: pytest.MonkeyPatch) -> None:
     # seen under load: where each read ends within a message, all of them were taken for one that is late
-    monkeypatch.setattr(engine, "MESSAGE_LIMIT", 0.0)
+    monkeypatch.setattr(engine, "MESSAGE_LIMIT", 1.0)
     ours, theirs = socket.socketpair()
     heard: queue.SimpleQueue[object] = queue.SimpleQueue()
     connection = engine.Connection(ours, lambda _: None)
-    connection.start()
+    Reader().watch(connection)
     connection.want(engine.Stream(connection, b"1", heard.put), b"-", b"SELECT 1")
     note = messages.encode(b"1", b"status", b"-", b"")
     theirs.sendall(note + note[:9])
     for _ in range(5):
         assert isinstance(heard.get(timeout=LIMIT), engine.Answer)
+        time.sleep(0.3)  # longer than the limit in all, each message well within it
         theirs.sendall(note[9:] + note[:9])
     theirs.close()
     assert isinstance(heard.get(timeout=LIMIT), engine.Answer)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -4,13 +4,15 @@
 
 import contextlib
 import socket
+import threading
+import time
 import tracemalloc
 from collections.abc import Iterator
 
 import pytest
 
 from tealwing.exchange import Abandoned, Exchange, Query, Refused, Reply
-from tealwing.mysql import packets, server
+from tealwing.mysql import packets, server, statements
 from tests.build import make_settings
 from tests.peers import LIMIT, Client
 
@@ -31,7 +33,7 @@
 
 @pytest.fixture
 def few() -> Iterator[server.Server]:
-    """A server of eight threads."""
+    """A server of eight clients."""
     few = server.Server(("127.0.0.1", 0), 8, make_settings(), refuse)
     few.start()
     yield few
@@ -99,28 +101,85 @@
     assert sum(trace.size for trace in ours.traces) < len(staying) * server.READ_SIZE
 
 
-def test_threads_come_and_go_with_clients(few: server.Server) -> None:
-    # guards the processor: where the process is held to its share, hundreds of idle threads took half of it
-    many = server.Server(("127.0.0.1", 0), 100, make_settings(), refuse)
+def test_threads_go_with_commands_under_way_not_with_clients(monkeypatch: pytest.MonkeyPatch) -> None:
+    # guards the machine's table of tasks: a thread for each of the clients of 200 gateways filled it
+    held = threading.Semaphore(0)
+
+    class Held:
+        def run(self) -> Reply:
+            assert held.acquire(timeout=LIMIT)
+            return Refused(0.1)
+
+        def abandon(self) -> None:
+            raise AssertionError(Abandoned)
+
+    many = server.Server(("127.0.0.1", 0), 100, make_settings(), lambda query, settings: Held(), most_threads=30)
+    monkeypatch.setattr(statements, "query", lambda *_: Query(b"1", 0, 0, 5.0, b"SELECT 1"))
     many.start()
     clients = [Client(many.address) for _ in range(60)]
-    assert many._threads > 60
     for client in clients:
         ping(client)
-        client.sock.close()
+    with many._changed:  # sixty clients between commands
+        assert many._changed.wait_for(lambda: many._threads <= server.FREE_THREADS[1], LIMIT)
+    for client in clients:
+        client.ask()
+    until = time.monotonic() + LIMIT
+    while (many._threads, many._free) != (30, 0) and time.monotonic() < until:
+        time.sleep(0.01)
+    assert (many._threads, many._free) == (30, 0)
+    held.release(60)  # the other thirty wait for a thread, and each has its answer
+    for client in clients:
+        assert client.error()[0] == 1226
     with many._changed:
         assert many._changed.wait_for(lambda: many._threads <= server.FREE_THREADS[1], LIMIT)
-    ping(Client(many.address))
     many.stop_listening()
     assert many.finish(LIMIT)
+    with many._changed:  # all end with the server
+        assert many._changed.wait_for(lambda: not many._sessions, LIMIT)
+
+
+def test_what_waited_for_a_thread_past_its_time_is_refused_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    # guards the deadline of what no thread took in time: its whole answer comes at once, not after as long again
+    begun, go = threading.Event(), threading.Event()
+    left: list[float] = []
+
+    class Slow:
+        def __init__(self, query: Query) -> None:
+            left.append(query.ttl)
+
+        def run(self) -> Reply:
+            begun.set()
+            assert go.wait(LIMIT)
+            return Refused(0.1)
+
+        def abandon(self) -> None:
+            raise AssertionError(Abandoned)
+
+    one = server.Server(("127.0.0.1", 0), 8, make_settings(), lambda query, settings: Slow(query), most_threads=1)
+    monkeypatch.setattr(statements, "query", lambda *_: Query(b"1", 0, 0, 0.4, b"SELECT 1"))
+    one.start()
+    first, second = Client(one.address), Client(one.address)
+    ping(second)
+    first.ask()
+    assert begun.wait(LIMIT)
+    second.ask()  # the only thread is the first's
+    time.sleep(0.6)
+    go.set()
+    assert first.error()[0] == second.error()[0] == 1226
+    assert left[0] == 0.4 and left[1] < 0  # its time had run out while it waited
+    one.stop_listening()
+    assert one.finish(LIMIT)
 
 
 def test_a_client_that_has_sent_something_is_not_parted_with(few: server.Server) -> None:
     # guards the rule on one answer: a request read after its connection had closed ran beside its copy
-    ours, theirs = socket.socketpair()
-    session = server.Session(few, ours, 1, bytearray(8))
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        theirs = socket.create_connection(listener.getsockname(), LIMIT)
+        ours, _ = listener.accept()
+    session = server.Session(few, ours, 1)
     session._waiting = 0.0, 1.0
     theirs.send(b"x")
+    ours.recv(1, socket.MSG_PEEK)  # it has come
     assert not session.part()
     ours.recv(1)
     assert session.part() and not session.part()  # once
