--- /dev/null
+++ b/tealwing/commands/fleet.py
@@ -0,0 +1,80 @@
+"""`tealwing fleet`: trials of several real processes with faults between them."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import click
+import orjson
+
+from tealwing.commands.root import Finding
+
+
+@click.group()
+def fleet() -> None:
+    """Trials of several processes of the program under injected faults."""
+
+
+@fleet.command("list")
+@click.option("--json", "as_json", is_flag=True, help="One line of JSON a scenario.")
+def list_(as_json: bool) -> None:
+    """Show the scenarios that come along.
+
+    Example: tealwing fleet list
+    """
+    from tealwing.lab.faults import scenario
+
+    for name in scenario.names():
+        found = scenario.load(name)
+        if as_json:
+            told = {"name": name, "load": found.workload, "title": found.title, "about": found.about}
+            click.echo(orjson.dumps(told).decode())
+        else:
+            click.echo(f"{name:22} {found.workload:9} {found.title}")
+
+
+@fleet.command("try")
+@click.argument("name", metavar="SCENARIO")
+@click.option("--procs", type=click.IntRange(2, 32), default=5, show_default=True, help="Processes of the program.")
+@click.option("--seconds", type=click.FloatRange(3, 3600), default=20.0, show_default=True,
+              help="Of load and faults; what heals after them comes on top.")  # fmt: skip
+@click.option("--seed", type=click.IntRange(0, 10**9), default=1, show_default=True)
+@click.option("--out", type=click.Path(file_okay=False), help="Folder for history, logs and report; must be new.")
+@click.option("--sabotage", default="", help="Break something on purpose, to see a judge find it; `help` lists.")
+@click.option("--json", "as_json", is_flag=True, help="The figures as one line of JSON.")
+def attempt(
+    name: str, procs: int, seconds: float, seed: int, out: str | None, sabotage: str, as_json: bool
+) -> None:
+    """Run SCENARIO, a name of `tealwing fleet list` or a .toml file, on real processes over loopback.
+
+    Every peer link goes through a proxy that injects the scenario's faults. The history of all operations is judged
+    afterwards; exit code 1 where a judge finds a violation. Needs the extra `lab`.
+
+    Example: tealwing fleet try partition-halves --procs 5 --seconds 20 --seed 1 --json --out /tmp/trial
+    """
+    try:
+        from tealwing.lab.faults import scenario
+        from tealwing.lab.rig import runs
+    except ImportError as error:
+        raise Finding(f"fleet try needs the extra lab: pip install 'tealwing[lab]' ({error})") from None
+    if sabotage and sabotage not in runs.SABOTAGES:
+        lines = [f"  {word:16} {what}" for word, what in sorted(runs.SABOTAGES.items())]
+        raise click.UsageError("--sabotage: allowed:\n" + "\n".join(lines))
+    folder = Path(out) if out is not None else None
+    if folder is not None and folder.exists() and any(folder.iterdir()):
+        raise click.UsageError(f"--out: {out} is there and not empty; allowed: a new folder")
+    try:
+        found = runs.attempt(scenario.load(name), procs, seconds, seed, folder, sabotage)
+    except (scenario.ScenarioError, ValueError, RuntimeError, OSError) as error:
+        raise Finding(str(error)) from None
+    for violation in found.violations[:20]:
+        click.echo(str(violation), err=True)
+    if as_json:
+        click.echo(orjson.dumps(found.figures).decode())
+    else:
+        for key, value in found.figures.items():
+            click.echo(f"{key:24} {value}")
+        if folder is not None:
+            click.echo(f"report: {folder / 'report.html'}")
+    if found.violations:
+        raise SystemExit(1)
--- /dev/null
+++ b/tealwing/commands/peers.py
@@ -0,0 +1,71 @@
+"""`tealwing peers`: who is heard, and whether a peer answers."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import click
+import orjson
+
+from tealwing.commands.root import Finding
+
+
+def asked(control: str, call: str, limit: float = 5.0, **fields: Any) -> dict[str, Any]:
+    """One call of a gateway's control address, given as HOST:PORT; what went wrong is a finding."""
+    from tealwing.conf import values
+    from tealwing.peers.control import Turned, ask
+
+    try:
+        address = values.address((control,))
+    except values.Unfit as error:
+        raise click.UsageError(f"--control: found {control!r}; allowed: {error}") from None
+    try:
+        return ask(address, call, limit, **fields)
+    except Turned as error:
+        raise Finding(f"{control}: {error}") from None
+    except OSError as error:
+        raise Finding(f"{control}: no gateway answers there ({error})") from None
+
+
+CONTROL = click.option("--control", required=True, metavar="HOST:PORT", help="`control` of the section `peers`.")
+JSON = click.option("--json", "as_json", is_flag=True, help="One line of JSON.")
+
+
+@click.group()
+def peers() -> None:
+    """The link between gateways."""
+
+
+@peers.command()
+@CONTROL
+@JSON
+def status(control: str, as_json: bool) -> None:
+    """Show what a gateway hears of its peers.
+
+    Example: tealwing peers status --control 127.0.0.1:7951
+    """
+    found = asked(control, "status")
+    if as_json:
+        click.echo(orjson.dumps(found).decode())
+        return
+    click.echo(f"{found['name']} of fleet {found['fleet']}")
+    for peer in found["peers"]:
+        silence = "never heard" if peer["silence_s"] is None else f"silent for {peer['silence_s']:.1f} s"
+        click.echo(f"  {peer['name']:32} {peer['state']:8} {peer['for_s']:>9.1f} s  {silence}; sent {peer['sent']},"
+                   f" received {peer['received']}, dropped {peer['dropped']}, dials {peer['dials']}")  # fmt: skip
+
+
+@peers.command()
+@CONTROL
+@JSON
+@click.argument("name")
+def ping(control: str, as_json: bool, name: str) -> None:
+    """Have a gateway ask its peer NAME, and show in what time it answered, both ways.
+
+    Example: tealwing peers ping --control 127.0.0.1:7951 n2
+    """
+    found = asked(control, "ping", to=name, text="ping", wait_s=2.0)
+    if as_json:
+        click.echo(orjson.dumps(found).decode())
+    else:
+        click.echo(f"{found['by']} answered in {found['took_ms']:.1f} ms")
--- a/tealwing/commands/root.py
+++ b/tealwing/commands/root.py
@@ -96,12 +96,14 @@
 
 def main() -> int:
     """Run the command line; the exit code."""
-    from tealwing.commands import demo, gossip, levels, load
+    from tealwing.commands import demo, fleet, gossip, levels, load, peers
 
     tealwing.add_command(levels.levels)
     tealwing.add_command(gossip.gossip)
     tealwing.add_command(load.load)
     tealwing.add_command(demo.demo)
+    tealwing.add_command(fleet.fleet)
+    tealwing.add_command(peers.peers)
     try:
         tealwing.main(prog_name="tealwing")
     except SystemExit as end:
--- a/tealwing/conf/reader.py
+++ b/tealwing/conf/reader.py
@@ -14,6 +14,7 @@
 SECTIONS = {
     "levels": "tealwing.levels.section",
     "gossip": "tealwing.gossip.section",
+    "peers": "tealwing.peers.section",
 }
 MOST_FILES = 64  # files that one file may include, in all
 LARGEST = 1 << 20  # bytes of one file
--- a/tealwing/conf/values.py
+++ b/tealwing/conf/values.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import re
 from collections.abc import Callable
 from typing import Annotated, Any
@@ -151,3 +152,23 @@
     """No argument at all."""
     if words:
         raise Unfit("no argument")
+
+
+def instance(words: Words) -> str:
+    """One name of an instance of the program."""
+    if len(words) != 1 or not re.fullmatch(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,31}", words[0], re.ASCII):
+        raise Unfit("one name of at most 32 letters, digits, dots, hyphens and underscores")
+    return words[0]
+
+
+def address(words: Words) -> tuple[str, int]:
+    """One IPv4 address with its port."""
+    allowed = "one address, as 10.0.0.4:7946 or 127.0.0.1:0"
+    host, colon, port = words[0].rpartition(":") if len(words) == 1 else ("", "", "")
+    if not colon or not (port.isascii() and port.isdigit()) or len(port) > 5 or int(port) > 65535:
+        raise Unfit(allowed)
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        raise Unfit(allowed) from None
+    return host, int(port)
--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -23,6 +23,8 @@
     from tealwing.gossip.plan import Plan as GossipPlan
     from tealwing.gossip.transport import Link
     from tealwing.levels.plan import Plan
+    from tealwing.peers.peering import Peering
+    from tealwing.peers.plan import Plan as PeersPlan
 
 
 class Daemon:
@@ -31,6 +33,7 @@
     def __init__(self, config: Config) -> None:
         self._settings, self._cores = config.settings, config.cores
         self._link: Link | None = None  # where gossip is on
+        self._peering: Peering | None = None  # where the section `peers` is
         self._vitals: Vitals | None = None  # measured where service levels are on
         self._fleet = Fleet(config.settings.limits)
         self._decisions = Decisions(config.settings, config.seed, self._fleet)
@@ -96,12 +99,30 @@
         if levels is not None:
             levels.measures(self._settings)  # may not fit; what comes after it can't fail on the levels
         self._gossip(records.get("gossip"))
+        self._peers(records.get("peers"))
         self._levels(levels)
 
     def leave(self) -> None:
         """The gateway ends: the other instances need not find out."""
         if self._link is not None:
             self._link.stop()
+        if self._peering is not None:
+            self._peering.stop()
+
+    def _peers(self, plan: PeersPlan | None) -> None:
+        """Begin the link to the peers; a LinkFault leaves it as it is."""
+        if plan is None and self._peering is None:
+            return
+        from tealwing.peers.link import LinkFault  # only where it is on
+        from tealwing.peers.peering import Peering
+
+        if plan is None or (self._peering is not None and plan != self._peering.plan):
+            raise LinkFault("peers: the section changed; allowed: a restart")
+        if self._peering is None:
+            if not self._settings.limits.peers:
+                raise LinkFault("peers: the platform's settings forbid talk among gateways (Allowed.Peers)")
+            self._peering = Peering(plan)
+            self._peering.start()
 
     def _gossip(self, plan: GossipPlan | None) -> None:
         """Begin, change or end gossip; a GossipFault leaves it as it is."""
--- a/tealwing/gossip/section.py
+++ b/tealwing/gossip/section.py
@@ -3,47 +3,25 @@
 from __future__ import annotations
 
 import datetime
-import ipaddress
 from math import inf
 
-import msgspec
-
 from tealwing.conf import values
 from tealwing.conf.schema import Block, Entry, Report, Section, Spec
 from tealwing.gossip import keys
 from tealwing.gossip.keys import Allowed
-from tealwing.gossip.messages import LARGEST, Name
+from tealwing.gossip.messages import LARGEST
 from tealwing.gossip.node import Times
-from tealwing.gossip.plan import Address, Plan
+from tealwing.gossip.plan import Plan
 
 LEAST_CEILING = 4 * LARGEST  # bytes a second: below that a probe and its answers do not fit a period
 MOST_KEYS = 4  # of one name
 
 
-def _name(words: values.Words) -> str:
-    try:
-        return msgspec.convert(words[0] if len(words) == 1 else None, Name)
-    except msgspec.ValidationError:
-        raise values.Unfit("one name of at most 32 letters, digits, dots, hyphens and underscores") from None
-
-
-def _address(words: values.Words) -> Address:
-    allowed = "one address, as 10.0.0.4:7946 or 127.0.0.1:0"
-    host, colon, port = words[0].rpartition(":") if len(words) == 1 else ("", "", "")
-    if not colon or not (port.isascii() and port.isdigit()) or len(port) > 5 or int(port) > 65535:
-        raise values.Unfit(allowed)
-    try:
-        ipaddress.IPv4Address(host)
-    except ValueError:
-        raise values.Unfit(allowed) from None
-    return host, int(port)
-
-
 def _peer(words: values.Words) -> Allowed:
     allowed = "a name, its public key in base64, and if it ends, until and a time as 2027-01-31T12:00Z"
     if len(words) not in (2, 4) or (len(words) == 4 and words[2] != "until"):
         raise values.Unfit(allowed)
-    name, until = _name(words[:1]), inf
+    name, until = values.instance(words[:1]), inf
     try:
         public = keys.read_public(words[1])
     except keys.KeyFault as error:
@@ -60,15 +38,15 @@
 
 
 SPECS = (
-    Spec("name", "NAME", "This instance's name, under which the others know its key.", _name, needed=True),
+    Spec("name", "NAME", "This instance's name, under which the others know its key.", values.instance, needed=True),
     Spec("listen", "HOST:PORT", "UDP address, IPv4, at which this instance listens and is told to others.",
-         _address, needed=True),
+         values.address, needed=True),
     Spec("key", "FILE", "This instance's private key, Ed25519 in PEM, mode 0600: `tealwing gossip keygen` makes one.",
          values.text, needed=True),
     Spec("peer", "NAME KEY [until TIME]",
          "An instance that is heard, by its public key in base64; this one too. Two lines of one name let a key change"
          " with an overlap; a line that goes is a key that holds no more, at SIGHUP.", _peer, many=True, needed=True),
-    Spec("seed", "HOST:PORT", "An address to ask first. One that answers is enough.", _address, many=True),
+    Spec("seed", "HOST:PORT", "An address to ask first. One that answers is enough.", values.address, many=True),
     Spec("ceiling", "SIZE", "Bytes a second, headers included, that no second passes.",
          values.sizes(LEAST_CEILING, 1 << 30), "16KB"),
     Spec("period", "DURATION", "Between two probes of members.", values.durations(0.2, 60.0), "1s"),
--- /dev/null
+++ b/tealwing/lab/judges/echo.py
@@ -0,0 +1,32 @@
+"""Judges the answers of peers: the right peer says the right text, and nothing crosses a cut; pure."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from tealwing.lab.judges.reach import Reach
+from tealwing.lab.judges.verdict import Violation
+from tealwing.lab.rig.history import Event, operations
+
+UNDER_WAY = 0.1  # s after a cut within which what was written before it may still be read
+
+
+def judge(events: Sequence[Event], end: float) -> list[Violation]:
+    """What must not have happened among the pings."""
+    found = []
+    reach = Reach(events, end)
+    for ping in operations(events, "ping"):
+        if ping.word != "ok":
+            continue
+        source, target = ping.process, ping.fields["to"]
+        if ping.result["by"] != target:
+            found.append(Violation("echo-by", ping.end, f"{source} asked {target}, and {ping.result['by']} answered"))
+        if ping.result["text"] != ping.fields["text"]:
+            found.append(
+                Violation("echo-text", ping.end, f"{target} said {ping.result['text']!r} for {ping.fields['text']!r}")
+            )
+        begin = ping.begin - UNDER_WAY
+        for a, b in ((source, target), (target, source)):
+            if begin > 0 and reach.closed(a, b, begin, ping.end):
+                found.append(Violation("cut", ping.end, f"{source} had an answer of {target} while {a} to {b} was cut"))
+    return found
--- /dev/null
+++ b/tealwing/lab/judges/reach.py
@@ -0,0 +1,44 @@
+"""Which directions were open when, by the faults of a history; pure."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from math import inf
+
+from tealwing.lab.rig.history import Event, spans
+
+Span = tuple[float, float]
+
+
+class Reach:
+    """For each direction, and for each process, when nothing passed and when all was well."""
+
+    def __init__(self, events: Sequence[Event], end: float) -> None:
+        self.cut: dict[tuple[str, str], list[Span]] = {}
+        self.down: dict[str, list[Span]] = {}  # killed until ready again, or stopped
+        self.rough: list[Span] = []  # some link loses or delays frames
+        for what, fields, begin, over in spans(events, end):
+            if "cuts" in fields:
+                for source, target in fields["cuts"]:
+                    self.cut.setdefault((source, target), []).append((begin, over))
+            elif what in ("kill", "stop"):
+                self.down.setdefault(fields["who"], []).append((begin, over))
+            elif what == "link":
+                self.rough.append((begin, over))
+
+    def closed(self, source: str, target: str, begin: float, end: float) -> bool:
+        """Whether nothing could pass in that direction in all of a time."""
+        return any(a <= begin and end <= b for a, b in self.cut.get((source, target), ()))
+
+    def well(self, source: str, target: str, begin: float, end: float) -> bool:
+        """Whether the direction was open, and both processes ran, in all of a time."""
+        bad = [*self.cut.get((source, target), ()), *self.down.get(source, ()), *self.down.get(target, ()), *self.rough]
+        return all(b < begin or a > end for a, b in bad)
+
+    def silent(self, source: str, target: str, at: float) -> float:
+        """For how many seconds nothing of the source can have reached the target, up to a time; 0 if it could."""
+        since = inf
+        for a, b in [*self.cut.get((source, target), ()), *self.down.get(source, ())]:
+            if a <= at <= b:
+                since = min(since, a)
+        return at - since if since < inf else 0.0
--- /dev/null
+++ b/tealwing/lab/judges/views.py
@@ -0,0 +1,32 @@
+"""Judges what each process holds of its peers against what could reach it; pure."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from tealwing.lab.judges.reach import Reach
+from tealwing.lab.judges.verdict import Violation
+from tealwing.lab.rig.history import Event
+from tealwing.peers.plan import Times
+
+LATE = 1.5  # s that a look at silence may come late on a machine that has other work
+AGAIN = 6.0  # s in which a peer must be heard again: the longest wait between dials, a dial, a hello, and LATE twice
+
+
+def judge(events: Sequence[Event], end: float, times: Times = Times()) -> list[Violation]:  # noqa: B008 - frozen
+    """A peer held for alive that can't be heard, or for lost that has long been heard."""
+    found = []
+    reach = Reach(events, end)
+    for sample in events:
+        if sample["kind"] != "sample":
+            continue
+        observer, at = sample["process"], sample["asked"]
+        for peer, state in sample["peers"].items():
+            silent = reach.silent(peer, observer, at)
+            if state == "alive" and silent > times.lost + LATE:
+                found.append(
+                    Violation("views", at, f"{observer} holds {peer} for alive after {silent:.1f} s of silence")
+                )
+            if state == "dead" and at > AGAIN and reach.well(peer, observer, at - AGAIN, at):
+                found.append(Violation("views", at, f"{observer} holds {peer} for dead, and nothing is in the way"))
+    return found
--- /dev/null
+++ b/tealwing/lab/rig/history.py
@@ -0,0 +1,113 @@
+"""The history of a trial: every operation's begin and end, every fault, and samples, as JSON lines in order of time.
+
+Times are seconds since the trial began, of one clock (all processes are on one machine). The judges read this and
+nothing else: what a process says of itself is in here only as what it answered.
+"""
+
+from __future__ import annotations
+
+import itertools
+import threading
+import time
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+Event = dict[str, Any]
+
+
+class History:
+    """Collects events from any threads, and writes them as they come."""
+
+    def __init__(self, path: Path | None = None) -> None:
+        self._lock = threading.Lock()
+        self._begun = time.monotonic()
+        self._ids = itertools.count(1)
+        self._file = path.open("wb") if path is not None else None
+        self.events: list[Event] = []
+
+    def now(self) -> float:
+        """Seconds since the trial began."""
+        return time.monotonic() - self._begun
+
+    def add(self, kind: str, **fields: Any) -> Event:
+        """Note an event, now."""
+        with self._lock:
+            event = {"t": round(self.now(), 6), "kind": kind, **fields}
+            self.events.append(event)
+            if self._file is not None:
+                self._file.write(orjson.dumps(event) + b"\n")
+        return event
+
+    def invoke(self, op: str, process: str, **fields: Any) -> int:
+        """An operation begins; its number."""
+        number = next(self._ids)
+        self.add("invoke", id=number, op=op, process=process, **fields)
+        return number
+
+    def complete(self, number: int, kind: str, **fields: Any) -> None:
+        """It ends: ok, fail (it surely did nothing) or unknown (it may have done what it was to, or may yet)."""
+        assert kind in ("ok", "fail", "unknown")
+        self.add(kind, id=number, **fields)
+
+    def close(self) -> None:
+        """Write the rest."""
+        with self._lock:
+            if self._file is not None:
+                self._file.close()
+                self._file = None
+
+
+def read(path: Path) -> list[Event]:
+    """The events of a file."""
+    return [orjson.loads(line) for line in path.read_bytes().splitlines()]
+
+
+class Operation:
+    """One operation with its two ends."""
+
+    __slots__ = ("begin", "end", "fields", "id", "op", "process", "result", "word")
+
+    def __init__(self, event: Event) -> None:
+        self.id, self.op, self.process = event["id"], event["op"], event["process"]
+        self.begin, self.end = event["t"], float("inf")
+        self.fields, self.result, self.word = event, {}, "unknown"  # type: Event, Event, str
+
+    def __repr__(self) -> str:
+        return f"{self.op} {self.id} at {self.process} [{self.begin:.3f}, {self.end:.3f}] {self.word}"
+
+
+def operations(events: Iterable[Event], *ops: str) -> list[Operation]:
+    """The operations in order of their begins; one that never ended is unknown and open."""
+    found: dict[int, Operation] = {}
+    for event in events:
+        if event["kind"] == "invoke":
+            if not ops or event["op"] in ops:
+                found[event["id"]] = Operation(event)
+        elif event["kind"] in ("ok", "fail", "unknown") and event["id"] in found:
+            operation = found[event["id"]]
+            operation.word, operation.result = event["kind"], event
+            if event["kind"] != "unknown":  # what is unknown may still take effect
+                operation.end = event["t"]
+    return list(found.values())
+
+
+def spans(events: Iterable[Event], end: float) -> Iterator[tuple[str, dict[str, Any], float, float]]:
+    """The faults that last: what, its fields, from, to."""
+    open_: dict[Any, Event] = {}
+    for event in events:
+        if event["kind"] != "fault":
+            continue
+        key = event.get("span")
+        if key is None:
+            yield event["what"], event, event["t"], event["t"]
+        elif event.get("over"):
+            begun = open_.pop(key, None)
+            if begun is not None:
+                yield begun["what"], begun, begun["t"], event["t"]
+        else:
+            open_[key] = event
+    for event in open_.values():
+        yield event["what"], event, event["t"], end
--- /dev/null
+++ b/tealwing/lab/rig/runs.py
@@ -0,0 +1,75 @@
+"""One trial from its scenario to its figures: what `tealwing fleet try` and the tests run."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from tealwing.lab.faults.scenario import Scenario
+from tealwing.lab.judges.verdict import Violation
+from tealwing.lab.rig import report
+from tealwing.lab.rig.history import Event
+from tealwing.lab.rig.loads import EchoLoad, Load
+from tealwing.lab.rig.trial import Trial, write_json
+
+LOADS: dict[str, Callable[[], Load]] = {"echo": EchoLoad}
+SECTIONS: dict[str, str] = {"echo": ""}  # of the operators' file that a load's processes need beside `peers`
+# Broken on purpose, so that a judge can be seen to find it: what is done to the trial before its load begins
+SABOTAGES = {
+    "leaky-cut": "the proxy lets frames pass a cut",
+    "lying-echo": "one process says another text than it was asked to",
+}
+
+
+class Found:
+    """What a trial gave."""
+
+    def __init__(self, figures: dict[str, Any], violations: list[Violation], events: list[Event]) -> None:
+        self.figures, self.violations, self.events = figures, violations, events
+
+
+def attempt(
+    scenario: Scenario, procs: int, seconds: float, seed: int, out: Path | None = None, sabotage: str = ""
+) -> Found:
+    """Run the trial; out is a folder for history, logs and report (none is kept if None)."""
+    if procs < scenario.least_procs:
+        raise ValueError(f"--procs: {procs}; this scenario needs {scenario.least_procs} or more")
+    begun = time.monotonic()
+    load = LOADS[scenario.workload]()
+    stale = max(1, (procs - 1) // 2 // 2) if procs >= 3 else 0
+    with Trial(scenario, procs, seconds, seed, out, SECTIONS[scenario.workload], stale=stale) as trial:
+        trial.start()
+        _break(trial, sabotage)
+        trial.run(load)
+        events, end = trial.history.events, trial.ended
+        violations = [violation for judge in load.judges for violation in judge(events, end)]
+        violations += [Violation("log", end, what) for what in trial.trouble()]
+        violations += [Violation("rig", end, what) for what in trial.problems]
+        violations += [Violation("settled", e["t"], "the processes were never in touch again after all was healed")
+                       for e in events if e["kind"] == "never-settled"]  # fmt: skip
+        violations.sort(key=lambda violation: violation.at)
+        figures: dict[str, Any] = {
+            "scenario": scenario.title, "procs": procs, "seconds": seconds, "seed": seed, "faults": trial.faults,
+            **load.figures(events), "violations": len(violations), "frames": trial.proxy.counts["frames"],
+            "frames_dropped": trial.proxy.counts["dropped"], "took_s": round(time.monotonic() - begun, 1),
+        }  # fmt: skip
+        if out is not None:
+            write_json(out / "figures.json", figures)
+            write_json(out / "violations.json", [str(violation) for violation in violations])
+            report.write(
+                out / "report.html", scenario.title, scenario.about, figures, violations, events, trial.names, end
+            )
+        return Found(figures, violations, events)
+
+
+def _break(trial: Trial, sabotage: str) -> None:
+    if sabotage == "leaky-cut":
+        trial.proxy.leaky = True
+    elif sabotage == "lying-echo":
+        caller = trial.caller(trial.names[-1])
+        caller.ask("fault.echo", lie=True)
+        caller.close()
+    elif sabotage:
+        raise ValueError(f"--sabotage: {sabotage!r}; allowed: {', '.join(sorted(SABOTAGES))}")
--- /dev/null
+++ b/tealwing/peers/control.py
@@ -0,0 +1,212 @@
+"""The control address: operators, tools and the laboratory ask a gateway about its peers and its replicated state.
+
+It speaks the frames of the peer link; a call is one msgpack map with `call` and the call's own fields, and so is its
+answer, with `error` where it was turned down. TCP on an address that should be loopback or an operators' network: a
+Unix socket is not to be had on every platform. Calls may wait, so each connection has a thread, up to a fixed number.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+import time
+import traceback
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from tealwing import log, threads
+from tealwing.peers import frames
+from tealwing.peers.plan import Address
+from tealwing.sockets import set_limit
+
+MOST_CALLERS = 32  # connections at once: each holds a thread
+QUIET = 30.0  # s that a caller may say nothing between two calls
+REST = 2.0  # s for the rest of a call that has begun
+WRITE_LIMIT = 2.0  # s that a caller may take nothing of its answer
+LONGEST_WAIT = 60.0  # s that a call may ask to wait
+BACKLOG = 64
+ACCEPT_PAUSE = 0.05  # s before a failed accept is tried again
+
+Fields = dict[str, Any]
+Handler = Callable[[Fields], Fields]
+
+_encode = msgspec.msgpack.encode
+_decode = msgspec.msgpack.Decoder(dict[str, Any]).decode
+
+
+class Denied(ValueError):
+    """A call that is turned down; the text says why, for the caller."""
+
+
+def field(fields: Fields, name: str, kind: Any, default: Any = None) -> Any:
+    """A field of a call as that kind of value; Denied where it is another, or missing and without a default."""
+    if name not in fields:
+        if default is not None:
+            return default
+        raise Denied(f"{name}: missing")
+    try:
+        return msgspec.convert(fields[name], kind)
+    except msgspec.ValidationError as error:
+        raise Denied(f"{name}: {error}") from None
+
+
+def wait_of(fields: Fields, default: float) -> float:
+    """The seconds that a call may wait, as its field `wait_s` says."""
+    wait = float(field(fields, "wait_s", float, default))
+    if not 0 <= wait <= LONGEST_WAIT:
+        raise Denied(f"wait_s: {wait:g}; allowed: 0 to {LONGEST_WAIT:g}")
+    return wait
+
+
+class Control:
+    """Answers calls by the handlers that are registered."""
+
+    def __init__(self, address: Address) -> None:
+        """Listen; OSError where the address can't be had."""
+        self._listener = socket.create_server(address, backlog=BACKLOG)
+        self._handlers: dict[str, Handler] = {}
+        self._lock = threading.Lock()
+        self._callers: set[socket.socket] = set()
+        self._stopped = threading.Event()
+
+    @property
+    def address(self) -> Address:
+        """Where it listens."""
+        host, port = self._listener.getsockname()
+        return host, port
+
+    def serve(self, name: str, handler: Handler) -> None:
+        """Answer calls of that name."""
+        self._handlers[name] = handler
+
+    def start(self) -> None:
+        """Take calls from now on."""
+        threads.start(self._accept, "control-accept")
+
+    def stop(self) -> None:
+        """Take no more calls, and end those that wait for theirs."""
+        self._stopped.set()
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RD)
+        self._listener.close()
+        with self._lock:
+            for sock in self._callers:
+                with contextlib.suppress(OSError):
+                    sock.shutdown(socket.SHUT_RD)
+
+    def answer(self, payload: bytes) -> Fields:
+        """The answer to one call."""
+        try:
+            fields = _decode(payload)
+        except (msgspec.DecodeError, msgspec.ValidationError, RecursionError):
+            return {"error": "a call that is no msgpack map"}
+        handler = self._handlers.get(str(fields.get("call")))
+        if handler is None:
+            return {"error": f"call: {fields.get('call')!r}; allowed: {', '.join(sorted(self._handlers))}"}
+        try:
+            return handler(fields)
+        except Denied as error:
+            return {"error": str(error)}
+        except Exception:  # a fault of ours ends one call
+            log.event("control_call_failed", call=fields.get("call"), trace=traceback.format_exc(limit=-3))
+            return {"error": "the call failed within; the gateway's log says how"}
+
+    def _accept(self) -> None:
+        while not self._stopped.is_set():
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                if self._stopped.wait(ACCEPT_PAUSE):
+                    return
+                continue
+            set_limit(sock, socket.SO_SNDTIMEO, WRITE_LIMIT)
+            with self._lock:
+                full = len(self._callers) >= MOST_CALLERS
+                if not full:
+                    self._callers.add(sock)
+            if not full:
+                try:
+                    threads.start(lambda sock=sock: self._serve(sock), "control")  # type: ignore[misc]
+                    continue
+                except threads.NoThread:
+                    pass
+            self._refuse(sock)
+
+    def _refuse(self, sock: socket.socket) -> None:
+        with self._lock:
+            self._callers.discard(sock)
+        with contextlib.suppress(OSError):
+            sock.sendall(frames.encode(_encode({"error": f"{MOST_CALLERS} callers are here already"})))
+        sock.close()
+
+    def _serve(self, sock: socket.socket) -> None:
+        parser, buffer = frames.Parser(), memoryview(bytearray(4096))
+        limit = time.monotonic() + QUIET
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            while (left := limit - time.monotonic()) > 0:
+                set_limit(sock, socket.SO_RCVTIMEO, left)
+                size = sock.recv_into(buffer)
+                if not size:
+                    return
+                begun = parser.begun
+                for payload in parser.feed(buffer[:size]):
+                    sock.sendall(frames.encode(_encode(self.answer(payload))))
+                    begun = False
+                if not parser.begun:
+                    limit = time.monotonic() + QUIET
+                elif not begun:
+                    limit = time.monotonic() + REST
+        except (OSError, frames.FrameError):  # the caller went, or said what can't be read
+            pass
+        finally:
+            with self._lock:
+                self._callers.discard(sock)
+            sock.close()
+
+
+class Turned(RuntimeError):
+    """The gateway turned the call down; the text is its word."""
+
+
+class Caller:
+    """One connection to a control address, for one thread."""
+
+    def __init__(self, address: Address, connect_limit: float = 1.0) -> None:
+        self._sock = socket.create_connection(address, connect_limit)
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._parser = frames.Parser()
+
+    def ask(self, call: str, limit: float = 5.0, **fields: Any) -> Fields:
+        """One call, waited for so many seconds. Turned where it was turned down, OSError where no answer came."""
+        self._sock.settimeout(limit)
+        self._sock.sendall(frames.encode(_encode({"call": call, **fields})))
+        while True:
+            data = self._sock.recv(64 * 1024)
+            if not data:
+                raise ConnectionError("the gateway closed the connection")
+            try:
+                found = self._parser.feed(data)
+            except frames.FrameError as error:
+                raise ConnectionError(f"an answer that can't be read: {error}") from None
+            if found:
+                answer = _decode(found[0])
+                if "error" in answer:
+                    raise Turned(str(answer["error"]))
+                return answer
+
+    def close(self) -> None:
+        """End the connection."""
+        self._sock.close()
+
+
+def ask(address: Address, call: str, limit: float = 5.0, **fields: Any) -> Fields:
+    """One call on a connection of its own."""
+    caller = Caller(address)
+    try:
+        return caller.ask(call, limit, **fields)
+    finally:
+        caller.close()
--- /dev/null
+++ b/tealwing/peers/frames.py
@@ -0,0 +1,63 @@
+"""The frames of the peer link and of the control address: a version, a length, a checksum, a payload; pure.
+
+    magic (3 bytes) | version (1) | length of the payload (4) | xxh3_64 of the payload (8) | payload
+
+All numbers are big-endian. A frame that can't be read ends its connection: after it no byte has a known meaning.
+"""
+
+from __future__ import annotations
+
+import struct
+
+import xxhash
+
+MAGIC, VERSION = b"TWP", 1
+HEAD = struct.Struct(">3sBIQ")
+LARGEST = 1 << 20  # bytes of a payload: a snapshot goes in chunks well below
+KEPT = 64 * 1024  # bytes of a parser's buffer that stay for the next frames
+
+
+class FrameError(ValueError):
+    """Bytes that are no frame; the text says why."""
+
+
+def encode(payload: bytes) -> bytes:
+    """A payload as a frame."""
+    if len(payload) > LARGEST:
+        raise FrameError(f"a payload of {len(payload)} bytes, and {LARGEST} is the most")
+    return HEAD.pack(MAGIC, VERSION, len(payload), xxhash.xxh3_64_intdigest(payload)) + payload
+
+
+class Parser:
+    """Cuts a stream into payloads. What it holds is bounded by one frame and one read."""
+
+    def __init__(self) -> None:
+        self._data = bytearray()
+
+    @property
+    def begun(self) -> bool:
+        """Whether a part of a frame has come."""
+        return bool(self._data)
+
+    def feed(self, data: bytes | memoryview) -> list[bytes]:
+        """Take in what has come; the payloads of the frames that are whole now."""
+        self._data += data
+        found, at = [], 0
+        while len(self._data) - at >= HEAD.size:
+            magic, version, length, digest = HEAD.unpack_from(self._data, at)
+            if magic != MAGIC:
+                raise FrameError(f"{bytes(magic)!r} where a frame was due")
+            if version != VERSION:
+                raise FrameError(f"version {version}, and this is version {VERSION}")
+            if length > LARGEST:  # known before its bytes are kept
+                raise FrameError(f"a frame of {length} bytes, and {LARGEST} is the most")
+            end = at + HEAD.size + length
+            if len(self._data) < end:
+                break
+            payload = bytes(self._data[at + HEAD.size : end])
+            if xxhash.xxh3_64_intdigest(payload) != digest:
+                raise FrameError("a frame whose checksum does not match")
+            found.append(payload)
+            at = end
+        del self._data[:at]
+        return found
--- /dev/null
+++ b/tealwing/peers/link.py
@@ -0,0 +1,368 @@
+"""The peer link on its sockets: one thread that accepts, one that reads all, one that looks round, one sender a peer.
+
+Each connection carries one direction. Whoever has something to say dials, says who it is (`Hello`), and sends frames;
+the other end only reads. Sends never block the caller: they go into the peer's bounded outbox.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import itertools
+import socket
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+from tealwing import log, threads
+from tealwing.coordinator.backoff import Backoff
+from tealwing.gossip.members import State
+from tealwing.peers import frames, messages
+from tealwing.peers.book import Book, Change
+from tealwing.peers.outbox import Outbox
+from tealwing.peers.plan import Address, Plan, Times
+from tealwing.reader import Reader
+from tealwing.sockets import set_limit
+
+RETRY = (0.05, 1.0)  # s between two dials, least and most, jittered: a healed cut is noticed within the most
+CONNECT_LIMIT = 1.0  # s
+WRITE_LIMIT = 1.0  # s that a peer may take nothing before the connection is given up
+BATCH = 256 * 1024  # bytes written at once
+BACKLOG = 64
+ACCEPT_PAUSE = 0.05  # s before a failed accept is tried again
+SPARE_INBOUND = 8  # connections beside one of each peer's: of a peer that starts anew, or of a stranger for `hello`
+
+Hear = Callable[[str, bytes], None]  # name of the peer, body; on the reader's thread: quick, and never blocking
+Watch = Callable[[Change], None]
+
+
+class LinkFault(ValueError):
+    """The link can't begin; the text says why."""
+
+
+class Inbound:
+    """A connection on which a peer speaks."""
+
+    def __init__(self, link: Link, sock: socket.socket, times: Times) -> None:
+        self._link, self._sock, self._times = link, sock, times
+        self._parser = frames.Parser()
+        self.name, self.boot = "", 0
+        self.limit = time.monotonic() + times.hello
+
+    def fileno(self) -> int:
+        """The descriptor."""
+        return self._sock.fileno()
+
+    def read(self, buffer: memoryview) -> float | None:
+        """Hand on what has come; until when the next whole frame must have come."""
+        try:
+            size = self._sock.recv_into(buffer, 0, socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return self.limit
+        if not size:
+            raise EOFError
+        for payload in self._parser.feed(buffer[:size]):
+            self._link.heard(self, messages.decode(payload))
+            self.limit = time.monotonic() + self._times.silent
+        return self.limit
+
+    def ended(self, why: Exception | None) -> None:
+        """It is read no more."""
+        self.close()
+        self._link.lost(self, why)
+
+    def close(self) -> None:
+        """End it."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+        self._sock.close()
+
+    def shut(self) -> None:
+        """Have the reader end it."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+
+
+class Outbound:
+    """The sender to one peer: its outbox and its thread."""
+
+    def __init__(self, link: Link, name: str, address: Address) -> None:
+        self._link, self.name, self.address = link, name, address
+        plan = link.plan
+        self.outbox = Outbox(plan.queue, plan.queue_bytes)
+        self._backoff = Backoff(*RETRY)
+        self._stopped = threading.Event()
+        self._beats = itertools.count(1)
+        self.connected = False
+        self.dials = self.sent = 0
+
+    def start(self) -> None:
+        """Dial, and send from now on."""
+        threads.start(self._run, f"peer-{self.name}")
+
+    def stop(self) -> None:
+        """Send no more."""
+        self._stopped.set()
+        self.outbox.close()
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            try:
+                self.dials += 1
+                with socket.create_connection(self.address, CONNECT_LIMIT) as sock:
+                    sock.settimeout(None)
+                    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                    set_limit(sock, socket.SO_SNDTIMEO, WRITE_LIMIT)
+                    self._speak(sock)
+            except OSError:
+                pass  # as good as silence: the other end's book tells who is heard
+            finally:
+                self.connected = False
+            # what was meant for a peer that can't be reached is stale by the time that it can
+            if self._stopped.wait(self._backoff.next()):
+                return
+            self.outbox.clear()
+
+    def _speak(self, sock: socket.socket) -> None:
+        plan = self._link.plan
+        sock.sendall(frames.encode(messages.encode(self._link.hello(self.name))))
+        self.connected = True
+        began = time.monotonic()
+        while (found := self.outbox.get(plan.times.beat, BATCH)) is not None:
+            payloads = found or [messages.encode(messages.Beat(next(self._beats)))]
+            sock.sendall(b"".join(map(frames.encode, payloads)))
+            self.sent += len(payloads)
+            if time.monotonic() - began > plan.times.doubt:  # it holds: the next trouble begins with short waits
+                self._backoff.heard()
+            if gone(sock):
+                return
+
+
+def gone(sock: socket.socket) -> bool:
+    """Whether the other end, which never speaks on this connection, has closed it."""
+    try:
+        return sock.recv(1, socket.MSG_DONTWAIT | socket.MSG_PEEK) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
+class Link:
+    """One gateway among its peers."""
+
+    def __init__(self, plan: Plan, boot: int | None = None) -> None:
+        """boot is ms of the Unix clock at this start (now, if None). LinkFault where the address can't be had."""
+        self.plan = plan
+        self.boot = int(time.time() * 1e3) if boot is None else boot
+        listen = plan.address(plan.name)
+        assert listen is not None  # the section's check
+        try:
+            self._listener = socket.create_server(listen, backlog=BACKLOG)
+        except OSError as error:
+            raise LinkFault(f"peers: member {plan.name} {listen[0]}:{listen[1]}: {error.strerror}") from None
+        self.lock = threading.Lock()  # round the book, the connections and the senders
+        others = [name for name, _ in plan.members if name != plan.name]
+        self._book = Book(others, plan.times, time.monotonic())
+        self._out = {name: Outbound(self, name, address) for name, address in plan.members if name != plan.name}
+        self._inbound: set[Inbound] = set()
+        self._channels: dict[int, Hear] = {}
+        self._watchers: list[Watch] = []
+        self._sequences = {name: itertools.count(1) for name in others}
+        self._stopped = threading.Event()
+        self._reader = Reader("peer-reader", limited=True)
+        self._complaints = 0
+
+    @property
+    def address(self) -> Address:
+        """Where it listens."""
+        host, port = self._listener.getsockname()
+        return host, port
+
+    def on(self, channel: int, hear: Hear) -> None:
+        """Have what comes on a channel handed on; before the start."""
+        self._channels[channel] = hear
+
+    def watch(self, watch: Watch) -> None:
+        """Be told of peers that are heard again, suspected or lost; before the start, never under our lock."""
+        self._watchers.append(watch)
+
+    def start(self) -> None:
+        """Listen and dial from now on."""
+        self._reader.start()
+        threads.start(self._accept, "peer-accept")
+        threads.start(self._look, "peer-looks")
+        for outbound in self._out.values():
+            outbound.start()
+        log.event("peers_started", name=self.plan.name, address=self.address, peers=self._book.names())
+
+    def stop(self) -> None:
+        """End all connections and threads of the link."""
+        self._stopped.set()
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RD)
+        self._listener.close()
+        with self.lock:
+            inbound, outbound = list(self._inbound), list(self._out.values())
+        for sender in outbound:
+            sender.stop()
+        for connection in inbound:
+            connection.shut()
+
+    def send(self, name: str, channel: int, body: bytes) -> bool:
+        """Send to a peer, as far as it is reached; False where it is none of the members. Never blocks."""
+        with self.lock:
+            outbound = self._out.get(name)
+            if outbound is None:
+                return False
+            payload = messages.encode(messages.Data(channel, next(self._sequences[name]), body))
+            outbound.outbox.put(payload)  # in the order of its numbers
+        return True
+
+    def live(self) -> list[str]:
+        """The peers that are heard."""
+        with self.lock:
+            return self._book.live()
+
+    def change(self, members: dict[str, Address]) -> None:
+        """Other members: the senders and all that is kept of those that go, go with them."""
+        with self.lock:
+            wanted = {name: address for name, address in members.items() if name != self.plan.name}
+            gone_ = [out for name, out in self._out.items() if wanted.get(name) != out.address]
+            for outbound in gone_:
+                del self._out[outbound.name]
+                del self._sequences[outbound.name]
+            fresh = [Outbound(self, name, wanted[name]) for name in wanted if name not in self._out]
+            for outbound in fresh:
+                self._out[outbound.name] = outbound
+                self._sequences[outbound.name] = itertools.count(1)
+            self._book.set_names(wanted, time.monotonic())
+            strangers = [connection for connection in self._inbound if connection.name not in ("", *wanted)]
+        for outbound in gone_:
+            outbound.stop()
+        for connection in strangers:
+            connection.shut()
+        for outbound in fresh:
+            try:
+                outbound.start()
+            except threads.NoThread:  # logged there; without a sender it is as good as unreachable
+                continue
+
+    def status(self) -> list[dict[str, Any]]:
+        """What is known of each peer; seconds and counts."""
+        now = time.monotonic()
+        found = []
+        with self.lock:
+            for name in self._book.names():
+                peer, out = self._book.get(name), self._out[name]
+                assert peer is not None
+                silence = peer.silence(now)
+                found.append(
+                    {
+                        "name": name,
+                        "state": peer.state.name.lower(),
+                        "for_s": round(now - peer.since, 3),
+                        "silence_s": None if silence is None else round(silence, 3),
+                        "boot": peer.boot,
+                        "received": peer.received,
+                        "repeated": peer.repeated,
+                        "connected": out.connected,
+                        "dials": out.dials,
+                        "sent": out.sent,
+                        "waiting": len(out.outbox),
+                        "dropped": out.outbox.dropped,
+                    }
+                )
+        return found
+
+    # For the connections
+
+    def hello(self, to: str) -> messages.Hello:
+        """Who we are."""
+        return messages.Hello(self.plan.fleet, self.plan.name, to, self.boot)
+
+    def heard(self, connection: Inbound, message: messages.Message) -> None:
+        """One message, on the reader's thread. FrameError ends the connection."""
+        now = time.monotonic()
+        change = None
+        if not connection.name:
+            if not isinstance(message, messages.Hello):
+                raise frames.FrameError("a message before the hello")
+            if (message.fleet, message.to) != (self.plan.fleet, self.plan.name):
+                raise frames.FrameError(
+                    f"a hello of {message.name} for {message.to} of fleet {message.fleet!r};"
+                    f" this is {self.plan.name} of {self.plan.fleet!r}"
+                )
+            with self.lock:
+                welcome, change = self._book.greet(message.name, message.boot, now)
+                before = [c for c in self._inbound if c.name == message.name]
+            if not welcome:
+                raise frames.FrameError(f"a hello of {message.name}, which is no member")
+            connection.name, connection.boot = message.name, message.boot
+            for other in before:  # of one direction the last connection counts
+                other.shut()
+        elif isinstance(message, messages.Hello):
+            raise frames.FrameError("a second hello")
+        else:
+            with self.lock:
+                change = self._book.hear(connection.name, now)
+                data = isinstance(message, messages.Data)
+                news = data and self._book.take(connection.name, connection.boot, message.sequence)
+            if news and isinstance(message, messages.Data) and (hear := self._channels.get(message.channel)):
+                self._hand_on(hear, connection.name, message.body)
+        if change is not None:
+            self._tell(change)
+
+    def _hand_on(self, hear: Hear, name: str, body: bytes) -> None:
+        try:
+            hear(name, body)
+        except ValueError as error:  # a body that its package can't read: nothing more of this connection counts
+            raise frames.FrameError(f"a message of {name}: {error}") from None
+
+    def lost(self, connection: Inbound, why: Exception | None) -> None:
+        """A connection has ended."""
+        with self.lock:
+            self._inbound.discard(connection)
+        if not isinstance(why, (EOFError, OSError)) and not self._stopped.is_set():
+            self._complaints += 1
+            if self._complaints & (self._complaints - 1) == 0:  # a flood writes few lines
+                log.event(
+                    "peer_connection_ended", peer=connection.name or None, why=str(why), so_far=self._complaints
+                )
+
+    def _accept(self) -> None:
+        while not self._stopped.is_set():
+            try:
+                sock, _ = self._listener.accept()
+            except OSError as error:
+                if self._stopped.wait(ACCEPT_PAUSE):
+                    return
+                log.event("accept_failed", error=str(error))
+                continue
+            connection = Inbound(self, sock, self.plan.times)
+            with self.lock:
+                full = len(self._inbound) >= len(self._book.names()) + SPARE_INBOUND
+                if not full:
+                    self._inbound.add(connection)
+            if full:  # strangers hold the places: each for `hello` seconds at most
+                connection.close()
+                continue
+            try:
+                self._reader.watch(connection, connection.limit)
+            except (threads.NoThread, OSError):
+                connection.close()
+                with self.lock:
+                    self._inbound.discard(connection)
+
+    def _look(self) -> None:
+        while not self._stopped.wait(self.plan.times.beat):
+            with self.lock:
+                changes = self._book.tick(time.monotonic())
+            for change in changes:
+                self._tell(change)
+
+    def _tell(self, change: Change) -> None:
+        names = {State.ALIVE: "peer_heard", State.SUSPECT: "peer_suspected", State.DEAD: "peer_lost"}
+        log.event(names[change.state], peer=change.name, after=round(change.lasted, 3))
+        for watch in self._watchers:
+            watch(change)
--- /dev/null
+++ b/tealwing/peers/peering.py
@@ -0,0 +1,70 @@
+"""What a gateway runs among its peers, put together: the link, the control address, and what uses them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from tealwing import log
+from tealwing.peers.clock import Clock
+from tealwing.peers.control import Control, Denied, Fields, field
+from tealwing.peers.echo import Echo
+from tealwing.peers.link import Link, LinkFault
+from tealwing.peers.plan import Plan
+
+MOST_RATE, LEAST_RATE = 2.0, 0.5  # of a clock that the laboratory skews
+
+
+class Peering:
+    """One gateway's side of the fleet."""
+
+    def __init__(self, plan: Plan) -> None:
+        """LinkFault where an address can't be had."""
+        self.plan = plan
+        self.clock = Clock()
+        self.link = Link(plan)
+        self.echo = Echo(self.link)
+        self.control: Control | None = None
+        if plan.control is not None:
+            try:
+                self.control = Control(plan.control)
+            except OSError as error:
+                self.link.stop()
+                host, port = plan.control
+                raise LinkFault(f"peers: control {host}:{port}: {error.strerror}") from None
+            self.control.serve("status", lambda _: self.status())
+            self.echo.serve(self.control)
+            if plan.faults:
+                self.control.serve("fault.clock", self._skew)
+                self.control.serve("fault.echo", self._lie)
+
+    def start(self) -> None:
+        """Speak, listen and answer from now on."""
+        self.link.start()
+        if self.control is not None:
+            self.control.start()
+        if self.plan.faults:
+            log.event("faults_taken", why="the operators' file lets the control address take the laboratory's faults")
+
+    def stop(self) -> None:
+        """The gateway ends."""
+        if self.control is not None:
+            self.control.stop()
+        self.link.stop()
+
+    def status(self) -> dict[str, Any]:
+        """What operators ask for: who is heard, and what each further part says of itself."""
+        return {"name": self.plan.name, "fleet": self.plan.fleet, "boot": self.link.boot, "peers": self.link.status()}
+
+    def _skew(self, fields: Fields) -> Fields:
+        """The laboratory steps our clock, or changes its rate."""
+        step, rate = float(field(fields, "step_s", float, 0.0)), float(field(fields, "rate", float, 1.0))
+        if not LEAST_RATE <= rate <= MOST_RATE:
+            raise Denied(f"rate: {rate:g}; allowed: {LEAST_RATE:g} to {MOST_RATE:g}")
+        self.clock.skew(step, rate)
+        log.event("clock_skewed", step_s=step, rate=rate)
+        return {"now": self.clock.now()}
+
+    def _lie(self, fields: Fields) -> Fields:
+        """The laboratory has us answer asks wrongly."""
+        self.echo.lies = bool(field(fields, "lie", bool, False))
+        return {}
--- /dev/null
+++ b/tealwing/peers/plan.py
@@ -0,0 +1,36 @@
+"""What the operators' section `peers` says, as one record; pure."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Times:
+    """Seconds of the link's protocol."""
+
+    beat: float = 0.2  # s between two signs of life on a link that carries nothing else
+    doubt: float = 1.0  # s of silence after which a peer is suspected
+    lost: float = 2.0  # s of silence after which it is held for lost
+    silent: float = 10.0  # s without a whole frame after which an inbound connection is closed
+    hello: float = 2.0  # s in which a connection says whose it is
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """One gateway's place among its peers. Members hold every name, ours too, with its address."""
+
+    fleet: str
+    name: str
+    members: tuple[tuple[str, Address], ...]
+    times: Times = Times()
+    control: Address | None = None
+    queue: int = 1024  # frames that wait for one peer
+    queue_bytes: int = 8 << 20
+    faults: bool = False  # whether the control address takes the laboratory's faults
+
+    def address(self, name: str) -> Address | None:
+        """Where a member listens."""
+        return dict(self.members).get(name)
--- a/tealwing/resp/reader.py
+++ b/tealwing/reader.py
@@ -1,4 +1,4 @@
-"""One thread that waits for all engines' connections, so that threads do not grow with engines.
+"""One thread that waits for many connections, of engines or of peers, so that threads do not grow with them.
 
 A thread for each connection is the plainer way, and was ours. Two hundred gateways and eighty engines made it half
 of all threads of the machine's table of tasks (28 of 53 in a gateway of a day with 30 engines), and a thread that
@@ -18,6 +18,7 @@
 
 BUFFER = 64 * 1024  # bytes, which last: one made for each read and cut to what came left holes in the heap
 AT_ONCE = 64  # connections read between two looks at the time limits
+FRESH = 0.5  # s between two looks for new connections' limits, where none else is due
 FAULT_PAUSE = 0.05  # s before waiting again after a fault of the wait itself: no spinning
 
 
@@ -38,28 +39,36 @@
 
 
 class Reader:
-    """Reads the connections that it is given, on one thread that starts with the first."""
+    """Reads the connections that it is given, on one thread of that name that starts with the first."""
 
-    def __init__(self) -> None:
+    def __init__(self, name: str = "engine-reader", limited: bool = False) -> None:
+        """limited: connections come with a limit on their silence, so that it looks at times now and then."""
+        self._name, self._limited = name, limited
         self._poll = select.epoll()
         self._lock = threading.Lock()
         self._watched: dict[int, Readable] = {}
         self._limits: dict[int, float] = {}  # monotonic, of those in the midst of a message; the thread's own
+        self._fresh: list[tuple[int, float]] = []  # limits of connections that are new, under the lock
         self._started = False
 
     def start(self) -> None:
         """Have the thread, once; NoThread where the system gives none."""
         with self._lock:
             if not self._started:
-                threads.start(self._run, "engine-reader")
+                threads.start(self._run, self._name)
                 self._started = True
 
-    def watch(self, connection: Readable) -> None:
-        """Read the connection from now on, until it ends; NoThread or OSError where that can't be."""
+    def watch(self, connection: Readable, limit: float | None = None) -> None:
+        """Read the connection from now on, until it ends; NoThread or OSError where that can't be.
+
+        limit is the monotonic time by which it must have said something whole, as `read` gives it later.
+        """
         self.start()
         number = connection.fileno()
         with self._lock:
             self._watched[number] = connection
+            if limit is not None:
+                self._fresh.append((number, limit))
         try:
             self._poll.register(number, select.EPOLLIN)
         except OSError:
@@ -75,12 +84,15 @@
                     self._read(number, buffer)
                 self._expire()
             except Exception:  # a fault of ours must not end all reading
-                log.must_hold(False, f"the engines' reader goes on: {traceback.format_exc(limit=-3)}")
+                log.must_hold(False, f"the {self._name} goes on: {traceback.format_exc(limit=-3)}")
                 time.sleep(FAULT_PAUSE)
 
     def _patience(self) -> float | None:
-        """Seconds until the first time limit."""
-        return max(0.0, min(self._limits.values()) - time.monotonic()) if self._limits else None
+        """Seconds until the first time limit, or until new connections' limits are looked at."""
+        left = max(0.0, min(self._limits.values()) - time.monotonic()) if self._limits else None
+        if not self._limited:
+            return left
+        return FRESH if left is None else min(left, FRESH)
 
     def _read(self, number: int, buffer: memoryview) -> None:
         connection = self._watched.get(number)
@@ -91,7 +103,7 @@
         except (EOFError, OSError, ValueError) as error:
             self._end(number, connection, error)
         except Exception as error:  # a fault of ours ends one connection, not the others
-            log.must_hold(False, f"an engine's connection is read: {traceback.format_exc(limit=-3)}")
+            log.must_hold(False, f"the {self._name} reads a connection: {traceback.format_exc(limit=-3)}")
             self._end(number, connection, error)
         else:
             if limit is None:
@@ -101,6 +113,12 @@
 
     def _expire(self) -> None:
         """End the connections whose message did not end in time."""
+        if self._fresh:
+            with self._lock:
+                fresh, self._fresh = self._fresh, []
+            for number, limit in fresh:
+                if number in self._watched:  # what it has said meanwhile counts, not its start
+                    self._limits.setdefault(number, limit)
         if not self._limits:
             return
         now = time.monotonic()
--- a/tealwing/resp/engine.py
+++ b/tealwing/resp/engine.py
@@ -10,8 +10,8 @@
 from dataclasses import dataclass, field
 
 from tealwing import log, threads
+from tealwing.reader import Watch
 from tealwing.resp import messages
-from tealwing.resp.reader import Watch
 from tealwing.sockets import Address, set_limit
 
 WRITE_LIMIT = 0.25  # s that a write may wait for an engine which takes nothing
--- a/tealwing/resp/fleet.py
+++ b/tealwing/resp/fleet.py
@@ -6,8 +6,8 @@
 
 from tealwing import interface, log
 from tealwing.coordinator.news import Member
+from tealwing.reader import Reader
 from tealwing.resp.engine import ConnectFailed, Engine, Sink, Stream
-from tealwing.resp.reader import Reader
 
 
 class Fleet:
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -16,9 +16,9 @@
 from tealwing.gateway.decisions import Decisions
 from tealwing.gateway.life import Life
 from tealwing.policy import Gateway
+from tealwing.reader import Reader
 from tealwing.resp import engine, messages
 from tealwing.resp.fleet import Fleet
-from tealwing.resp.reader import Reader
 from tests.build import entry, listing, make_settings
 from tests.peers import LIMIT
 
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,250 @@
+"""The peer link: frames, who is heard, bounded queues, and peers that send garbage, half a frame or nothing."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from queue import SimpleQueue
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tealwing.conf import reader
+from tealwing.conf.reader import ConfError
+from tealwing.gossip.members import State
+from tealwing.peers import control, frames, link, messages
+from tealwing.peers.book import Book
+from tealwing.peers.clock import Clock
+from tealwing.peers.control import Caller, Control, Turned
+from tealwing.peers.echo import Echo
+from tealwing.peers.link import Link
+from tealwing.peers.outbox import Outbox
+from tealwing.peers.plan import Plan, Times
+from tests.peers import LIMIT
+
+QUICK = Times(beat=0.05, doubt=0.3, lost=0.6, silent=1.0, hello=0.5)
+
+
+def until(holds: Callable[[], bool]) -> None:
+    end = time.monotonic() + LIMIT
+    while not holds():
+        assert time.monotonic() < end, "it never came to hold"
+        time.sleep(0.01)
+
+
+@settings(derandomize=True, max_examples=200)
+@given(st.lists(st.binary(max_size=300), max_size=6), st.lists(st.integers(1, 40), max_size=60))
+def test_frames_come_out_whole_however_they_are_cut(payloads: list[bytes], cuts: list[int]) -> None:
+    data, parser, found = b"".join(map(frames.encode, payloads)), frames.Parser(), []
+    at = 0
+    for cut in cuts:
+        found += parser.feed(data[at : at + cut])
+        at += cut
+    assert found + parser.feed(data[at:]) == payloads and not parser.begun
+
+
+@settings(derandomize=True, max_examples=300)
+@given(st.binary(min_size=1, max_size=60), st.integers(0, 75), st.integers(1, 255))
+def test_no_changed_byte_passes(payload: bytes, place: int, change: int) -> None:
+    data = bytearray(frames.encode(payload))
+    data[place % len(data)] ^= change
+    with contextlib.suppress(frames.FrameError):
+        assert frames.Parser().feed(bytes(data)) == []  # a length that grew: the rest is still awaited
+
+
+@settings(derandomize=True, max_examples=300)
+@given(st.binary(max_size=120))
+def test_garbage_is_a_fault_of_the_frame_never_a_crash(data: bytes) -> None:
+    for read in (messages.decode, frames.Parser().feed):
+        with contextlib.suppress(frames.FrameError):
+            read(data)
+
+
+def test_a_peer_is_doubted_lost_and_heard_again_and_no_copy_is_taken() -> None:
+    book = Book(["b"], QUICK, 0.0)
+    peer = book.get("b")
+    assert peer is not None and peer.state is State.DEAD
+    welcome, change = book.greet("b", 5, 1.0)
+    assert welcome and change is not None and change.state is State.ALIVE
+    assert not book.greet("stranger", 9, 1.0)[0]
+    assert book.take("b", 5, 1) and not book.take("b", 5, 1) and not book.take("b", 4, 2)
+    assert [c.state for c in book.tick(1.4)] == [State.SUSPECT] and [c.state for c in book.tick(1.7)] == [State.DEAD]
+    assert book.greet("b", 6, 2.0)[0] and book.take("b", 6, 1)  # a new start: its numbers begin anew
+    assert peer.repeated == 2
+    book.set_names(["c"], 3.0)
+    assert book.names() == ["c"] and book.hear("b", 3.0) is None
+
+
+def test_the_oldest_is_dropped_and_counted() -> None:
+    box = Outbox(3, 100)
+    for number in range(5):
+        box.put(b"%d" % number)
+    assert box.dropped == 2 and box.get(0.0, 2) == [b"2", b"3"] and box.get(0.0, 2) == [b"4"]
+    box.put(bytes(90))
+    box.put(bytes(90))
+    assert len(box) == 1 and box.dropped == 3
+    box.close()
+    assert box.get(5.0, 1) is None
+
+
+def test_a_skewed_clock_steps_and_drifts() -> None:
+    clock = Clock()
+    before = clock.now()
+    clock.skew(100.0, 2.0)
+    assert 100.0 <= clock.now() - before < 110.0 and clock.real(2.0) == 1.0
+
+
+@pytest.fixture
+def pair() -> Iterator[tuple[Link, Link, SimpleQueue[tuple[str, bytes]]]]:
+    """Two links in this process; what b hears on channel 2."""
+    from tealwing.lab.rig.ports import free_port
+
+    members = tuple((name, ("127.0.0.1", free_port())) for name in "ab")
+    a, b = (Link(Plan("f", name, members, QUICK, queue=16), boot=1) for name in "ab")
+    heard: SimpleQueue[tuple[str, bytes]] = SimpleQueue()
+    b.on(2, lambda name, body: heard.put((name, body)))
+    yield a, b, heard
+    a.stop()
+    b.stop()
+
+
+def test_peers_hear_each_other_lose_each_other_and_come_back(
+    pair: tuple[Link, Link, SimpleQueue[tuple[str, bytes]]],
+) -> None:
+    a, b, heard = pair
+    echo = Echo(a)
+    Echo(b)
+    a.start()
+    b.start()
+    until(lambda: a.live() == ["b"] and b.live() == ["a"])
+    a.send("b", 2, b"x")
+    assert heard.get(timeout=LIMIT) == ("a", b"x")
+    answer = echo.ask("b", "hello", LIMIT)
+    assert answer is not None and (answer.by, answer.text) == ("b", "hello")
+    assert not a.send("nobody", 2, b"x")
+    b.stop()
+    until(lambda: a.status()[0]["state"] == "dead")
+    again = Link(b.plan, boot=2)
+    again.start()
+    until(lambda: a.live() == ["b"] and again.live() == ["a"])
+    again.change({"b": b.plan.address("b") or ("", 0)})  # a is no member any more
+    until(lambda: again.status() == [])
+    until(lambda: a.status()[0]["connected"] is False or a.status()[0]["dials"] > 2)
+    again.stop()
+
+
+HELLO = frames.encode(messages.encode(messages.Hello("f", "a", "b", 1)))
+
+
+@pytest.mark.parametrize(
+    "said",
+    [
+        b"garbage that is no frame at all",
+        HELLO[:9],  # half a frame
+        b"",  # nothing
+        HELLO,  # and then nothing
+        HELLO + HELLO,
+        frames.encode(messages.encode(messages.Beat(1))),  # before the hello
+        frames.encode(messages.encode(messages.Hello("other", "a", "b", 1))),
+        frames.encode(messages.encode(messages.Hello("f", "stranger", "b", 1))),
+        HELLO + frames.encode(b"\x93\x01"),
+    ],
+)
+def test_a_peer_that_says_what_it_must_not_is_closed(
+    pair: tuple[Link, Link, SimpleQueue[tuple[str, bytes]]], said: bytes
+) -> None:
+    _, b, _ = pair
+    b.start()
+    before = len(threads_now())
+    strangers = [socket.create_connection(b.address, LIMIT) for _ in range(4)]
+    for sock in strangers:
+        sock.sendall(said)
+    for sock in strangers:
+        sock.settimeout(LIMIT)
+        with contextlib.suppress(ConnectionResetError):
+            assert sock.recv(1) == b""  # closed: at once, or when its time is over
+        sock.close()
+    assert len(threads_now()) <= before  # none of them has cost a thread
+    until(lambda: not b._inbound)
+
+
+def threads_now() -> list[str]:
+    import threading
+
+    return [thread.name for thread in threading.enumerate() if thread.name.startswith(("peer", "control"))]
+
+
+def test_strangers_have_few_places(pair: tuple[Link, Link, SimpleQueue[tuple[str, bytes]]]) -> None:
+    _, b, _ = pair
+    b.start()
+    socks = [socket.create_connection(b.address, LIMIT) for _ in range(3 * link.SPARE_INBOUND)]
+    until(lambda: len(b._inbound) <= 1 + link.SPARE_INBOUND)
+    for sock in socks:
+        sock.close()
+
+
+def test_the_control_address_answers_right_and_wrong_calls(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(control, "MOST_CALLERS", 3)
+    monkeypatch.setattr(control, "REST", 0.2)
+    served = Control(("127.0.0.1", 0))
+    served.serve("twice", lambda fields: {"is": 2 * control.field(fields, "of", int)})
+    served.serve("broken", lambda fields: {"is": 1 // 0})
+    served.start()
+    caller = Caller(served.address)
+    assert caller.ask("twice", of=4) == {"is": 8}
+    wrong: list[tuple[str, dict[str, Any], str]] = [
+        ("twice", {}, "of: missing"),
+        ("twice", {"of": "x"}, "of: Expected `int`"),
+        ("thrice", {}, "allowed: broken, twice"),
+        ("broken", {}, "failed within"),
+    ]
+    for call, fields, why in wrong:
+        with pytest.raises(Turned, match=why):
+            caller.ask(call, **fields)
+    half, garbage = (socket.create_connection(served.address, LIMIT) for _ in range(2))
+    until(lambda: len(served._callers) == 3)
+    with pytest.raises(Turned, match="callers are here already"):
+        Caller(served.address).ask("twice", of=1)
+    half.sendall(frames.encode(b"xx")[:5])
+    garbage.sendall(b"garbage!" * 4)
+    for sock in (half, garbage):
+        sock.settimeout(LIMIT)
+        assert sock.recv(64) == b""
+    assert caller.ask("twice", of=1) == {"is": 2}
+    caller.close()
+    served.stop()
+
+
+GOOD = """peers
+    name n0
+    member n0 127.0.0.1:7001
+    member n1 127.0.0.1:7002
+"""
+
+
+@pytest.mark.parametrize(
+    ("wrong", "what"),
+    [
+        (GOOD.replace("name n0", "name n7"), "name: found n7; allowed: a name that a member line has"),
+        (GOOD.replace("member n1", "member n0"), "a second member n0"),
+        (GOOD.replace("7002", "7001"), "the address of n0"),
+        (GOOD.replace("127.0.0.1:7002", "localhost"), "member: found n1 localhost"),
+        (GOOD + "    doubt 3s\n", "lost: found 2s; allowed: more than doubt, 3s"),
+        (GOOD + "    beat 500ms\n", "doubt: found 1s; allowed: more than three beats"),
+        (GOOD + "    speed fast\n", "peers speed"),
+    ],
+)
+def test_a_bad_section_names_its_key(tmp_path: Path, wrong: str, what: str) -> None:
+    path = tmp_path / "x.conf"
+    path.write_text(GOOD)
+    plan = reader.read(str(path)).records["peers"]
+    assert plan.address("n1") == ("127.0.0.1", 7002) and not plan.faults
+    path.write_text(wrong)
+    with pytest.raises(ConfError) as found:
+        reader.read(str(path))
+    assert what in str(found.value)
--- a/tests/test_threads.py
+++ b/tests/test_threads.py
@@ -18,8 +18,8 @@
 from tealwing.mysql import packets
 from tealwing.mysql import server as server_module
 from tealwing.mysql.server import Server
+from tealwing.reader import Reader
 from tealwing.resp.engine import Answer, ConnectFailed, Engine
-from tealwing.resp.reader import Reader
 from tests.build import make_settings
 from tests.peers import LIMIT, SETTINGS, Client, Peer, event, member, request, say
 
