Replicate a small state among the gateways, with a core that a model check walks

Need: the state that matters must survive the loss of a minority of gateways and come back to one that returns; nothing was kept beyond a process.

A disk that comes back older has forgotten votes and acknowledgements: each start is unsure until the leader says it has caught up, and quorums grow by the unsure (section `replica`, `stale`). Rejected: consensus libraries of the registry (threads, sockets and pickles in one piece: nothing to walk or to fail), SQLite (no torn write in its midst).

--- /dev/null
+++ b/benchmarks/consensus.py
@@ -0,0 +1,32 @@
+"""The model check of the replicated log's core: states, time, and what mutations are found.
+
+Example: python -m benchmarks.consensus [DEPTH]
+"""
+
+from __future__ import annotations
+
+import sys
+
+from tealwing.lab.models.consensus import Budget, Consensus, figure_eight
+from tealwing.lab.models.explore import explore
+
+
+def main() -> None:
+    """Run all checks to a depth."""
+    depth = int(sys.argv[1]) if len(sys.argv) > 1 else 8
+    plain = Budget(timeouts=2, beats=1, proposals=1, crashes=1, twice=1)
+    from_eight = Budget(timeouts=2, beats=0, proposals=0, crashes=1, twice=1)
+    old = Budget(timeouts=2, beats=0, proposals=0, crashes=0, old=1, twice=0)
+    for name, model, to in (
+        ("the core", Consensus(plain), depth),
+        ("the core, from figure 8 (b)", Consensus(from_eight, begin=figure_eight), depth + 2),
+        ("commit-old-terms, from there", Consensus(from_eight, "commit-old-terms", begin=figure_eight), depth + 2),
+        ("vote-twice", Consensus(plain, "vote-twice"), depth),
+        ("the core, older disks", Consensus(old, stale=1), depth + 4),
+        ("trust-old-disks", Consensus(old, "trust-old-disks", stale=1), depth + 4),
+    ):
+        print(f"{name}: {explore(model, to, 1_500_000).told()}", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tealwing/commands/replica.py
@@ -0,0 +1,125 @@
+"""`tealwing replica`: the replicated state of the gateways."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import click
+import orjson
+
+from tealwing.commands.peers import CONTROL, JSON, asked
+from tealwing.commands.root import Finding
+
+
+@click.group()
+def replica() -> None:
+    """The state that gateways share: who leads, members, snapshots, the disk."""
+
+
+def _say(found: dict[str, Any], as_json: bool, text: str) -> None:
+    click.echo(orjson.dumps(found).decode() if as_json else text)
+
+
+@replica.command()
+@CONTROL
+@JSON
+def status(control: str, as_json: bool) -> None:
+    """Show a member's role, term and leader, and how far its log and state are.
+
+    Example: tealwing replica status --control 127.0.0.1:7951
+    """
+    found = asked(control, "replica.status")
+    held = ", ".join(f"{count} {name}" for name, count in found["held"].items() if count) or "nothing"
+    text = (
+        f"{found['role']} in term {found['term']}, led by {found['leader'] or 'nobody'}"
+        f"; members {', '.join(found['members'])}\n"
+        f"applied {found['applied']}, committed {found['commit']}, log to {found['last']},"
+        f" snapshot at {found['snapshot']}; holds {held}"
+    )
+    if found["unsure"]:
+        text += "\nunsure: this start has not yet caught up with what it may have forgotten"
+    if found["broken"]:
+        text += f"\nOUT OF ORDER: {found['broken']}"
+    _say(found, as_json, text)
+
+
+@replica.command()
+@CONTROL
+@JSON
+def members(control: str, as_json: bool) -> None:
+    """Show the members, and whether each is heard.
+
+    Example: tealwing replica members --control 127.0.0.1:7951
+    """
+    found = asked(control, "status")
+    if "members" not in found:
+        raise Finding(f"{control}: no replicated state there: the section replica is absent")
+    heard = {peer["name"]: peer["state"] for peer in found["peers"]} | {found["name"]: "this one"}
+    told = {"members": [{"name": name, "state": heard.get(name, "unknown")} for name in found["members"]]}
+    _say(told, as_json, "\n".join(f"{each['name']:32} {each['state']}" for each in told["members"]))
+
+
+def _change(control: str, change: str, name: str, as_json: bool) -> None:
+    found = asked(control, "replica.members", 15.0, change=change, name=name, wait_s=10.0)
+    if found["word"] != "ok":
+        raise Finding(f"{found['word']}: {found['why']}")
+    _say(found, as_json, f"members from entry {found['index']} on: {', '.join(found['members'])}")
+
+
+@replica.command()
+@CONTROL
+@JSON
+@click.argument("name")
+def add(control: str, as_json: bool, name: str) -> None:
+    """Add the gateway NAME to the members: one that runs with `join on` and has a member line everywhere.
+
+    Example: tealwing replica add --control 127.0.0.1:7951 n5
+    """
+    _change(control, "add", name, as_json)
+
+
+@replica.command()
+@CONTROL
+@JSON
+@click.argument("name")
+def remove(control: str, as_json: bool, name: str) -> None:
+    """Take the gateway NAME out of the members.
+
+    Example: tealwing replica remove --control 127.0.0.1:7951 n1
+    """
+    _change(control, "remove", name, as_json)
+
+
+@replica.command()
+@CONTROL
+@JSON
+def snapshot(control: str, as_json: bool) -> None:
+    """Have a member write a snapshot now; the log before it goes.
+
+    Example: tealwing replica snapshot --control 127.0.0.1:7951
+    """
+    found = asked(control, "replica.snapshot")
+    _say(found, as_json, f"a snapshot of entry {found['applied']} or later is being written")
+
+
+@replica.command()
+@click.option("--control", metavar="HOST:PORT", help="Of a gateway that runs.")
+@click.option("--folder", type=click.Path(exists=True, file_okay=False), help="Of a gateway that does not.")
+@JSON
+def verify(control: str | None, folder: str | None, as_json: bool) -> None:
+    """Check every record and snapshot on a member's disk. A torn tail is told and is no fault; exit code 1 for others.
+
+    Example: tealwing replica verify --folder /var/lib/tealwing/replica
+    """
+    if (control is None) == (folder is None):
+        raise click.UsageError("one of --control and --folder")
+    if folder is not None:
+        from tealwing.replica import storage
+
+        told = {"folder": folder, "found": storage.verify(Path(folder))}
+    else:
+        told = asked(str(control), "replica.verify", 60.0)
+    _say(told, as_json, "\n".join(told["found"]) or f"{told['folder']}: good")
+    if any("damaged" in line for line in told["found"]):
+        raise SystemExit(1)
--- a/tealwing/conf/reader.py
+++ b/tealwing/conf/reader.py
@@ -15,6 +15,7 @@
     "levels": "tealwing.levels.section",
     "gossip": "tealwing.gossip.section",
     "peers": "tealwing.peers.section",
+    "replica": "tealwing.replica.section",
 }
 MOST_FILES = 64  # files that one file may include, in all
 LARGEST = 1 << 20  # bytes of one file
--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -23,8 +23,9 @@
     from tealwing.gossip.plan import Plan as GossipPlan
     from tealwing.gossip.transport import Link
     from tealwing.levels.plan import Plan
-    from tealwing.peers.peering import Peering
     from tealwing.peers.plan import Plan as PeersPlan
+    from tealwing.replica.peering import Peering
+    from tealwing.replica.plan import Plan as ReplicaPlan
 
 
 class Daemon:
@@ -99,7 +100,7 @@
         if levels is not None:
             levels.measures(self._settings)  # may not fit; what comes after it can't fail on the levels
         self._gossip(records.get("gossip"))
-        self._peers(records.get("peers"))
+        self._peers(records.get("peers"), records.get("replica"))
         self._levels(levels)
 
     def leave(self) -> None:
@@ -109,20 +110,24 @@
         if self._peering is not None:
             self._peering.stop()
 
-    def _peers(self, plan: PeersPlan | None) -> None:
-        """Begin the link to the peers; a LinkFault leaves it as it is."""
+    def _peers(self, plan: PeersPlan | None, replica: ReplicaPlan | None) -> None:
+        """Begin the link to the peers, and the replicated state; a LinkFault leaves it as it is."""
         if plan is None and self._peering is None:
+            if replica is not None:
+                raise ValueError("replica: needs the section peers, whose members take part")
             return
         from tealwing.peers.link import LinkFault  # only where it is on
-        from tealwing.peers.peering import Peering
-
-        if plan is None or (self._peering is not None and plan != self._peering.plan):
-            raise LinkFault("peers: the section changed; allowed: a restart")
-        if self._peering is None:
-            if not self._settings.limits.peers:
-                raise LinkFault("peers: the platform's settings forbid talk among gateways (Allowed.Peers)")
-            self._peering = Peering(plan)
-            self._peering.start()
+        from tealwing.replica.peering import Peering
+
+        if self._peering is not None:
+            if (plan, replica) != (self._peering.plan, self._peering.replica_plan):
+                raise LinkFault("peers, replica: a section changed; allowed: a restart")
+            return
+        assert plan is not None
+        if not self._settings.limits.peers:
+            raise LinkFault("peers: the platform's settings forbid talk among gateways (Allowed.Peers)")
+        self._peering = Peering(plan, replica)
+        self._peering.start()
 
     def _gossip(self, plan: GossipPlan | None) -> None:
         """Begin, change or end gossip; a GossipFault leaves it as it is."""
--- /dev/null
+++ b/tealwing/lab/judges/copies.py
@@ -0,0 +1,46 @@
+"""Judges the copies of the state: equal in the end, one leader a term, and nothing that was applied is taken back."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from tealwing.lab.judges.verdict import Violation
+from tealwing.lab.rig.history import Event
+
+
+def judge(events: Sequence[Event], end: float) -> list[Violation]:
+    """What must not have happened to the copies."""
+    found = []
+    digests = [event for event in events if event["kind"] == "digest"]
+    for one in digests[1:]:
+        first = digests[0]
+        if one["digest"] != first["digest"]:
+            found.append(
+                Violation("divergent", one["t"], f"{one['process']} holds {one['digest']} at {one['applied']},"
+                          f" {first['process']} {first['digest']} at {first['applied']}")
+            )  # fmt: skip
+    led: dict[str, tuple[str, str]] = {}
+    applied: dict[tuple[str, int], int] = {}
+    for sample in events:
+        if sample["kind"] not in ("sample", "terms"):
+            continue
+        if sample.get("role") == "leader":
+            _lead(led, str(sample["term"]), sample["process"], sample["process"], sample["t"], found)
+        for term, leader in sample.get("leaders", {}).items():
+            _lead(led, term, leader, sample["process"], sample["t"], found)
+        if "applied" in sample:
+            start = sample["process"], sample["boot"]
+            if sample["applied"] < applied.get(start, 0):
+                found.append(Violation("applied-back", sample["t"], f"{start[0]} had applied {applied[start]} entries,"
+                                       f" and then {sample['applied']}"))  # fmt: skip
+            applied[start] = sample["applied"]
+    if not digests:
+        found.append(Violation("divergent", end, "no copy told its hash in the end"))
+    return found
+
+
+def _lead(led: dict[str, tuple[str, str]], term: str, leader: str, by: str, at: float, found: list[Violation]) -> None:
+    known = led.setdefault(term, (leader, by))
+    if known[0] != leader:
+        what = f"{leader} led term {term} as {by} says, {known[0]} as {known[1]} does"
+        found.append(Violation("two-leaders", at, what))
--- a/tealwing/lab/rig/history.py
+++ b/tealwing/lab/rig/history.py
@@ -72,7 +72,8 @@
 
     def __init__(self, event: Event) -> None:
         self.id, self.op, self.process = event["id"], event["op"], event["process"]
-        self.begin, self.end = event["t"], float("inf")
+        self.begin: float = event["t"]
+        self.end = float("inf")
         self.fields, self.result, self.word = event, {}, "unknown"  # type: Event, Event, str
 
     def __repr__(self) -> str:
--- a/tealwing/lab/rig/runs.py
+++ b/tealwing/lab/rig/runs.py
@@ -11,11 +11,17 @@
 from tealwing.lab.judges.verdict import Violation
 from tealwing.lab.rig import report
 from tealwing.lab.rig.history import Event
-from tealwing.lab.rig.loads import EchoLoad, Load
+from tealwing.lab.rig.loads import EchoLoad, Load, RegisterLoad
 from tealwing.lab.rig.trial import Trial, write_json
 
-LOADS: dict[str, Callable[[], Load]] = {"echo": EchoLoad}
-SECTIONS: dict[str, str] = {"echo": ""}  # of the operators' file that a load's processes need beside `peers`
+LOADS: dict[str, Callable[[], Load]] = {"echo": EchoLoad, "register": RegisterLoad}
+REPLICA = """replica
+    folder DATA/replica
+    stale STALE
+    snapshot-entries 500
+"""
+# of the operators' file, what a load's processes need beside `peers`
+SECTIONS: dict[str, str] = {"echo": "", "register": REPLICA}
 # Broken on purpose, so that a judge can be seen to find it: what is done to the trial before its load begins
 SABOTAGES = {
     "leaky-cut": "the proxy lets frames pass a cut",
--- a/tealwing/lab/rig/trial.py
+++ b/tealwing/lab/rig/trial.py
@@ -195,7 +195,8 @@
                 sample: dict[str, Any] = {
                     "process": name, "asked": round(begun, 6), "boot": found["boot"],
                     "peers": {peer["name"]: peer["state"] for peer in found["peers"]},
-                    **{key: found[key] for key in ("role", "term", "leader", "commit", "applied") if key in found},
+                    **{key: found[key] for key in ("role", "term", "leader", "commit", "applied", "unsure")
+                       if key in found},
                 }  # fmt: skip
                 self.samples[name] = sample
                 self.history.add("sample", **sample)
@@ -315,7 +316,7 @@
 
     def _fault(self, what: str, **fields: Any) -> None:
         self.faults += 1
-        self.history.add("fault", what=what, **fields)
+        self.history.add("fault", what=what, leader=self.leader(), **fields)
 
     def _span(self, key: Any, what: str, **fields: Any) -> None:
         """A fault that lasts, from now on; one of the same key ends. A cut is said with the directions cut."""
--- /dev/null
+++ b/tealwing/replica/commands.py
@@ -0,0 +1,161 @@
+"""What can be done to the replicated state, and what comes of it; pure.
+
+Every command has its client and a number that only grows with it, so that one that was sent again is applied once; and
+it may be fenced: it then counts only under the newest grant of a lease.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+
+from tealwing.replica.messages import Big, Record
+
+Word = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+Text = Annotated[str, msgspec.Meta(max_length=4096)]
+Ms = Big  # milliseconds of the Unix clock, told by whoever saw it; nothing is decided by it
+LARGEST = 512 * 1024  # bytes of one command
+
+
+class Put(Record, tag="put", frozen=True):
+    """A value under a key, where its version is the one expected (any if None; 0: there is none)."""
+
+    key: Word
+    value: bytes
+    expect: Big | None = None
+
+
+class Delete(Record, tag="del", frozen=True):
+    """No value under a key."""
+
+    key: Word
+
+
+class Settings(Record, tag="settings", frozen=True):
+    """A version of the operators' settings: one more than the last, or it is refused."""
+
+    version: Big
+    text: bytes
+    good: bool = True  # checked by whoever proposes it; a bad one is kept for the record and never the last good
+
+
+class Drain(Record, tag="drain", frozen=True):
+    """An engine's start drains, as told at a time, with its cut-off; over: it is forgotten."""
+
+    engine: Big
+    started: Ms
+    told: Ms = 0
+    cutoff: Ms = 0
+    over: bool = False
+
+
+class Note(Record, tag="note", frozen=True):
+    """Something about an engine's start: `cold` or `aside` since then; over: it is forgotten."""
+
+    engine: Big
+    started: Ms
+    what: Word
+    since: Ms = 0
+    over: bool = False
+
+
+class Level(Record, tag="level", frozen=True):
+    """A service level that is in force, and why; over: it is not."""
+
+    name: Word
+    reason: Text = ""
+    since: Ms = 0
+    over: bool = False
+
+
+class Acquire(Record, tag="acquire", frozen=True):
+    """Grant a lease for so many milliseconds, where nobody holds it; the fencing token is the grant's index."""
+
+    name: Word
+    holder: Word
+    ttl: Annotated[int, msgspec.Meta(ge=100, le=3_600_000)]
+
+
+class Renew(Record, tag="renew", frozen=True):
+    """The holder goes on, where the grant is still the newest and was not found expired."""
+
+    name: Word
+    token: Big
+
+
+class Release(Record, tag="release", frozen=True):
+    """The holder gives it back."""
+
+    name: Word
+    token: Big
+
+
+class Expire(Record, tag="expire", frozen=True):
+    """The leader found that a grant, as last renewed by the entry at an index, has run out by its clock."""
+
+    name: Word
+    token: Big
+    renewed: Big
+
+
+Body = Put | Delete | Settings | Drain | Note | Level | Acquire | Renew | Release | Expire
+
+
+class Fence(Record, frozen=True):
+    """The lease under which something is done, and its token."""
+
+    name: Word
+    token: Big
+
+
+class Command(Record, frozen=True):
+    """An entry's data."""
+
+    client: Annotated[str, msgspec.Meta(max_length=100)]
+    sequence: Big  # 0: sent once, never again
+    body: Body
+    fence: Fence | None = None
+
+
+class Result(Record, frozen=True):
+    """What came of a command: the index at which it was applied, or why the state refused it."""
+
+    ok: bool
+    index: Big
+    version: Big = 0  # of the value, the settings, or the lease's token
+    why: str = ""
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_decoder = msgspec.msgpack.Decoder(Command)
+_results = msgspec.msgpack.Decoder(Result)
+
+
+def encode(command: Command) -> bytes:
+    """A command as an entry's data; ValueError where it is too large."""
+    data = _encode(command)
+    if len(data) > LARGEST:
+        raise ValueError(f"a command of {len(data)} bytes; allowed: {LARGEST}")
+    return data
+
+
+def decode(data: bytes) -> Command:
+    """The command of an entry's data; ValueError for anything else."""
+    try:
+        return _decoder.decode(data)
+    except msgspec.DecodeError as error:
+        raise ValueError(f"no command: {error}") from None
+
+
+def encode_result(result: Result) -> bytes:
+    """A result as bytes."""
+    return _encode(result)
+
+
+def decode_result(data: bytes) -> Result:
+    """The result of some bytes; ValueError for anything else."""
+    try:
+        return _results.decode(data)
+    except msgspec.DecodeError as error:
+        raise ValueError(f"no result: {error}") from None
--- a/tealwing/replica/peering.py
+++ b/tealwing/replica/peering.py
@@ -1,4 +1,4 @@
-"""What a gateway runs among its peers, put together: the link, the control address, and what uses them."""
+"""What a gateway runs among its peers, put together: the link, the control address, the replicated state."""
 
 from __future__ import annotations
 
@@ -10,6 +10,10 @@
 from tealwing.peers.echo import Echo
 from tealwing.peers.link import Link, LinkFault
 from tealwing.peers.plan import Plan
+from tealwing.replica.node import Replica
+from tealwing.replica.plan import Plan as ReplicaPlan
+from tealwing.replica.service import Service
+from tealwing.replica.storage import StorageError
 
 MOST_RATE, LEAST_RATE = 2.0, 0.5  # of a clock that the laboratory skews
 
@@ -17,12 +21,19 @@
 class Peering:
     """One gateway's side of the fleet."""
 
-    def __init__(self, plan: Plan) -> None:
-        """LinkFault where an address can't be had."""
-        self.plan = plan
+    def __init__(self, plan: Plan, replica: ReplicaPlan | None = None) -> None:
+        """LinkFault where an address can't be had, or a disk can't be trusted."""
+        self.plan, self.replica_plan = plan, replica
         self.clock = Clock()
         self.link = Link(plan)
         self.echo = Echo(self.link)
+        self.replica: Replica | None = None
+        if replica is not None:
+            try:
+                self.replica = Replica(replica, self.link, self.clock)
+            except (StorageError, OSError, ValueError) as error:
+                self.link.stop()
+                raise LinkFault(f"replica: folder {replica.folder}: {error}") from None
         self.control: Control | None = None
         if plan.control is not None:
             try:
@@ -36,9 +47,14 @@
             if plan.faults:
                 self.control.serve("fault.clock", self._skew)
                 self.control.serve("fault.echo", self._lie)
+                self.control.serve("fault.disk", self._disk)
+            if self.replica is not None:
+                Service(self.replica, self.control)
 
     def start(self) -> None:
         """Speak, listen and answer from now on."""
+        if self.replica is not None:
+            self.replica.start()
         self.link.start()
         if self.control is not None:
             self.control.start()
@@ -49,11 +65,14 @@
         """The gateway ends."""
         if self.control is not None:
             self.control.stop()
+        if self.replica is not None:
+            self.replica.stop()
         self.link.stop()
 
     def status(self) -> dict[str, Any]:
         """What operators ask for: who is heard, and what each further part says of itself."""
-        return {"name": self.plan.name, "fleet": self.plan.fleet, "boot": self.link.boot, "peers": self.link.status()}
+        told = {"name": self.plan.name, "fleet": self.plan.fleet, "boot": self.link.boot, "peers": self.link.status()}
+        return told | (self.replica.status() if self.replica is not None else {})
 
     def _skew(self, fields: Fields) -> Fields:
         """The laboratory steps our clock, or changes its rate."""
@@ -68,3 +87,14 @@
         """The laboratory has us answer asks wrongly."""
         self.echo.lies = bool(field(fields, "lie", bool, False))
         return {}
+
+    def _disk(self, fields: Fields) -> Fields:
+        """The laboratory has the next writes of our storage fail."""
+        if self.replica is None:
+            raise Denied("there is no replicated state here, and no disk")
+        fault, count = str(field(fields, "fault", str)), int(field(fields, "count", int, 1))
+        if fault not in ("fsync", "short", "full", "none"):
+            raise Denied(f"fault: {fault!r}; allowed: fsync, short, full or none")
+        self.replica.disk.fail(fault, count)
+        log.event("disk_fails_next", fault=fault, count=count)
+        return {}
--- /dev/null
+++ b/tealwing/replica/plan.py
@@ -0,0 +1,17 @@
+"""What the operators' section `replica` says, as one record; pure."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """One member's part of the replicated state; the members themselves are those of the section `peers`."""
+
+    folder: str
+    beat: float = 0.1
+    election: float = 0.6
+    stale: int = 0
+    snapshot_entries: int = 10_000
+    join: bool = False  # empty and waiting to be added, instead of one of the first members
--- /dev/null
+++ b/tealwing/replica/section.py
@@ -0,0 +1,46 @@
+"""The section `replica` of the operators' file."""
+
+from __future__ import annotations
+
+from tealwing.conf import values
+from tealwing.conf.schema import Block, Report, Section, Spec
+from tealwing.replica.plan import Plan
+
+SPECS = (
+    Spec("folder", "PATH", "Where log and snapshots are kept; on a disk that outlives the process.", values.text,
+         needed=True),
+    Spec("beat", "DURATION", "Between two words of a leader that has nothing else to say.",
+         values.durations(0.02, 5.0), "100ms"),
+    Spec("election", "DURATION", "Silence of the leader after which another is elected, at least; up to twice that.",
+         values.durations(0.1, 60.0), "600ms"),
+    Spec("stale", "COUNT", "Members that may at once come back with an older disk than they had. Each costs a member"
+         " more for a quorum while starts are unsure: after a power loss, more than half and so many must return.",
+         values.wholes(0, 31), "0"),
+    Spec("snapshot-entries", "COUNT", "Entries after which a snapshot is written and the log before it goes.",
+         values.wholes(100, 10_000_000), "10000"),
+    Spec("join", "on|off", "Whether this is a new member that waits to be added (`tealwing replica add`).",
+         values.switch, "off"),
+)  # fmt: skip
+
+
+def build(block: Block, report: Report) -> Plan:
+    """The plan that a checked section makes."""
+    beat, election = block.one("beat"), block.one("election")
+    plan = Plan(
+        block.one("folder"), beat, election, block.one("stale"), block.one("snapshot-entries"), block.one("join")
+    )
+    if election < 3 * beat:
+        report.add(
+            block.place("election", block.place("folder", block.entries["folder"][0].place)), "election",
+            values.written_duration(election), f"three beats or more, {values.written_duration(3 * beat)}",
+        )  # fmt: skip
+    return plan
+
+
+SECTION = Section(
+    "replica",
+    "State that the gateways share, in a replicated log; needs the section `peers`, whose members take part; see"
+    " docs/operating/replication.md. Absent: none.",
+    SPECS,
+    build,
+)
--- /dev/null
+++ b/tealwing/replica/service.py
@@ -0,0 +1,107 @@
+"""The calls of the control address about the replicated state."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from tealwing.peers.control import Control, Denied, Fields, field, wait_of
+from tealwing.replica import commands as c
+from tealwing.replica.node import Replica, Unavailable, Unknown
+from tealwing.replica.storage import verify
+
+WAIT = 5.0  # s that a call waits where it does not say
+
+
+class Service:
+    """Answers for one member."""
+
+    def __init__(self, replica: Replica, control: Control) -> None:
+        self._replica = replica
+        calls: dict[str, Callable[[Fields], Fields]] = {
+            "replica.status": lambda _: replica.status(),
+            "replica.digest": self._digest,
+            "replica.verify": self._verify,
+            "replica.snapshot": self._snapshot,
+            "replica.members": self._members,
+            "replica.do": self._do,
+            "replica.get": self._get,
+        }
+        for name, call in calls.items():
+            control.serve(name, call)
+
+    def _digest(self, _: Fields) -> Fields:
+        applied, digest = self._replica.digest()
+        return {"applied": applied, "digest": digest}
+
+    def _verify(self, _: Fields) -> Fields:
+        """Look at the disk, and compare the state with the hash that a read of the disk gives."""
+        return {"folder": self._replica.plan.folder, "found": verify(self._replica.storage.folder)}
+
+    def _snapshot(self, _: Fields) -> Fields:
+        self._replica.snapshot()
+        return {"applied": self._replica.state.applied}
+
+    def _members(self, fields: Fields) -> Fields:
+        """Add or remove one member."""
+        change, name = field(fields, "change", str), field(fields, "name", str)
+        members = set(self._replica.core.members)
+        if change not in ("add", "remove"):
+            raise Denied(f"change: {change!r}; allowed: add or remove")
+        if (name in members) == (change == "add"):
+            raise Denied(f"name: {name} is {'a member already' if change == 'add' else 'no member'}")
+        if change == "add" and self._replica.plan_address(name) is None:
+            raise Denied(f"name: {name} has no member line in the section peers here")
+        wanted = members | {name} if change == "add" else members - {name}
+        told = self._outcome(lambda wait: {"index": self._replica.change_members(sorted(wanted), wait)}, fields)
+        return told | {"members": sorted(wanted)}
+
+    def _do(self, fields: Fields) -> Fields:
+        """Have a command applied: `body` is one of tealwing.replica.commands, as msgpack."""
+        try:
+            body = msgspec.msgpack.decode(field(fields, "body", bytes), type=c.Body)
+        except msgspec.DecodeError as error:
+            raise Denied(f"body: {error}") from None
+        fence = None
+        if "token" in fields:
+            fence = c.Fence(field(fields, "lease", str), field(fields, "token", int))
+        command = c.Command(field(fields, "client", str, ""), field(fields, "sequence", int, 0), body, fence)
+        if command.sequence and not command.client:
+            raise Denied("client: missing, where there is a sequence")
+        return self._outcome(lambda wait: _told(self._replica.write(command, wait)), fields)
+
+    def _get(self, fields: Fields) -> Fields:
+        """A value by its table and key: seen by a quorum, or with `stale` as it is here, and marked so."""
+        table, key = field(fields, "table", str, "values"), field(fields, "key", str)
+        if table not in self._replica.state.tables:
+            raise Denied(f"table: {table!r}; allowed: {', '.join(sorted(self._replica.state.tables))}")
+        stale = bool(field(fields, "stale", bool, False))
+
+        def get(wait: float) -> Fields:
+            if not stale:
+                self._replica.read_index(wait)
+            with self._replica.lock:
+                state = self._replica.state
+                value, applied = state.tables[table].get(key), state.applied
+            return {"found": value is not None, "value": msgspec.to_builtins(value, builtin_types=(bytes,)),
+                    "applied": applied, "stale": stale}  # fmt: skip
+
+        return self._outcome(get, fields)
+
+    def _outcome(self, run: Callable[[float], Fields], fields: Fields) -> Fields:
+        """What came of it, in a word: ok, refused (by the state), unavailable (surely not done), unknown."""
+        try:
+            return {"word": "ok"} | run(wait_of(fields, WAIT))
+        except Unavailable as error:
+            return {"word": "unavailable", "why": str(error)}
+        except Unknown as error:
+            return {"word": "unknown", "why": str(error)}
+        except ValueError as error:
+            raise Denied(str(error)) from None
+
+
+def _told(result: c.Result) -> dict[str, Any]:
+    word = "ok" if result.ok else "refused"
+    return {"word": word, "index": result.index, "version": result.version, "why": result.why}
--- /dev/null
+++ b/tealwing/replica/state.py
@@ -0,0 +1,265 @@
+"""The state that the log makes: the same at every member that has applied the same entries; pure.
+
+No clock is read here. Times in commands are told by whoever saw them; that a lease has run out is an entry of its own.
+Values are immutable, so that a shallow copy of the tables is the state at one moment: a snapshot is written from that.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from typing import Annotated, Any
+
+import msgspec
+import xxhash
+
+from tealwing.replica import commands as c
+from tealwing.replica.messages import Record
+
+MOST_SESSIONS = 1024  # clients remembered: the one that has been quiet longest by index goes first
+KEPT_SETTINGS = 16  # versions of settings kept, and the last good one
+PIECE = 64 * 1024  # bytes after which a snapshot's body is cut
+
+Count = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class Value(Record, frozen=True):
+    """A value and its version: the index of the entry that put it."""
+
+    value: bytes
+    version: int
+
+
+class Session(Record, frozen=True):
+    """The last command of a client, and what came of it."""
+
+    sequence: int
+    result: c.Result
+
+
+class Lease(Record, frozen=True):
+    """A grant: who holds it, for how long, its token, the entry that renewed it last."""
+
+    holder: str
+    ttl: int  # ms
+    token: int
+    renewed: int
+    held: bool = True
+
+
+class Version(Record, frozen=True):
+    """One version of the settings."""
+
+    text: bytes
+    good: bool
+    index: int
+
+
+TABLES: dict[str, type] = {
+    "values": Value,
+    "settings": Version,
+    "drains": c.Drain,
+    "notes": c.Note,
+    "levels": c.Level,
+    "leases": Lease,
+    "fences": int,
+    "sessions": Session,
+}
+
+_encode = msgspec.msgpack.Encoder().encode
+_decoders: dict[str, Any] = {name: msgspec.msgpack.Decoder(kind) for name, kind in TABLES.items()}
+
+
+class Item(msgspec.Struct, array_like=True, frozen=True):
+    """One line of a snapshot: table, key, and the value's bytes."""
+
+    table: str
+    key: str
+    value: bytes
+
+
+_items = msgspec.msgpack.Decoder(Item)
+
+
+class State:
+    """The tables, and the index up to which entries are applied."""
+
+    def __init__(self) -> None:
+        self.applied = 0
+        self.tables: dict[str, dict[str, Any]] = {name: {} for name in TABLES}
+        self.refused_stale = 0  # fenced commands under an older token: told in the figures, not part of the state
+
+    # Commands
+
+    def apply(self, index: int, data: bytes) -> c.Result:
+        """Apply the entry at an index, once, in order."""
+        self.applied = index
+        try:
+            command = c.decode(data)
+        except ValueError as error:  # the same at every member
+            return c.Result(False, index, why=str(error))
+        sessions = self.tables["sessions"]
+        if command.sequence:
+            known: Session | None = sessions.get(command.client)
+            if known is not None and command.sequence <= known.sequence:
+                if command.sequence == known.sequence:
+                    return known.result
+                return c.Result(False, index, why=f"sequence {command.sequence} came after {known.sequence}")
+        result = self._fenced(index, command)
+        if command.sequence:
+            sessions.pop(command.client, None)  # to the end: the order is that of the last commands
+            sessions[command.client] = Session(command.sequence, result)
+            if len(sessions) > MOST_SESSIONS:
+                del sessions[next(iter(sessions))]
+        return result
+
+    def _fenced(self, index: int, command: c.Command) -> c.Result:
+        fence = command.fence
+        if fence is not None:
+            newest = self.tables["fences"].get(fence.name, 0)
+            if fence.token != newest or not newest:  # an older grant's, or one that there never was
+                self.refused_stale += 1
+                why = f"stale token {fence.token} of {fence.name}: {newest} is the newest"
+                return c.Result(False, index, newest, why)
+        return self._apply(index, command.body)
+
+    def _apply(self, index: int, body: c.Body) -> c.Result:
+        match body:
+            case c.Put(key, value, expect):
+                return self._put(index, key, value, expect)
+            case c.Delete(key):
+                gone = self.tables["values"].pop(key, None)
+                return c.Result(gone is not None, index, why="" if gone else f"no value under {key}")
+            case c.Settings(version, text, good):
+                return self._settings(index, version, text, good)
+            case c.Drain(engine, started):
+                return self._keep(index, "drains", f"{engine}/{started}", body, body.over, first=True)
+            case c.Note(engine, started, what):
+                return self._keep(index, "notes", f"{engine}/{started}/{what}", body, body.over, first=True)
+            case c.Level(name):
+                return self._keep(index, "levels", name, body, body.over)
+            case c.Acquire(name, holder, ttl):
+                return self._acquire(index, name, holder, ttl)
+            case c.Renew(name, token):
+                return self._renew(index, name, token)
+            case c.Release(name, token):
+                return self._end(index, name, token)
+            case c.Expire(name, token, renewed):
+                lease: Lease | None = self.tables["leases"].get(name)
+                if lease is None or lease.renewed != renewed:  # renewed meanwhile: it has not run out
+                    return c.Result(False, index, why=f"{name} is renewed or another's")
+                return self._end(index, name, token)
+
+    def _put(self, index: int, key: str, value: bytes, expect: int | None) -> c.Result:
+        before: Value | None = self.tables["values"].get(key)
+        version = before.version if before else 0
+        if expect is not None and expect != version:
+            return c.Result(False, index, version, f"version {version} and not {expect} is under {key}")
+        self.tables["values"][key] = Value(value, index)
+        return c.Result(True, index, index)
+
+    def _settings(self, index: int, version: int, text: bytes, good: bool) -> c.Result:
+        table = self.tables["settings"]
+        last = max(map(int, table), default=0)
+        if version != last + 1:
+            return c.Result(False, index, last, f"version {version} after {last}")
+        table[str(version)] = Version(text, good, index)
+        best = self.last_good()
+        for number in sorted(map(int, table))[:-KEPT_SETTINGS]:
+            if number != best:
+                del table[str(number)]
+        return c.Result(True, index, version)
+
+    def last_good(self) -> int:
+        """The newest version of the settings that is good; 0 where there is none."""
+        return max((int(key) for key, version in self.tables["settings"].items() if version.good), default=0)
+
+    def _keep(self, index: int, table: str, key: str, value: Any, over: bool, first: bool = False) -> c.Result:
+        """Put or forget; with first the earliest word stays: a drain's cut-off counts from when it was first told."""
+        if over:
+            gone = self.tables[table].pop(key, None)
+            return c.Result(gone is not None, index, why="" if gone else f"no {key} in {table}")
+        if first and key in self.tables[table]:
+            return c.Result(True, index, why="known already")
+        self.tables[table][key] = value
+        return c.Result(True, index, index)
+
+    # Leases: see tealwing.leases
+
+    def _acquire(self, index: int, name: str, holder: str, ttl: int) -> c.Result:
+        lease: Lease | None = self.tables["leases"].get(name)
+        if lease is not None and lease.held:
+            return c.Result(False, index, lease.token, f"{lease.holder} holds {name}")
+        self.tables["leases"][name] = Lease(holder, ttl, index, index)
+        self.tables["fences"][name] = index
+        return c.Result(True, index, index)
+
+    def _renew(self, index: int, name: str, token: int) -> c.Result:
+        lease: Lease | None = self.tables["leases"].get(name)
+        if lease is None or lease.token != token or not lease.held:
+            return c.Result(False, index, lease.token if lease else 0, f"the grant {token} of {name} is over")
+        self.tables["leases"][name] = msgspec.structs.replace(lease, renewed=index)
+        return c.Result(True, index, token)
+
+    def _end(self, index: int, name: str, token: int) -> c.Result:
+        lease: Lease | None = self.tables["leases"].get(name)
+        if lease is None or lease.token != token or not lease.held:
+            return c.Result(False, index, lease.token if lease else 0, f"the grant {token} of {name} is over")
+        self.tables["leases"][name] = msgspec.structs.replace(lease, held=False)
+        return c.Result(True, index, token)
+
+    # The whole
+
+    def copy(self) -> State:
+        """The state as it is now, while this one goes on."""
+        twin = State()
+        twin.applied = self.applied
+        twin.tables = {name: dict(table) for name, table in self.tables.items()}
+        return twin
+
+    def dump(self) -> Iterator[bytes]:
+        """The body of a snapshot, in pieces: items, each with its length before it, tables in their order."""
+        piece = bytearray()
+        for name, table in self.tables.items():
+            for key, value in table.items():
+                item = _encode(Item(name, key, _encode(value)))
+                piece += len(item).to_bytes(4, "big") + item
+                if len(piece) >= PIECE:
+                    yield bytes(piece)
+                    piece.clear()
+        if piece:
+            yield bytes(piece)
+
+    def load(self, applied: int, pieces: Iterable[bytes]) -> None:
+        """Be what a snapshot's body says. ValueError where it can't be read."""
+        fresh: dict[str, dict[str, Any]] = {name: {} for name in TABLES}
+        data = bytearray()
+        for piece in pieces:
+            data += piece
+            at = 0
+            while len(data) - at >= 4:
+                end = at + 4 + int.from_bytes(data[at : at + 4], "big")
+                if len(data) < end:
+                    break
+                try:
+                    item = _items.decode(bytes(data[at + 4 : end]))
+                    fresh[item.table][item.key] = _decoders[item.table].decode(item.value)
+                except (msgspec.DecodeError, KeyError) as error:
+                    raise ValueError(f"an item that can't be read: {error}") from None
+                at = end
+            del data[:at]
+        if data:
+            raise ValueError("a body that ends within an item")
+        self.tables, self.applied = fresh, applied
+
+    def digest(self) -> str:
+        """A hash of all tables but the order of sessions: equal at members that have applied the same."""
+        found = xxhash.xxh3_64()
+        for name, table in self.tables.items():
+            for key in sorted(table):
+                found.update(_encode((name, key)))
+                found.update(_encode(table[key]))
+        return found.hexdigest()
+
+    def counts(self) -> dict[str, int]:
+        """How much each table holds."""
+        return {name: len(table) for name, table in self.tables.items()}
--- /dev/null
+++ b/tealwing/replica/storage.py
@@ -0,0 +1,401 @@
+"""The log and the snapshots of one member on its disk.
+
+The log is files of records, each with a mark, its length and a checksum; a record is on the disk before anything that
+rests on it is said. Of entries with one index the later record counts, and cuts all that came after that index. A
+record at the end that is not whole was being written when the power went: it is cut at the start. A bad record with
+good ones after it is no torn tail but a damaged disk, and the start ends with that: cutting there would forget what
+was promised.
+
+Snapshots are written beside, synced, renamed, and their folder synced; the name says index and term. The first bytes
+are a header with the size and a checksum of all that follows.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import struct
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import BinaryIO
+
+import msgspec
+import xxhash
+
+from tealwing.replica.disk import Disk
+from tealwing.replica.messages import CHUNK, Entry, Record
+from tealwing.replica.raft import Meta
+
+MARK = b"\xa7TW1"
+HEAD = struct.Struct(">4sIQ")  # mark, length, xxh3_64 of the payload
+LONGEST = 16 << 20  # bytes of a record: an entry holds one command
+SEGMENT = 8 << 20  # bytes after which the log goes on in a new file
+SNAP_HEAD = struct.Struct(">4sIQQ")  # mark, length of the description, size of the body, xxh3_64 of both
+SNAP_MARK = b"\xa7TWS"
+
+
+class StorageError(RuntimeError):
+    """A disk whose content can't be trusted; the text says what and where."""
+
+
+class Hard(Record, tag="h", frozen=True):
+    """Term and vote."""
+
+    term: int
+    vote: str
+
+
+class Stored(Record, tag="e", frozen=True):
+    """One entry."""
+
+    entry: Entry
+
+
+class Installed(Record, tag="s", frozen=True):
+    """A snapshot of another comes next: if it is there, entries after it that came before this are no more."""
+
+    index: int
+    term: int
+
+
+class Described(Record, frozen=True):
+    """What a snapshot is of."""
+
+    index: int
+    term: int
+    members: list[str]
+
+
+_encode = msgspec.msgpack.Encoder().encode
+Written = Hard | Stored | Installed
+_decoder: msgspec.msgpack.Decoder[Written] = msgspec.msgpack.Decoder(Written)
+
+
+@dataclass(slots=True)
+class Found:
+    """What a start finds."""
+
+    term: int = 0
+    vote: str = ""
+    snapshot: Meta = field(default_factory=Meta)
+    log: list[Entry] = field(default_factory=list)
+    cut: int = 0  # bytes of a torn tail that were cut
+    fresh: bool = True  # nothing was there
+    incoming: tuple[int, int, int] = (0, 0, 0)
+
+
+class Storage:
+    """The folder of one member. One thread uses it."""
+
+    def __init__(self, folder: Path, disk: Disk | None = None) -> None:
+        self.folder, self.disk = folder, disk or Disk()
+        self._file: BinaryIO | None = None
+        self._segments: dict[Path, int] = {}  # each file with the highest index that it may hold
+        self._size = 0
+        self._number = 0
+        self._last = 0  # highest index written
+        self._hard = Hard(0, "")
+        self.snapshot = Meta()
+        self.broken = ""  # why nothing more is written: after a failed sync nobody knows what the disk has
+
+    # The start
+
+    def open(self) -> Found:
+        """Read all; cut a torn tail. StorageError where something else is wrong."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        found = Found()
+        for part in self.folder.glob("*.tmp"):
+            part.unlink()
+        self.snapshot = found.snapshot = self._newest_snapshot()
+        entries: dict[int, Entry] = {}
+        last = 0
+        paths = sorted(self.folder.glob("log-*.wal"))
+        found.fresh = not paths and not found.snapshot.index
+        for place, path in enumerate(paths):
+            highest = 0
+            for record in self._records(path, place == len(paths) - 1, found):
+                if isinstance(record, Hard):
+                    found.term, found.vote = record.term, record.vote
+                    self._hard = record
+                    continue
+                if isinstance(record, Installed):
+                    if found.snapshot.index >= record.index:
+                        entries = {i: entry for i, entry in entries.items() if i <= record.index}
+                        last = min(last, record.index)
+                    continue
+                entry = record.entry
+                for index in range(entry.index + 1, last + 1):
+                    entries.pop(index, None)  # what a new leader's entries took the place of
+                entries[entry.index], last = entry, entry.index
+                highest = max(highest, entry.index)
+            self._segments[path] = highest
+            self._number = max(self._number, int(path.stem.removeprefix("log-")))
+        index = found.snapshot.index + 1
+        while index in entries:
+            found.log.append(entries[index])
+            index += 1
+        beyond = [i for i in entries if i >= index]
+        if beyond:
+            raise StorageError(f"{self.folder}: the log has entry {min(beyond)} and not entry {index}")
+        self._last = index - 1
+        found.incoming = self._incoming_state()
+        self._roll()
+        return found
+
+    def _records(self, path: Path, last: bool, found: Found) -> Iterator[Written]:
+        data = path.read_bytes()
+        at = 0
+        while at < len(data):
+            payload = _record(data, at)
+            if payload is None:
+                if not last or _later_record(data, at + 1):
+                    raise StorageError(f"{path}: a damaged record at byte {at}, with good ones after it")
+                found.cut = len(data) - at
+                with path.open("r+b") as file:
+                    file.truncate(at)
+                    os.fsync(file.fileno())
+                return
+            try:
+                yield _decoder.decode(payload)
+            except msgspec.DecodeError as error:
+                raise StorageError(f"{path}: a record at byte {at} that is none: {error}") from None
+            at += HEAD.size + len(payload)
+
+    def _newest_snapshot(self) -> Meta:
+        """The newest that is whole; those before it go."""
+        newest = Meta()
+        for path in sorted(self.folder.glob("snapshot-*.snap"), reverse=True):
+            meta = None if newest.index else check_snapshot(path)
+            if meta is not None:
+                newest = meta
+            elif newest.index:
+                path.unlink()
+            else:
+                raise StorageError(f"{path}: a snapshot whose checksum does not match")
+        return newest
+
+    def _incoming_state(self) -> tuple[int, int, int]:
+        """Index, term and size of a snapshot that was being received."""
+        for path in self.folder.glob("incoming-*.part"):
+            index, term = (int(word) for word in path.stem.removeprefix("incoming-").split("-"))
+            if index > self.snapshot.index:
+                return index, term, path.stat().st_size
+            path.unlink()
+        return 0, 0, 0
+
+    # The log
+
+    def save(self, hard: tuple[int, str] | None, entries: Iterable[Entry]) -> None:
+        """Have term and vote, and entries, on the disk when this returns. OSError: nobody knows, write no more."""
+        if self.broken:
+            raise OSError(5, self.broken)
+        records: list[Written] = []
+        if hard is not None:
+            self._hard = Hard(*hard)
+            records.append(self._hard)
+        records += [Stored(entry) for entry in entries]
+        if not records:
+            return
+        data = b"".join(_framed(_encode(record)) for record in records)
+        assert self._file is not None
+        try:
+            self.disk.write(self._file, data)
+            self.disk.sync(self._file)
+        except OSError as error:
+            self.broken = f"a write failed, and what the disk has is not known: {error}"
+            raise
+        self._size += len(data)
+        for record in records:
+            if isinstance(record, Stored):
+                self._last = record.entry.index
+                path = Path(self._file.name)
+                self._segments[path] = max(self._segments.get(path, 0), record.entry.index)
+        if self._size >= SEGMENT:
+            self._roll()
+
+    def _roll(self) -> None:
+        """Go on in a new file, which begins with term and vote: those of older files go with them."""
+        if self._file is not None:
+            self._file.close()
+        self._number += 1
+        path = self.folder / f"log-{self._number:012d}.wal"
+        self._file = path.open("ab")
+        self._segments[path] = self._last
+        data = _framed(_encode(self._hard))
+        try:
+            self.disk.write(self._file, data)
+            self.disk.sync(self._file)
+            self.disk.sync_folder(self.folder)
+        except OSError as error:
+            self.broken = f"a new log file could not be begun: {error}"
+            raise
+        self._size = len(data)
+
+    # Snapshots
+
+    def write_snapshot(self, index: int, term: int, members: tuple[str, ...], body: Iterable[bytes]) -> Meta:
+        """Write a snapshot of our own; the body in pieces, so that it is never whole in memory. OSError if it fails.
+
+        May run on another thread than the rest; `adopt` then makes it the newest.
+        """
+        path = self._path(index, term)
+        part = path.with_suffix(".tmp")
+        described = _encode(Described(index, term, list(members)))
+        digest, size = xxhash.xxh3_64(described), 0
+        try:
+            with part.open("wb") as file:
+                file.write(SNAP_HEAD.pack(SNAP_MARK, len(described), 0, 0) + described)
+                for piece in body:
+                    self.disk.write(file, piece)
+                    digest.update(piece)
+                    size += len(piece)
+                file.seek(0)
+                self.disk.write(file, SNAP_HEAD.pack(SNAP_MARK, len(described), size, digest.intdigest()))
+                self.disk.sync(file)
+            os.rename(part, path)
+            self.disk.sync_folder(self.folder)
+        except OSError:
+            with contextlib.suppress(OSError):
+                part.unlink()
+            raise
+        return Meta(index, term, members, path.stat().st_size)
+
+    def adopt(self, meta: Meta) -> None:
+        """A snapshot is the newest: drop older ones, and log files that hold nothing after it."""
+        self.snapshot = meta
+        keep = self._path(meta.index, meta.term)
+        for path in self.folder.glob("snapshot-*.snap"):
+            if path != keep:
+                path.unlink()
+        current = Path(self._file.name) if self._file is not None else None
+        for path, highest in list(self._segments.items()):
+            if path != current and highest <= meta.index:
+                with contextlib.suppress(FileNotFoundError):
+                    path.unlink()
+                del self._segments[path]
+
+    def read_chunk(self, meta: Meta, offset: int) -> bytes | None:
+        """A piece of a snapshot as it is on the disk, header and all; None where it is no more."""
+        try:
+            with self._path(meta.index, meta.term).open("rb") as file:
+                file.seek(offset)
+                return file.read(CHUNK)
+        except FileNotFoundError:
+            return None
+
+    def write_chunk(self, index: int, term: int, offset: int, data: bytes) -> None:
+        """A piece of a snapshot that is being received. OSError if it fails."""
+        path = self.folder / f"incoming-{index}-{term}.part"
+        for other in self.folder.glob("incoming-*.part"):
+            if other != path:
+                other.unlink()
+        with path.open("r+b" if offset and path.exists() else "wb") as file:
+            file.truncate(offset)
+            file.seek(offset)
+            self.disk.write(file, data)
+            self.disk.sync(file)
+
+    def install(self, index: int, term: int) -> Meta | None:
+        """The received snapshot is whole: take it, and forget the log before it. None where its checksum is wrong."""
+        part = self.folder / f"incoming-{index}-{term}.part"
+        meta = check_snapshot(part)
+        if meta is None or (meta.index, meta.term) != (index, term):
+            part.unlink()
+            return None
+        assert self._file is not None
+        data = _framed(_encode(Installed(index, term)))
+        self.disk.write(self._file, data)
+        self.disk.sync(self._file)
+        self._size += len(data)
+        os.rename(part, self._path(index, term))
+        self.disk.sync_folder(self.folder)
+        self._last = max(self._last, index)
+        self.adopt(meta)
+        return meta
+
+    def body(self, meta: Meta) -> Iterator[bytes]:
+        """The body of a snapshot, in pieces."""
+        with self._path(meta.index, meta.term).open("rb") as file:
+            _, length, _, _ = SNAP_HEAD.unpack(file.read(SNAP_HEAD.size))
+            file.seek(length, os.SEEK_CUR)
+            while piece := file.read(CHUNK):
+                yield piece
+
+    def _path(self, index: int, term: int) -> Path:
+        return self.folder / f"snapshot-{index:016d}-{term:012d}.snap"
+
+    def close(self) -> None:
+        """Use it no more."""
+        if self._file is not None:
+            self._file.close()
+            self._file = None
+
+
+def check_snapshot(path: Path) -> Meta | None:
+    """What a snapshot is of; None where it is not whole."""
+    try:
+        with path.open("rb") as file:
+            head = file.read(SNAP_HEAD.size)
+            if len(head) < SNAP_HEAD.size:
+                return None
+            mark, length, size, digest = SNAP_HEAD.unpack(head)
+            if mark != SNAP_MARK or length > LONGEST:
+                return None
+            described = file.read(length)
+            found, got = xxhash.xxh3_64(described), 0
+            while piece := file.read(CHUNK):
+                found.update(piece)
+                got += len(piece)
+    except FileNotFoundError:
+        return None
+    if got != size or found.intdigest() != digest:
+        return None
+    try:
+        what = msgspec.msgpack.decode(described, type=Described)
+    except msgspec.DecodeError:
+        return None
+    return Meta(what.index, what.term, tuple(what.members), path.stat().st_size)
+
+
+def verify(folder: Path) -> list[str]:
+    """What is wrong with a folder, without changing it; a torn tail is told and is no fault."""
+    told = []
+    for path in sorted(folder.glob("snapshot-*.snap")):
+        if check_snapshot(path) is None:
+            told.append(f"{path.name}: damaged")
+    paths = sorted(folder.glob("log-*.wal"))
+    for place, path in enumerate(paths):
+        data, at = path.read_bytes(), 0
+        while at < len(data):
+            payload = _record(data, at)
+            if payload is None:
+                torn = place == len(paths) - 1 and not _later_record(data, at + 1)
+                told.append(f"{path.name}: {'a torn tail' if torn else 'damaged'} at byte {at} of {len(data)}")
+                break
+            at += HEAD.size + len(payload)
+    return told
+
+
+def _framed(payload: bytes) -> bytes:
+    return HEAD.pack(MARK, len(payload), xxhash.xxh3_64_intdigest(payload)) + payload
+
+
+def _record(data: bytes, at: int) -> bytes | None:
+    """The payload of the record at a place; None where none is whole there."""
+    if len(data) - at < HEAD.size:
+        return None
+    mark, length, digest = HEAD.unpack_from(data, at)
+    if mark != MARK or length > LONGEST or len(data) - at - HEAD.size < length:
+        return None
+    payload = data[at + HEAD.size : at + HEAD.size + length]
+    return payload if xxhash.xxh3_64_intdigest(payload) == digest else None
+
+
+def _later_record(data: bytes, at: int) -> bool:
+    """Whether a whole record begins anywhere from a place on."""
+    while (at := data.find(MARK, at)) >= 0:
+        if _record(data, at) is not None:
+            return True
+        at += 1
+    return False
