Grant fleet-wide tasks by leases with fencing tokens, and check them by a model

Need: some tasks must be done by one gateway for the whole fleet, and nothing kept two from doing one at once.

The holder counts from when it sent the request, less 2% drift and 0.2 s of steps; the leader from when it applied it, plus both; a new leader waits the whole time anew. A fenced command counts only under the newest grant.

Off without `leases on`.

--- /dev/null
+++ b/tealwing/commands/lease.py
@@ -0,0 +1,55 @@
+"""`tealwing lease`: who does which fleet-wide task."""
+
+from __future__ import annotations
+
+import click
+import orjson
+
+from tealwing.commands.peers import CONTROL, JSON, asked
+
+
+@click.group()
+def lease() -> None:
+    """Leases of tasks that one gateway does for the whole fleet."""
+
+
+@lease.command("list")
+@CONTROL
+@JSON
+def list_(control: str, as_json: bool) -> None:
+    """Show all leases as this gateway's copy of the state has them, and what is wanted and held here.
+
+    Example: tealwing lease list --control 127.0.0.1:7951
+    """
+    found = asked(control, "lease.list")
+    if as_json:
+        click.echo(orjson.dumps(found).decode())
+        return
+    for each in found["leases"]:
+        holder = each["holder"] if each["held"] else "nobody"
+        click.echo(f"{each['name']:24} held by {holder}, token {each['token']}, for {each['ttl_s']:g} s at a time")
+    for each in found["here"]:
+        word = f"held here, {each['left_s']:.1f} s left" if each["valid"] else "wanted here"
+        click.echo(f"{each['name']:24} {word}")
+    click.echo(f"actions refused for an older token, in this copy: {found['refused_stale']}")
+
+
+@lease.command()
+@CONTROL
+@JSON
+@click.argument("name")
+def show(control: str, as_json: bool, name: str) -> None:
+    """Show one lease.
+
+    Example: tealwing lease show --control 127.0.0.1:7951 sweep-drains
+    """
+    found = asked(control, "lease.show", name=name)
+    if as_json:
+        click.echo(orjson.dumps(found).decode())
+        return
+    granted, here = found["lease"], found["here"]
+    if granted is not None:
+        state = "held by" if granted["held"] else "free; last held by"
+        click.echo(f"{state} {granted['holder']}, token {granted['token']}, newest {granted['newest']}")
+    if here is not None:
+        click.echo(f"here: {'held' if here['valid'] else 'wanted'}, token {here['token']}, {here['left_s']:.1f} s left")
--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -22,9 +22,9 @@
     from tealwing.gossip.observe import Evidence
     from tealwing.gossip.plan import Plan as GossipPlan
     from tealwing.gossip.transport import Link
+    from tealwing.leases.peering import Peering
     from tealwing.levels.plan import Plan
     from tealwing.peers.plan import Plan as PeersPlan
-    from tealwing.replica.peering import Peering
     from tealwing.replica.plan import Plan as ReplicaPlan
 
 
@@ -116,8 +116,8 @@
             if replica is not None:
                 raise ValueError("replica: needs the section peers, whose members take part")
             return
+        from tealwing.leases.peering import Peering
         from tealwing.peers.link import LinkFault  # only where it is on
-        from tealwing.replica.peering import Peering
 
         if self._peering is not None:
             if (plan, replica) != (self._peering.plan, self._peering.replica_plan):
--- /dev/null
+++ b/tealwing/lab/judges/leases.py
@@ -0,0 +1,82 @@
+"""Judges leases by what a resource saw: no two holders act at once, and no action under an older grant; pure.
+
+An action's interval is from when its holder began it to when the resource took it. A token is one tenure: from the
+begin of its first action that was taken to the last.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from tealwing.lab.judges.verdict import Violation
+from tealwing.lab.rig.history import Event
+
+
+@dataclass(slots=True)
+class Tenure:
+    """What one grant was used for."""
+
+    name: str
+    token: int
+    begin: float
+    end: float
+    actions: int = 1
+
+
+def tenures(events: Sequence[Event]) -> list[Tenure]:
+    """The tenures by the begin of their first action that was taken."""
+    found: dict[tuple[str, int], Tenure] = {}
+    for act in events:
+        if act["kind"] != "act" or not act["accepted"]:
+            continue
+        key, begin = (act["name"], act["token"]), act["t"] - act["took"]
+        if (tenure := found.get(key)) is None:
+            found[key] = Tenure(*key, begin, act["t"])
+        else:
+            tenure.begin, tenure.end, tenure.actions = min(tenure.begin, begin), act["t"], tenure.actions + 1
+    return sorted(found.values(), key=lambda tenure: tenure.begin)
+
+
+def judge(events: Sequence[Event], end: float) -> list[Violation]:
+    """What must not have happened to the leases."""
+    found = []
+    newest: dict[str, int] = {}
+    for act in events:
+        if act["kind"] == "act" and act["accepted"]:
+            if act["token"] < newest.get(act["name"], 0):
+                found.append(
+                    Violation("stale-accepted", act["t"], f"{act['name']}: an action under {act['token']} was taken"
+                              f" after one under {newest[act['name']]}")
+                )  # fmt: skip
+            newest[act["name"]] = max(act["token"], newest.get(act["name"], 0))
+    last: dict[str, Tenure] = {}
+    for tenure in tenures(events):
+        before = last.get(tenure.name)
+        if before is not None and tenure.begin < before.end:
+            found.append(
+                Violation("overlap", tenure.begin, f"{tenure.name}: {tenure.token} acted from {tenure.begin:.3f} s,"
+                          f" and {before.token} until {before.end:.3f} s")
+            )  # fmt: skip
+        if before is not None and tenure.token < before.token:
+            found.append(Violation("token", tenure.begin, f"{tenure.name}: {tenure.token} came after {before.token}"))
+        if before is None or tenure.end > before.end:
+            last[tenure.name] = tenure
+    return found
+
+
+def idle(events: Sequence[Event], begin: float, end: float) -> list[float]:
+    """Gaps between tenures, and between actions of one: seconds in which nobody acted, the longest last."""
+    times = sorted((act["t"] - act["took"], act["t"]) for act in events if act["kind"] == "act" and act["accepted"])
+    times = [span for span in times if begin <= span[1] <= end]
+    gaps, until = [], begin
+    for start, over in times:
+        gaps.append(max(0.0, start - until))
+        until = max(until, over)
+    return sorted([*gaps, max(0.0, end - until)])
+
+
+def handovers(events: Sequence[Event]) -> list[float]:
+    """Seconds from the last action of a tenure to the first of the next."""
+    found = tenures(events)
+    return sorted(max(0.0, b.begin - a.end) for a, b in zip(found, found[1:], strict=False) if a.name == b.name)
--- a/tealwing/lab/rig/runs.py
+++ b/tealwing/lab/rig/runs.py
@@ -11,21 +11,23 @@
 from tealwing.lab.judges.verdict import Violation
 from tealwing.lab.rig import report
 from tealwing.lab.rig.history import Event
-from tealwing.lab.rig.loads import EchoLoad, Load, RegisterLoad
+from tealwing.lab.rig.loads import EchoLoad, LeaseLoad, Load, RegisterLoad
 from tealwing.lab.rig.trial import Trial, write_json
 
-LOADS: dict[str, Callable[[], Load]] = {"echo": EchoLoad, "register": RegisterLoad}
+LOADS: dict[str, Callable[[], Load]] = {"echo": EchoLoad, "register": RegisterLoad, "lease": LeaseLoad}
 REPLICA = """replica
     folder DATA/replica
     stale STALE
     snapshot-entries 500
 """
 # of the operators' file, what a load's processes need beside `peers`
-SECTIONS: dict[str, str] = {"echo": "", "register": REPLICA}
+SECTIONS: dict[str, str] = {"echo": "", "register": REPLICA, "lease": REPLICA + "    leases on\n"}
 # Broken on purpose, so that a judge can be seen to find it: what is done to the trial before its load begins
 SABOTAGES = {
     "leaky-cut": "the proxy lets frames pass a cut",
     "lying-echo": "one process says another text than it was asked to",
+    "careless": "tasks go on when their lease is lost: the resource has to refuse them",
+    "no-fence": "the same, and the resource takes whatever comes",
 }
 
 
@@ -43,7 +45,11 @@
     if procs < scenario.least_procs:
         raise ValueError(f"--procs: {procs}; this scenario needs {scenario.least_procs} or more")
     begun = time.monotonic()
+    if sabotage and sabotage not in SABOTAGES:
+        raise ValueError(f"--sabotage: {sabotage!r}; allowed: {', '.join(sorted(SABOTAGES))}")
     load = LOADS[scenario.workload]()
+    if isinstance(load, LeaseLoad):
+        load.careless, load.fenced = sabotage in ("careless", "no-fence"), sabotage != "no-fence"
     stale = max(1, (procs - 1) // 2 // 2) if procs >= 3 else 0
     with Trial(scenario, procs, seconds, seed, out, SECTIONS[scenario.workload], stale=stale) as trial:
         trial.start()
@@ -77,5 +83,3 @@
         caller = trial.caller(trial.names[-1])
         caller.ask("fault.echo", lie=True)
         caller.close()
-    elif sabotage:
-        raise ValueError(f"--sabotage: {sabotage!r}; allowed: {', '.join(sorted(SABOTAGES))}")
--- a/tealwing/replica/peering.py
+++ b/tealwing/leases/peering.py
@@ -5,6 +5,9 @@
 from typing import Any
 
 from tealwing import log
+from tealwing.leases import sweep
+from tealwing.leases.keeper import Keeper
+from tealwing.leases.service import Service as LeaseService
 from tealwing.peers.clock import Clock
 from tealwing.peers.control import Control, Denied, Fields, field
 from tealwing.peers.echo import Echo
@@ -34,6 +37,9 @@
             except (StorageError, OSError, ValueError) as error:
                 self.link.stop()
                 raise LinkFault(f"replica: folder {replica.folder}: {error}") from None
+        self.keeper: Keeper | None = None
+        if self.replica is not None and replica is not None and replica.leases:
+            self.keeper = Keeper(self.replica, self.clock)
         self.control: Control | None = None
         if plan.control is not None:
             try:
@@ -50,12 +56,17 @@
                 self.control.serve("fault.disk", self._disk)
             if self.replica is not None:
                 Service(self.replica, self.control)
+            if self.keeper is not None:
+                LeaseService(self.keeper, self.control, plan.faults)
 
     def start(self) -> None:
         """Speak, listen and answer from now on."""
         if self.replica is not None:
             self.replica.start()
         self.link.start()
+        if self.keeper is not None and self.replica is not None:
+            self.keeper.start()
+            sweep.begin(self.keeper, self.replica)
         if self.control is not None:
             self.control.start()
         if self.plan.faults:
@@ -65,6 +76,8 @@
         """The gateway ends."""
         if self.control is not None:
             self.control.stop()
+        if self.keeper is not None:
+            self.keeper.stop()
         if self.replica is not None:
             self.replica.stop()
         self.link.stop()
--- a/tealwing/replica/node.py
+++ b/tealwing/replica/node.py
@@ -129,6 +129,7 @@
         self._writing = self._wanted = False  # a snapshot, on a thread of its own; asked for
         self._watchers: list[Applied] = []
         self._led: list[Led] = []
+        self._ticked: list[Callable[[float], None]] = []
         self._leading = False
         self.broken = ""
         self.terms: dict[int, str] = {}  # leader by term, as far as seen here
@@ -161,6 +162,14 @@
         """Be told when this member begins and ceases to lead, on our thread; before the start."""
         self._led.append(led)
 
+    def on_tick(self, ticked: Callable[[float], None]) -> None:
+        """Be told of the time while this member leads, on our thread; before the start."""
+        self._ticked.append(ticked)
+
+    def propose_here(self, data: bytes) -> None:
+        """Propose a command if this member leads; nobody hears what comes of it."""
+        self._queue.put(("ask", Ask(0, data), lambda told: None))
+
     # For other threads
 
     def write(self, command: Command, wait: float) -> Result:
@@ -323,6 +332,9 @@
         leads = self.core.role is Role.LEADER and self.core.commit >= self.core.settled
         if leads != self._leading:
             self._lead(leads)
+        if leads:
+            for ticked in self._ticked:
+                ticked(self.clock.now())
         if self.core.leader and self.terms.get(self.core.term) != self.core.leader:
             log.must_hold(self.core.term not in self.terms, "one leader in a term")
             self.terms[self.core.term] = self.core.leader
--- a/tealwing/replica/plan.py
+++ b/tealwing/replica/plan.py
@@ -14,4 +14,5 @@
     election: float = 0.6
     stale: int = 0
     snapshot_entries: int = 10_000
+    leases: bool = False  # whether the fleet-wide tasks run here
     join: bool = False  # empty and waiting to be added, instead of one of the first members
--- a/tealwing/replica/section.py
+++ b/tealwing/replica/section.py
@@ -18,6 +18,8 @@
          values.wholes(0, 31), "0"),
     Spec("snapshot-entries", "COUNT", "Entries after which a snapshot is written and the log before it goes.",
          values.wholes(100, 10_000_000), "10000"),
+    Spec("leases", "on|off", "Whether this gateway may do the fleet-wide tasks, each under a lease: see"
+         " docs/operating/leases.md.", values.switch, "off"),
     Spec("join", "on|off", "Whether this is a new member that waits to be added (`tealwing replica add`).",
          values.switch, "off"),
 )  # fmt: skip
@@ -27,7 +29,8 @@
     """The plan that a checked section makes."""
     beat, election = block.one("beat"), block.one("election")
     plan = Plan(
-        block.one("folder"), beat, election, block.one("stale"), block.one("snapshot-entries"), block.one("join")
+        block.one("folder"), beat, election, block.one("stale"), block.one("snapshot-entries"),
+        block.one("leases"), block.one("join"),
     )
     if election < 3 * beat:
         report.add(
--- a/tealwing/replica/state.py
+++ b/tealwing/replica/state.py
@@ -187,6 +187,9 @@
 
     def _acquire(self, index: int, name: str, holder: str, ttl: int) -> c.Result:
         lease: Lease | None = self.tables["leases"].get(name)
+        if lease is not None and lease.held and lease.holder == holder:  # its answer was lost: it goes on with it
+            self.tables["leases"][name] = msgspec.structs.replace(lease, ttl=ttl, renewed=index)
+            return c.Result(True, index, lease.token)
         if lease is not None and lease.held:
             return c.Result(False, index, lease.token, f"{lease.holder} holds {name}")
         self.tables["leases"][name] = Lease(holder, ttl, index, index)
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,110 @@
+"""Leases: the holder's machine, the leader's expiry, the model of both, and the judge of what a resource saw."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from tealwing.lab.judges import leases
+from tealwing.lab.models.explore import explore
+from tealwing.lab.models.leases import Leases
+from tealwing.leases.bounds import USUAL, Bounds
+from tealwing.leases.expiry import Expiry
+from tealwing.leases.holder import Do, Holder
+
+TTL = 5.0
+MAY = USUAL.holder_may(TTL) - USUAL.told
+
+
+def held(now: float = 100.0) -> Holder:
+    holder = Holder("t", TTL)
+    assert holder.tick(now) == [Do.ACQUIRE] and holder.granted(now + 0.5, 7) == [Do.GAINED]
+    return holder
+
+
+def test_the_two_ends_leave_no_overlap_whatever_clocks_do_within_the_bound() -> None:
+    for bounds in (USUAL, Bounds(drift=0.1, step=0.5)):
+        for ttl in (1.0, 5.0, 600.0):
+            slow, fast = 1.0 - bounds.drift, 1.0 + bounds.drift
+            holder_at_most = (bounds.holder_may(ttl) + bounds.step) / slow  # a slow clock that stepped back
+            leader_at_least = (bounds.leader_waits(ttl) - bounds.step) / fast  # a fast one that stepped on
+            assert holder_at_most <= leader_at_least + 1e-9
+
+
+def test_a_lease_counts_from_when_it_was_asked_for_and_is_lost_before_it_is_over() -> None:
+    holder = held()
+    assert holder.valid(100.0 + MAY - 0.01) and not holder.valid(100.0 + MAY + 0.01)
+    assert holder.tick(100.0 + 0.3 * TTL) == [Do.RENEW]  # and no answer comes
+    assert holder.tick(100.01 + MAY) == [Do.LOST]
+    assert holder.granted(100.01 + MAY, 7) == [Do.GAINED]  # the answer, late: from when the renewal was sent
+    assert holder.valid(101.5 + MAY - 0.01) and not holder.valid(101.5 + MAY + 0.01)
+
+
+def test_an_answer_that_took_as_long_as_the_lease_gives_nothing() -> None:
+    holder = Holder("t", TTL)
+    holder.tick(100.0)
+    assert holder.granted(100.0 + MAY + 0.1, 7) == [] and not holder.valid(100.0 + MAY + 0.1)
+
+
+def test_a_refused_holder_stops_at_once_and_tries_again_with_growing_waits() -> None:
+    holder = held()
+    holder.tick(101.5)
+    assert holder.refused(101.6) == [Do.LOST] and holder.tick(101.65) == []
+    times, now = [], 101.6
+    for _ in range(6):
+        while holder.tick(now) != [Do.ACQUIRE]:
+            now += 0.01
+        times.append(now)
+        holder.refused(now)
+    waits = [b - a for a, b in zip(times, times[1:], strict=False)]
+    assert waits == sorted(waits) and 0.9 < waits[-1] <= 1.02
+    holder.free(now)
+    assert holder.tick(now) == [Do.ACQUIRE]  # nobody holds it any more: no need to wait
+
+
+def test_an_unanswered_renewal_leaves_what_is_held_and_is_sent_again() -> None:
+    holder = held()
+    holder.tick(101.5)
+    assert holder.unanswered(102.0) == [] and holder.valid(102.0) and holder.tick(102.2) == [Do.RENEW]
+    assert holder.granted(102.3, 9) == [Do.LOST, Do.GAINED]  # another grant: the task begins anew
+
+
+def test_the_leader_finds_a_lease_expired_after_all_of_its_time_and_a_new_leader_begins_anew() -> None:
+    expiry = Expiry()
+    expiry.granted(0.0, "t", 7, 7, TTL)  # as a follower: it is not ours to judge
+    assert expiry.due(100.0) == []
+    expiry.lead(100.0, True)
+    waits = USUAL.leader_waits(TTL)
+    assert expiry.due(100.0 + waits - 0.01) == [] and expiry.due(100.0 + waits) == [("t", 7, 7)]
+    assert expiry.due(100.1 + waits) == [] and expiry.due(101.1 + waits) == [("t", 7, 7)]  # proposed again
+    expiry.granted(103.0, "t", 7, 12, TTL)
+    assert expiry.due(103.0 + waits) == [("t", 7, 12)]
+    expiry.ended("t")
+    assert expiry.due(1000.0) == []
+
+
+def test_no_two_holders_act_at_once_in_all_interleavings_of_a_few_steps() -> None:
+    for model in (Leases(8), Leases(8, renewing=True)):
+        found = explore(model, 9)
+        assert found.whole and found.broken == "" and found.states > 20_000
+
+
+def test_known_faults_of_leases_are_found_with_short_stories() -> None:
+    ignored = explore(Leases(8, "drift-ignored", leaders=0, acts=0), 12)
+    assert "a and b both may act" in ignored.broken and len(ignored.trace) == 12
+    renewed = explore(Leases(8, "renewal-after-expiry", leaders=0, acts=0, renewing=True), 11)
+    assert "both may act" in renewed.broken and any("Expire" in word for word in renewed.trace)
+
+
+def act(t: float, token: int, accepted: bool = True, took: float = 0.01) -> dict[str, Any]:
+    return {"t": t, "kind": "act", "name": "t", "token": token, "accepted": accepted, "took": took}
+
+
+def test_the_judge_of_leases_can_fail() -> None:
+    good = [act(1.0, 5), act(2.0, 5), act(2.1, 5, False), act(4.0, 9), act(5.0, 9)]
+    assert leases.judge(good, 6.0) == [] and [t.actions for t in leases.tenures(good)] == [2, 2]
+    assert leases.handovers(good) == [pytest.approx(1.99)] and leases.idle(good, 0.0, 6.0)[-1] == pytest.approx(1.99)
+    assert [v.rule for v in leases.judge([*good, act(5.5, 5)], 6.0)] == ["stale-accepted", "overlap"]
+    assert [v.rule for v in leases.judge([act(1.0, 5), act(2.0, 9, took=1.5)], 6.0)] == ["overlap", "token"]
+    assert "token" in [v.rule for v in leases.judge([act(1.0, 9), act(2.0, 5)], 6.0)]
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -47,19 +47,35 @@
     assert figures["acknowledged"] > 50 and figures["faults"] >= 4
 
 
+def test_no_two_holders_act_while_the_holder_is_paused_cut_off_and_killed(tmp_path: Path) -> None:
+    found = runs.attempt(scenario.load("lease-under-faults"), 5, 20.0, 1, tmp_path / "out")
+    assert [str(violation) for violation in found.violations] == []
+    assert (found.figures["overlaps"], found.figures["stale_accepted"]) == (0, 0)
+    assert found.figures["tenures"] >= 3 and found.figures["actions"] > 100
+
+
+@pytest.mark.parametrize(("sabotage", "rules"), [("careless", set[str]()), ("no-fence", {"stale-accepted", "overlap"})])
+def test_who_goes_on_with_a_lost_lease_is_refused_by_its_token(sabotage: str, rules: set[str]) -> None:
+    found = runs.attempt(scenario.load("lease-under-faults"), 3, 24.0, 2, sabotage=sabotage)
+    assert {violation.rule for violation in found.violations} >= rules
+    if sabotage == "careless":
+        assert found.violations == [] and found.figures["refused_stale"] > 0
+
+
 def run(*words: str) -> tuple[int, str]:
     from click.testing import CliRunner
 
-    from tealwing.commands import peers, replica, root
+    from tealwing.commands import lease, peers, replica, root
 
     root.tealwing.add_command(peers.peers)
     root.tealwing.add_command(replica.replica)
+    root.tealwing.add_command(lease.lease)
     found = CliRunner().invoke(root.tealwing, list(words))
     return found.exit_code, found.output
 
 
 def test_operators_see_and_change_the_members_of_running_processes() -> None:
-    with Trial(scenario.load("stale-disk"), 4, 5.0, 1, sections=runs.REPLICA) as trial:
+    with Trial(scenario.load("stale-disk"), 4, 5.0, 1, sections=runs.SECTIONS["lease"]) as trial:
         trial.start()
         host, port = trial.processes["n0"].control
         control = ("--control", f"{host}:{port}")
@@ -81,6 +97,10 @@
         assert code != 0 and "no gateway answers there" in text
         code, text = run("replica", "status", "--control", "nowhere")
         assert code != 0 and "found 'nowhere'" in text
+        until(lambda: "sweep-drains" in run("lease", "list", *control)[1])
+        until(lambda: "held by n" in run("lease", "show", *control, "sweep-drains")[1])
+        code, text = run("lease", "show", *control, "nothing")
+        assert code != 0 and "no lease 'nothing'" in text
         assert trial.trouble() == []
 
 
