Bring a whole fleet back from a power loss: what a start believes, and in which order

Need: all gateways lose power at once and come back in any order, some late, some with a disk that lost its last writes; nothing said what each trusts, or when it is ready.

Change: replica/recovery.py (pure) says how far each thing on the disk is believed: the last good settings serve at once (put in force at every gateway, replica.settings proposes), a drain goes on under its first cut-off, a lease held before is waited out, what has no known age is marked; and the order of return: disk, peers for 2 s at most, ready, member. It shows in /ops/readiness and /ops/stats; clients are served throughout. The trial power-loss kills all and lets them return late, over losing links, some with older disks; its judges read registers, leases, copies, views and clients. Rejected: readiness only with a quorum (refuses clients for what they do not need).

--- a/tealwing/admin/server.py
+++ b/tealwing/admin/server.py
@@ -21,8 +21,12 @@
 class Admin:
     """Answers GET /ops/readiness and GET /ops/stats; nothing here reaches the request path."""
 
-    def __init__(self, address: Address, ready: Callable[[], bool], stats: Callable[[], bytes]) -> None:
-        self._ready, self._stats = ready, stats
+    def __init__(
+        self, address: Address, ready: Callable[[], bool], stats: Callable[[], bytes],
+        reason: Callable[[], str] = str,
+    ) -> None:  # fmt: skip
+        """reason says why in words, where there is more to say than yes or no."""
+        self._ready, self._stats, self._reason = ready, stats, reason
         self._listener = socket.create_server(address, backlog=BACKLOG)
         self._stopping = threading.Event()
         self._complaints = 0  # of bad requests, logged at powers of two: a flood writes few lines
@@ -52,7 +56,9 @@
             self._complain(str(error))
             return http.response(400, f"{error}\n".encode())
         if call.path == "/ops/readiness":
-            body, status = (b"ready\n", 200) if self._ready() else (b"not ready\n", 503)
+            ready, reason = self._ready(), self._reason()
+            text = ("ready" if ready else "not ready") + (f": {reason}" if reason else "") + "\n"
+            body, status = text.encode(), 200 if ready else 503
         elif call.path == "/ops/stats":
             body, status = self._stats(), 200
         else:
--- a/tealwing/commands/fleet.py
+++ b/tealwing/commands/fleet.py
@@ -7,6 +7,7 @@
 import click
 import orjson
 
+from tealwing import log
 from tealwing.commands.root import Finding
 
 
@@ -60,6 +61,7 @@
     if sabotage and sabotage not in runs.SABOTAGES:
         lines = [f"  {word:16} {what}" for word, what in sorted(runs.SABOTAGES.items())]
         raise click.UsageError("--sabotage: allowed:\n" + "\n".join(lines))
+    log.logger.disabled = True  # the processes have logs of their own; ours would stand among the figures
     folder = Path(out) if out is not None else None
     if folder is not None and folder.exists() and any(folder.iterdir()):
         raise click.UsageError(f"--out: {out} is there and not empty; allowed: a new folder")
--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import re
 import threading
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 from tealwing import interface as api
-from tealwing import log
+from tealwing import log, wire
 from tealwing.admin.figures import Figures
 from tealwing.config import Config, ConfigError
 from tealwing.coordinator.follower import Follower
@@ -33,6 +35,8 @@
 
     def __init__(self, config: Config) -> None:
         self._settings, self._cores = config.settings, config.cores
+        self._from_file = config.settings  # what the configuration said last
+        self.on_settings: Callable[[api.Settings], None] = lambda settings: None  # the server's side of a change
         self._link: Link | None = None  # where gossip is on
         self._peering: Peering | None = None  # where the section `peers` is
         self._vitals: Vitals | None = None  # measured where service levels are on
@@ -63,12 +67,24 @@
         gateway = module if isinstance(module, Gateway) else getattr(module, "gateway", None)
         listed = len(gateway.engines) if isinstance(gateway, Gateway) else 0
         ready = len(gateway.ready) if isinstance(gateway, Gateway) else 0
-        return {
+        found = {
             "active": self._decisions.open,
             "pool_size": listed,
             "pool_ejected": max(0, listed - ready),
             "threads": threading.active_count(),
         }
+        if self._peering is not None:
+            is_ready, reason, phase = self._peering.readiness()
+            word = re.sub(r"[^a-z0-9]+", "_", reason.partition(";")[0].lower()).strip("_")
+            found |= {"recovery_phase": phase, f"ready_{'yes' if is_ready else 'no'}.{word or 'no_replica'}": 1}
+        return found
+
+    def readiness(self) -> tuple[bool, str]:
+        """Whether clients may be sent here as far as the peers go, and why."""
+        if self._peering is None:
+            return True, ""
+        is_ready, reason, _ = self._peering.readiness()
+        return is_ready, reason
 
     def unread(self, seconds: float) -> None:
         """What a client sent was read so long after it had come."""
@@ -81,19 +97,39 @@
         New settings bind new requests; open ones keep theirs. Gives the settings in force. Raises ConfigError,
         with nothing changed, where the settings change and service levels or gossip are on.
         """
-        changed = config.settings != self._settings
+        changed = config.settings not in (self._settings, self._from_file)
         if changed and (self._vitals is not None or self._link is not None):
             raise ConfigError("settings: a change of settings needs a restart where levels or gossip are on")
         self._follower.move(config.coordinator)
-        if changed:
-            version = self._decisions.renew(config.settings)
-            self._settings = config.settings
-            self.figures.keep(cls.name for cls in config.settings.classes)
-            classes = {cls.name: cls.effect.name for cls in config.settings.classes}
-            log.event("settings_changed", version=version, classes=classes)
+        if changed:  # else the file says what it said, and the fleet's version may be in force
+            self._take(config.settings)
+            self._from_file = config.settings
         log.event("reconfigured", coordinator=config.coordinator)
         return self._settings
 
+    def _take(self, settings: api.Settings) -> None:
+        """Put settings in force for new requests."""
+        version = self._decisions.renew(settings)
+        self._settings = settings
+        self.figures.keep(cls.name for cls in settings.classes)
+        classes = {cls.name: cls.effect.name for cls in settings.classes}
+        log.event("settings_changed", version=version, classes=classes)
+
+    def _fleet_settings(self, version: int, text: bytes) -> None:
+        """A version of the replicated settings that is good, from the disk or as the fleet has agreed on it."""
+        try:
+            settings = wire.settings(text)
+        except (ValueError, wire.WireError) as error:  # checked by whoever proposed it, by another version of us
+            log.event("fleet_settings_unusable", version=version, error=str(error))
+            return
+        if self._vitals is not None or self._link is not None:
+            log.event("fleet_settings_unusable", version=version, error="levels or gossip are on: restart")
+            return
+        log.event("fleet_settings", version=version)
+        if settings != self._settings:
+            self._take(settings)
+            self.on_settings(settings)
+
     def operate(self, records: dict[str, Any]) -> None:
         """Take the operators' file in whole: its records by section. A ValueError leaves all as it is."""
         levels: Plan | None = records.get("levels")
@@ -126,7 +162,7 @@
         assert plan is not None
         if not self._settings.limits.peers:
             raise LinkFault("peers: the platform's settings forbid talk among gateways (Allowed.Peers)")
-        self._peering = Peering(plan, replica)
+        self._peering = Peering(plan, replica, self._fleet_settings)
         self._peering.start()
 
     def _gossip(self, plan: GossipPlan | None) -> None:
--- a/tealwing/lab/faults/scenario.py
+++ b/tealwing/lab/faults/scenario.py
@@ -35,7 +35,6 @@
     "disk": ("who", "fault"),
     "save-disk": ("who",),
 }
-WORKLOADS = ("echo", "register", "lease")
 
 
 class ScenarioError(ValueError):
@@ -77,7 +76,7 @@
 
     title: Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
     about: str
-    workload: Literal["echo", "register", "lease"]
+    workload: Literal["echo", "register", "lease", "power"]
     step: Annotated[list[Step], msgspec.Meta(min_length=1, max_length=200)]
     least_procs: Annotated[int, msgspec.Meta(ge=2, le=64)] = 3
 
--- /dev/null
+++ b/tealwing/lab/judges/clients.py
@@ -0,0 +1,36 @@
+"""Judges what clients of the gateways heard: nobody is refused, failed or left alone for want of a quorum; pure."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from tealwing.lab.judges.verdict import Violation
+from tealwing.lab.rig.history import Event, Operation, operations, spans
+
+
+def refused(events: Sequence[Event]) -> list[Operation]:
+    """The queries that a gateway which lived all the while did not serve."""
+    down: dict[str, list[tuple[float, float]]] = {}
+    for what, fields, begin, end in spans(events, float("inf")):
+        if what in ("kill", "stop"):
+            down.setdefault(fields["who"], []).append((begin, end))
+    found = []
+    for query in operations(events, "query"):
+        if query.word == "ok" and query.result["word"] == "served":
+            continue
+        if query.word == "unknown" and "t" not in query.result:  # it was open as the trial ended
+            continue
+        over = query.result["t"]
+        if all(end < query.begin or begin > over for begin, end in down.get(query.process, ())):
+            found.append(query)
+    return found
+
+
+def judge(events: Sequence[Event], end: float) -> list[Violation]:
+    """One violation for each."""
+    found = []
+    for query in refused(events):
+        word = query.result.get("word", query.word)
+        why = query.result.get("text") or query.result.get("why")
+        found.append(Violation("clients", query.result["t"], f"{query.process} lived, and a query was {word}: {why}"))
+    return found
--- a/tealwing/lab/judges/copies.py
+++ b/tealwing/lab/judges/copies.py
@@ -13,7 +13,7 @@
     found = []
     digests = [event for event in events if event["kind"] == "digest"]
     for one in digests[1:]:
-        first = digests[0]
+        first = next(each for each in digests if each["applied"] == one["applied"])
         if one["digest"] != first["digest"]:
             found.append(
                 Violation("divergent", one["t"], f"{one['process']} holds {one['digest']} at {one['applied']},"
@@ -35,7 +35,7 @@
                                        f" and then {sample['applied']}"))  # fmt: skip
             applied[start] = sample["applied"]
     if not digests:
-        found.append(Violation("divergent", end, "no copy told its hash in the end"))
+        found.append(Violation("divergent", end, "the copies never had applied the same in the end"))
     return found
 
 
--- a/tealwing/lab/models/leases.py
+++ b/tealwing/lab/models/leases.py
@@ -15,9 +15,9 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from tealwing.leases.bounds import Bounds
 from tealwing.leases.expiry import Expiry
 from tealwing.leases.holder import Do, Holder
+from tealwing.peers.bounds import Bounds
 from tealwing.replica import commands as c
 from tealwing.replica.state import Lease, State
 
--- a/tealwing/lab/rig/loads.py
+++ b/tealwing/lab/rig/loads.py
@@ -5,7 +5,7 @@
 import contextlib
 import itertools
 import random
-import signal
+import socket
 import threading
 from collections import Counter
 from collections.abc import Callable, Sequence
@@ -13,7 +13,8 @@
 
 import msgspec
 
-from tealwing.lab.judges import copies, echo, leases, register, views
+from tealwing.lab.client import Session
+from tealwing.lab.judges import clients, copies, echo, leases, register, views
 from tealwing.lab.judges.verdict import Violation
 from tealwing.lab.rig.history import Event, operations
 from tealwing.lab.standins.resource import Resource
@@ -203,22 +204,12 @@
         lines = [Line(trial, name) for name in trial.names]
         for number, key in enumerate(sorted(self.keys)):
             get(trial, lines[number % len(lines)], key, wait=5.0, last=True)
-        if not trial.wait(lambda: self._same(trial, lines), QUIET):
-            trial.history.add("copies-differ", after=QUIET)
+        digests(trial, lines)
         for line in lines:
-            told = line.ask("replica.digest", 5.0)
-            trial.history.add("digest", process=line.name, applied=told["applied"], digest=told["digest"])
             status = line.ask("replica.status", 5.0)
             trial.history.add("terms", process=line.name, leaders=status["leaders"], refused=status["refused_stale"])
             line.close()
 
-    def _same(self, trial: Trial, lines: Sequence[Line]) -> bool:
-        try:
-            told = [line.ask("status", 2.0) for line in lines]
-        except (Turned, OSError):
-            return False
-        return len({(each["applied"], each["commit"]) for each in told}) == 1
-
     def figures(self, events: Sequence[Event]) -> dict[str, Any]:
         """What was acknowledged and what of it is lost, stale or divergent; how long a leader was missed."""
         ops = operations(events, "put", "get")
@@ -243,6 +234,22 @@
         }
 
 
+def digests(trial: Trial, lines: Sequence[Line]) -> None:
+    """The hashes of all copies at one index, which all must have applied at some moment; else that they never had."""
+    end = trial.history.now() + QUIET
+    while trial.history.now() < end:
+        try:
+            told = {line.name: line.ask("replica.digest", 2.0) for line in lines}
+        except (Turned, OSError):
+            continue
+        if len({each["applied"] for each in told.values()}) == 1:
+            for name, each in told.items():
+                trial.history.add("digest", process=name, applied=each["applied"], digest=each["digest"])
+            return
+        trial.stopping.wait(0.05)
+    trial.history.add("copies-differ", after=QUIET)
+
+
 def put(trial: Trial, line: Line, key: str, value: str, client: str, sequence: int) -> None:
     """One write from the line's process, into the history."""
     number = trial.history.invoke("put", line.name, key=key, value=value)
@@ -365,15 +372,14 @@
         """Begin nothing more; the tasks go on until the resource is gone."""
         self._clients.stop()
 
-    def finish(self, trial: Trial) -> None:
-        """Let it go on a little, all being well; then what each tenure was, and all copies' hashes."""
+    def finish(self, trial: Trial, alone: bool = True) -> None:
+        """Let it go on a little, all being well; then what each tenure was, and, if alone, all copies' hashes."""
         trial.stopping.wait(2.0)
         self._span = self._span[0], trial.history.now()
         if self._resource is not None:
             self._resource.stop()
-        for name in trial.names:
-            trial.processes[name].signal(signal.SIGCONT)
-        RegisterLoad().finish(trial)
+        if alone:
+            RegisterLoad().finish(trial)
         holders = {}
         for name in trial.names:
             for event in trial.processes[name].events():
@@ -401,3 +407,140 @@
             "idle_ms_max": round(gaps[-1] * 1e3, 1),
             "divergent": sum(1 for v in copies.judge(events, 0.0) if v.rule == "divergent"),
         }
+
+
+ASK_EVERY = 0.1  # s between two queries of one client, and between two looks at readiness
+QUERY_LIMIT = 3.0  # s: a lookup's deadline
+
+
+class PowerLoad:
+    """All at once: registers, a lease, clients with queries, and who says that it is ready; for a power loss of all."""
+
+    judges: Sequence[Judge] = (register.judge, leases.judge, copies.judge, views.judge, clients.judge)
+
+    def __init__(self) -> None:
+        self._registers, self._leases, self._clients = RegisterLoad(), LeaseLoad(), Clients()
+        self._calls = itertools.count(1)
+
+    def start(self, trial: Trial) -> None:
+        """Everything."""
+        self._registers.start(trial)
+        self._leases.start(trial)
+        for name in trial.names:
+            self._clients.spawn(lambda name=name: self._query(trial, name), f"load-q-{name}")  # type: ignore[misc]
+            self._clients.spawn(lambda name=name: self._look(trial, name), f"load-ready-{name}")  # type: ignore[misc]
+
+    def _query(self, trial: Trial, name: str) -> None:
+        """Queries of one client of one gateway, whenever it listens; one that can't connect asked nobody."""
+        session: Session | None = None
+        session_of = 0
+        while not self._clients.stopped.wait(ASK_EVERY):
+            process = trial.processes[name]
+            address, start = process.address("listen"), process.starts
+            if address is None or process.stopped:
+                continue
+            call = f"{trial.seed & 0xFFFF:04x}{next(self._calls):012x}"
+            text = f"/* op=lookup,call={call},ttl=3000,org=graan-koop,work=2.0,heap_mb=4 */ SELECT a FROM sales_1.t"
+            try:
+                if session is None or session_of != start:
+                    session, session_of = Session(address), start
+            except OSError:
+                session = None
+                continue
+            number = trial.history.invoke("query", name, start=start)
+            try:
+                answer = session.ask(text.encode(), QUERY_LIMIT)
+                trial.history.complete(number, "ok", word=answer.word, text=answer.text)
+            except OSError as error:
+                trial.history.complete(number, "unknown", why=str(error), lives=process.running)
+                session.close()
+                session = None
+        if session is not None:
+            session.close()
+
+    def _look(self, trial: Trial, name: str) -> None:
+        """What readiness says, whenever that changes."""
+        said = ""
+        while not self._clients.stopped.wait(ASK_EVERY / 2):
+            process = trial.processes[name]
+            address = process.address("admin")
+            word = "down"
+            if address is not None and not process.stopped:
+                with contextlib.suppress(OSError):
+                    word = readiness(address)
+            if word != said:
+                said = word
+                trial.history.add("readiness", process=name, word=word, start=process.starts)
+
+    def stop(self) -> None:
+        """Begin nothing more."""
+        self._clients.stop()
+        self._registers.stop()
+        self._leases.stop()
+
+    def finish(self, trial: Trial) -> None:
+        """What the registers and the lease look at."""
+        self._leases.finish(trial, alone=False)
+        self._registers.finish(trial)
+
+    def figures(self, events: Sequence[Event]) -> dict[str, Any]:
+        """What was kept, who was refused, and how service came back."""
+        found = self._registers.figures(events)
+        lost = next((event["t"] for event in events if event["kind"] == "power" and event["what"] == "lost"), None)
+        writes = [op for op in operations(events, "put") if op.word == "ok"]
+        queries = operations(events, "query")
+        leased = self._leases.figures(events)
+        told: dict[str, Any] = {
+            "acknowledged_before": sum(1 for op in writes if lost is not None and op.end < lost),
+            **{key: found[key] for key in ("operations", "acknowledged", "lost", "stale_reads", "divergent")},
+            "split_brain": found["two_leaders"] + leased["overlaps"] + leased["stale_accepted"],
+            "queries": len(queries),
+            "queries_served": sum(1 for op in queries if op.word == "ok" and op.result["word"] == "served"),
+            "refused_for_quorum": len(clients.refused(events)),
+            "lease_idle_ms_max": leased["idle_ms_max"],
+        }
+        return told | returned(events, lost)
+
+
+def returned(events: Sequence[Event], lost: float | None) -> dict[str, Any]:
+    """How service came back after a power loss, in ms.
+
+    ready_ms: from when a process has its power back until its readiness says yes. quorum_ms: from when a majority has
+    it back until a write that began after the loss is acknowledged. full_ms: from when the last has it back until all
+    have caught up.
+    """
+    if lost is None:
+        return {}
+    back = {event["who"][0]: event["t"] for event in events if event["kind"] == "power" and event["what"] == "back"}
+    ready: dict[str, float] = {}
+    member: dict[str, float] = {}
+    for event in events:
+        name = event.get("process", "")
+        if event["t"] < back.get(name, 1e9):
+            continue
+        if event["kind"] == "readiness" and event["word"].startswith("ready") and name not in ready:
+            ready[name] = event["t"]
+        if event["kind"] == "sample" and event.get("phase") == "member" and name not in member:
+            member[name] = event["t"]
+    took = sorted((ready[name] - back[name]) * 1e3 for name in ready)
+    majority = sorted(back.values())[len(back) // 2] if back else lost
+    first = min((op.end for op in operations(events, "put") if op.word == "ok" and op.begin > lost), default=None)
+    return {
+        "ready": len(ready),
+        "ready_ms_p50": percentile(took, 0.5),
+        "ready_ms_max": percentile(took, 1.0),
+        "ready_spread_ms": round((max(ready.values()) - min(ready.values())) * 1e3) if ready else None,
+        "quorum_ms": None if first is None else round((first - majority) * 1e3, 1),
+        "full_ms": round((max(member.values()) - max(back.values())) * 1e3, 1) if len(member) == len(back) else None,
+    }
+
+
+def readiness(address: tuple[str, int]) -> str:
+    """What GET /ops/readiness says: the first line of its body."""
+    with socket.create_connection(address, 1.0) as sock:
+        sock.settimeout(1.0)
+        sock.sendall(b"GET /ops/readiness HTTP/1.1\r\nHost: gateway\r\n\r\n")
+        got = b""
+        while part := sock.recv(4096):
+            got += part
+    return got.partition(b"\r\n\r\n")[2].decode("utf-8", "replace").strip()
--- a/tealwing/lab/rig/process.py
+++ b/tealwing/lab/rig/process.py
@@ -67,7 +67,7 @@
                 stdin=subprocess.DEVNULL,
             )  # fmt: skip
         self.starts += 1
-        self.stopped = False
+        self.stopped, self.started = False, {}
 
     def ready(self, seconds: float = READY) -> dict[str, Any]:
         """Its event `started`: where it listens."""
@@ -82,6 +82,11 @@
             time.sleep(0.02)
         raise NotStarted(f"{self.name}: {self.log.read_text(errors='replace')[-800:]}")
 
+    def address(self, key: str) -> Address | None:
+        """Where it listens for clients (`listen`) or operators (`admin`), as it said at this start."""
+        found = self.started.get(key)
+        return (found[0], found[1]) if found and self.running else None
+
     def events(self, since: int = 0) -> list[dict[str, Any]]:
         """The events of its log, from a place on."""
         found = []
--- a/tealwing/lab/rig/runs.py
+++ b/tealwing/lab/rig/runs.py
@@ -11,10 +11,15 @@
 from tealwing.lab.judges.verdict import Violation
 from tealwing.lab.rig import report
 from tealwing.lab.rig.history import Event
-from tealwing.lab.rig.loads import EchoLoad, LeaseLoad, Load, RegisterLoad
+from tealwing.lab.rig.loads import EchoLoad, LeaseLoad, Load, PowerLoad, RegisterLoad
 from tealwing.lab.rig.trial import Trial, write_json
 
-LOADS: dict[str, Callable[[], Load]] = {"echo": EchoLoad, "register": RegisterLoad, "lease": LeaseLoad}
+LOADS: dict[str, Callable[[], Load]] = {
+    "echo": EchoLoad,
+    "register": RegisterLoad,
+    "lease": LeaseLoad,
+    "power": PowerLoad,
+}
 REPLICA = """replica
     folder DATA/replica
     stale STALE
@@ -22,6 +27,8 @@
 """
 # of the operators' file, what a load's processes need beside `peers`
 SECTIONS: dict[str, str] = {"echo": "", "register": REPLICA, "lease": REPLICA + "    leases on\n"}
+SECTIONS["power"] = SECTIONS["lease"]
+ENGINES = {"power": 3}  # stand-ins for a load's queries
 # Broken on purpose, so that a judge can be seen to find it: what is done to the trial before its load begins
 SABOTAGES = {
     "leaky-cut": "the proxy lets frames pass a cut",
@@ -51,7 +58,8 @@
     if isinstance(load, LeaseLoad):
         load.careless, load.fenced = sabotage in ("careless", "no-fence"), sabotage != "no-fence"
     stale = max(1, (procs - 1) // 2 // 2) if procs >= 3 else 0
-    with Trial(scenario, procs, seconds, seed, out, SECTIONS[scenario.workload], stale=stale) as trial:
+    engines = ENGINES.get(scenario.workload, 0)
+    with Trial(scenario, procs, seconds, seed, out, SECTIONS[scenario.workload], stale=stale, engines=engines) as trial:
         trial.start()
         _break(trial, sabotage)
         trial.run(load)
--- a/tealwing/lab/rig/trial.py
+++ b/tealwing/lab/rig/trial.py
@@ -16,6 +16,7 @@
 from tealwing.lab.faults.proxy import Proxy
 from tealwing.lab.faults.scenario import Scenario, Step
 from tealwing.lab.faults.weather import Weather
+from tealwing.lab.rig.engines import Engines
 from tealwing.lab.rig.history import History
 from tealwing.lab.rig.ports import free_port
 from tealwing.lab.rig.process import Process
@@ -43,8 +44,12 @@
         sections: str = "",
         beat_ms: int = 200,
         stale: int = 1,
+        engines: int = 0,
     ) -> None:
-        """sections: further sections of every process's operators' file; DATA, NAME and STALE in it are filled in."""
+        """engines: stand-ins for clients' queries, of so many; without them clients are refused.
+
+        sections: further sections of every process's operators' file; DATA, NAME and STALE in it are filled in.
+        """
         self.scenario, self.seconds, self.seed = scenario, seconds, seed
         self._own = tempfile.TemporaryDirectory(prefix="tealwing-fleet-") if folder is None else None
         self.folder: Path = Path(self._own.name) if folder is None else folder  # type: ignore[union-attr]
@@ -54,7 +59,8 @@
         self.names = [f"n{number}" for number in range(procs)]
         self.weather = Weather(self.names, seed)
         self.proxy = Proxy(self.weather, free_port)
-        self.coordinator = Coordinator([])
+        self.engines = Engines(engines, procs, seed)
+        self.coordinator = Coordinator(self.engines.members())
         self.processes: dict[str, Process] = {}
         self.faults = 0
         self.stopping = threading.Event()
@@ -115,6 +121,7 @@
             thread.join(15.0)
         self.proxy.stop()
         self.coordinator.stop()
+        self.engines.stop()
         self.history.close()
         if self._own is not None:
             self._own.cleanup()
@@ -195,7 +202,7 @@
                 sample: dict[str, Any] = {
                     "process": name, "asked": round(begun, 6), "boot": found["boot"],
                     "peers": {peer["name"]: peer["state"] for peer in found["peers"]},
-                    **{key: found[key] for key in ("role", "term", "leader", "commit", "applied", "unsure")
+                    **{key: found[key] for key in ("role", "term", "leader", "commit", "applied", "unsure", "phase")
                        if key in found},
                 }  # fmt: skip
                 self.samples[name] = sample
@@ -343,6 +350,7 @@
         if process.running:
             return
         process.bring_disk(disk)
+        self.history.add("starting", who=name)  # it may speak from here on, and is ready later
         process.start()
         if disk != "kept":
             self._fault("disk", who=name, disk=disk)
--- a/tealwing/leases/expiry.py
+++ b/tealwing/leases/expiry.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass, replace
 
-from tealwing.leases.bounds import USUAL, Bounds
+from tealwing.peers.bounds import USUAL, Bounds
 
 AGAIN = 1.0  # s after which an expiry that was proposed and not seen is proposed again
 
@@ -45,6 +45,11 @@
         if self._leading:
             self._watched[name] = Watched(token, renewed, now + self._bounds.leader_waits(ttl))
 
+    def replace(self, now: float, held: dict[str, tuple[int, int, float]]) -> None:
+        """Other grants, from a snapshot: token, renewal and time to live by name."""
+        self._held = dict(held)
+        self.lead(now, self._leading)
+
     def ended(self, name: str) -> None:
         """A grant was released or found expired."""
         self._held.pop(name, None)
--- a/tealwing/leases/holder.py
+++ b/tealwing/leases/holder.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from tealwing.leases.bounds import RENEW_SHARE, USUAL, Bounds
+from tealwing.peers.bounds import RENEW_SHARE, USUAL, Bounds
 
 RETRY = (0.1, 1.0)  # s between two tries to acquire, least and most
 
--- a/tealwing/leases/keeper.py
+++ b/tealwing/leases/keeper.py
@@ -17,9 +17,9 @@
 from typing import Any
 
 from tealwing import log, threads
-from tealwing.leases.bounds import LEAST_TTL
 from tealwing.leases.expiry import Expiry
 from tealwing.leases.holder import Do, Holder
+from tealwing.peers.bounds import LEAST_TTL
 from tealwing.peers.clock import Clock
 from tealwing.replica import commands as c
 from tealwing.replica.node import Replica, Unavailable, Unknown
@@ -82,9 +82,8 @@
         replica.watch(self._applied)
         replica.on_led(lambda leads: self._expiry.lead(clock.now(), leads))
         replica.on_tick(self._expire)
-        for name, lease in replica.state.tables["leases"].items():
-            if lease.held:
-                self._expiry.granted(clock.now(), name, lease.token, lease.renewed, lease.ttl / 1e3)
+        replica.on_installed(self._reread)
+        self._reread()
 
     def start(self) -> None:
         """Keep leases from now on."""
@@ -244,6 +243,12 @@
                     if name in self._wanted:
                         self._wanted[name].holder.free(now)
 
+    def _reread(self) -> None:
+        """The state as a whole is new: from the disk, or another's snapshot."""
+        leases = self._replica.state.tables["leases"].items()
+        held = {name: (lease.token, lease.renewed, lease.ttl / 1e3) for name, lease in leases if lease.held}
+        self._expiry.replace(self.clock.now(), held)
+
     def _expire(self, now: float) -> None:
         for name, token, renewed in self._expiry.due(now):
             log.event("lease_expired", name=name, token=token)
--- a/tealwing/leases/peering.py
+++ b/tealwing/leases/peering.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 from tealwing import log
@@ -13,8 +14,10 @@
 from tealwing.peers.echo import Echo
 from tealwing.peers.link import Link, LinkFault
 from tealwing.peers.plan import Plan
+from tealwing.replica.commands import Command, Result, Settings
 from tealwing.replica.node import Replica
 from tealwing.replica.plan import Plan as ReplicaPlan
+from tealwing.replica.recovery import Phase
 from tealwing.replica.service import Service
 from tealwing.replica.storage import StorageError
 
@@ -24,8 +27,14 @@
 class Peering:
     """One gateway's side of the fleet."""
 
-    def __init__(self, plan: Plan, replica: ReplicaPlan | None = None) -> None:
-        """LinkFault where an address can't be had, or a disk can't be trusted."""
+    def __init__(
+        self, plan: Plan, replica: ReplicaPlan | None = None,
+        take: Callable[[int, bytes], None] = lambda version, text: None,
+    ) -> None:  # fmt: skip
+        """take hears good versions of the settings: the last one on the disk, and those that the fleet agrees on.
+
+        LinkFault where an address can't be had, or a disk can't be trusted.
+        """
         self.plan, self.replica_plan = plan, replica
         self.clock = Clock()
         self.link = Link(plan)
@@ -37,6 +46,11 @@
             except (StorageError, OSError, ValueError) as error:
                 self.link.stop()
                 raise LinkFault(f"replica: folder {replica.folder}: {error}") from None
+        self._take = take
+        if self.replica is not None:
+            self.replica.watch(self._applied)
+            self.replica.on_installed(self._take_best)
+            self._take_best()  # it serves at once, before anybody is asked
         self.keeper: Keeper | None = None
         if self.replica is not None and replica is not None and replica.leases:
             self.keeper = Keeper(self.replica, self.clock)
@@ -82,6 +96,23 @@
             self.replica.stop()
         self.link.stop()
 
+    def _take_best(self) -> None:
+        """The last good version of the settings that the state has."""
+        if self.replica is not None and (best := self.replica.state.last_good()):
+            self._take(best, self.replica.state.tables["settings"][str(best)].text)
+
+    def _applied(self, index: int, command: Command | None, result: Result | None) -> None:
+        body = command.body if command is not None else None
+        if isinstance(body, Settings) and result is not None and result.ok and body.good:
+            self._take(body.version, body.text)
+
+    def readiness(self) -> tuple[bool, str, int]:
+        """Whether clients may be sent here, why, and the phase of the return as a number (0 where there is none)."""
+        if self.replica is None:
+            return True, "", 0
+        back = self.replica.back
+        return back.ready, back.reason(self.replica.seen()), list(Phase).index(back.phase) + 1
+
     def status(self) -> dict[str, Any]:
         """What operators ask for: who is heard, and what each further part says of itself."""
         told = {"name": self.plan.name, "fleet": self.plan.fleet, "boot": self.link.boot, "peers": self.link.status()}
--- a/tealwing/replica/node.py
+++ b/tealwing/replica/node.py
@@ -27,6 +27,7 @@
 from tealwing.replica.messages import Kind, Message, Snap, SnapReply
 from tealwing.replica.plan import Plan
 from tealwing.replica.raft import Busy, Meta, NotLeader, Options, Raft, Ready, Role
+from tealwing.replica.recovery import Return, Seen, beliefs
 from tealwing.replica.state import State
 from tealwing.replica.storage import Storage
 
@@ -98,6 +99,7 @@
         self.plan, self._link, self.clock = plan, link, clock
         self.disk = disk or Disk()
         self.storage = Storage(Path(plan.folder), self.disk)
+        self.back = Return(time.monotonic())
         self.state = State()  # the thread's own; others read under the lock
         self.lock = threading.Lock()  # round the state, and what status reads
         found = self.storage.open()
@@ -119,6 +121,8 @@
             log=found.log,
             incoming=found.incoming,
         )
+        self.beliefs = beliefs(self.state, self.core.last_index, int(time.time() * 1e3))
+        self.back.disk_read(time.monotonic())
         self._queue: SimpleQueue[tuple[Any, ...]] = SimpleQueue()
         self._proposed: dict[int, Pending] = {}  # by index
         self._reads: dict[int, Pending] = {}
@@ -130,6 +134,7 @@
         self._watchers: list[Applied] = []
         self._led: list[Led] = []
         self._ticked: list[Callable[[float], None]] = []
+        self._installed: list[Callable[[], None]] = []
         self._leading = False
         self.broken = ""
         self.terms: dict[int, str] = {}  # leader by term, as far as seen here
@@ -148,6 +153,11 @@
             "replica_started", term=found.term, snapshot=found.snapshot.index, last=self.core.last_index,
             cut_bytes=found.cut, fresh=found.fresh, members=list(self.core.members), unsure=self.core.unsure,
         )  # fmt: skip
+        for belief in self.beliefs:
+            log.event(
+                "recovery_belief", what=belief.what, key=belief.key, trust=belief.trust.value, why=belief.why,
+                until_ms=belief.until_ms,
+            )  # fmt: skip
 
     def stop(self) -> None:
         """Take part no more; what waits for an outcome has none."""
@@ -166,6 +176,10 @@
         """Be told of the time while this member leads, on our thread; before the start."""
         self._ticked.append(ticked)
 
+    def on_installed(self, installed: Callable[[], None]) -> None:
+        """Be told that another's snapshot took the place of the state, on our thread; before the start."""
+        self._installed.append(installed)
+
     def propose_here(self, data: bytes) -> None:
         """Propose a command if this member leads; nobody hears what comes of it."""
         self._queue.put(("ask", Ask(0, data), lambda told: None))
@@ -269,7 +283,7 @@
             "commit": core.commit, "applied": digest_at, "last": core.last_index, "stable": core.stable,
             "snapshot": core.snapshot.index, "unsure": core.unsure, "broken": self.broken, "held": counts,
             "snapshots": self.snapshots, "refused_stale": self.state.refused_stale,
-            "leaders": {str(term): name for term, name in list(self.terms.items())},
+            "phase": self.back.phase.value, "leaders": {str(term): name for term, name in list(self.terms.items())},
         }  # fmt: skip
 
     def plan_address(self, name: str) -> tuple[str, int] | None:
@@ -335,6 +349,7 @@
         if leads:
             for ticked in self._ticked:
                 ticked(self.clock.now())
+        self._look()
         if self.core.leader and self.terms.get(self.core.term) != self.core.leader:
             log.must_hold(self.core.term not in self.terms, "one leader in a term")
             self.terms[self.core.term] = self.core.leader
@@ -343,6 +358,19 @@
             log.event("replica_led", term=self.core.term, leader=self.core.leader)
         self._maybe_snapshot()
 
+    def seen(self) -> Seen:
+        """What this member sees of the fleet, for the order of return."""
+        core = self.core
+        heard = 1 + sum(1 for name in self._link.live() if name in core.members)
+        leader = "" if self.broken else core.leader
+        return Seen(leader, core.term, core.unsure, core.commit, self.state.applied, heard, len(core.members))
+
+    def _look(self) -> None:
+        before = self.back.phase
+        seen = self.seen()
+        if self.back.look(time.monotonic(), seen) is not before:
+            log.event("recovery", phase=self.back.phase.value, why=self.back.reason(seen))
+
     def _lead(self, leads: bool) -> None:
         self._leading = leads
         for led in self._led:
@@ -476,6 +504,8 @@
             self.state = fresh
         self.core.installed(meta)
         log.event("replica_snapshot_installed", index=meta.index, size=meta.size)
+        for told in self._installed:
+            told()
         self._answer_at_index()
         return True
 
--- a/tealwing/replica/service.py
+++ b/tealwing/replica/service.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from tealwing import wire
 from tealwing.peers.control import Control, Denied, Fields, field, wait_of
 from tealwing.replica import commands as c
 from tealwing.replica.node import Replica, Unavailable, Unknown
@@ -26,6 +27,8 @@
             "replica.verify": self._verify,
             "replica.snapshot": self._snapshot,
             "replica.members": self._members,
+            "replica.recovery": lambda _: replica.back.told(replica.seen(), replica.beliefs),
+            "replica.settings": self._settings,
             "replica.do": self._do,
             "replica.get": self._get,
         }
@@ -58,6 +61,23 @@
         told = self._outcome(lambda wait: {"index": self._replica.change_members(sorted(wanted), wait)}, fields)
         return told | {"members": sorted(wanted)}
 
+    def _settings(self, fields: Fields) -> Fields:
+        """Propose the next version of the settings: checked here first, and only where this gateway has caught up."""
+        text = field(fields, "text", bytes)
+        if not self._replica.back.may_change:
+            return {"word": "unavailable", "why": self._replica.back.reason(self._replica.seen())}
+        try:
+            wire.settings(text)
+        except (ValueError, wire.WireError) as error:
+            raise Denied(f"text: {error}") from None
+
+        def propose(wait: float) -> Fields:
+            with self._replica.lock:
+                last = max(map(int, self._replica.state.tables["settings"]), default=0)
+            return _told(self._replica.write(c.Command("", 0, c.Settings(last + 1, text)), wait))
+
+        return self._outcome(propose, fields)
+
     def _do(self, fields: Fields) -> Fields:
         """Have a command applied: `body` is one of tealwing.replica.commands, as msgpack."""
         try:
--- a/tealwing/service.py
+++ b/tealwing/service.py
@@ -31,12 +31,18 @@
     server = Server(
         config.listen, config.most_clients, config.settings, daemon.open, config.accept_fd, config.most_threads
     )
+    daemon.on_settings = lambda settings: setattr(server, "settings", settings)
     if conf is not None:
         operate(daemon, server, conf)
     serving = threading.Event()  # what readiness says: set once clients are taken, cleared at the drain
     admin = None
     if config.admin is not None:
-        admin = Admin(config.admin, serving.is_set, daemon.figures.lines)
+        admin = Admin(
+            config.admin,
+            lambda: serving.is_set() and daemon.readiness()[0],
+            daemon.figures.lines,
+            lambda: daemon.readiness()[1],
+        )
         admin.start()
     daemon.start()
     server.start()
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -9,9 +9,9 @@
 from tealwing.lab.judges import leases
 from tealwing.lab.models.explore import explore
 from tealwing.lab.models.leases import Leases
-from tealwing.leases.bounds import USUAL, Bounds
 from tealwing.leases.expiry import Expiry
 from tealwing.leases.holder import Do, Holder
+from tealwing.peers.bounds import USUAL, Bounds
 
 TTL = 5.0
 MAY = USUAL.holder_may(TTL) - USUAL.told
--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,165 @@
+"""What a gateway that comes back believes, in which order service returns, and that no herd comes back at once."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tealwing.lab.faults import scenario
+from tealwing.lab.judges import clients
+from tealwing.lab.rig import runs
+from tealwing.lab.rig.trial import Trial
+from tealwing.peers.bounds import USUAL
+from tealwing.replica import commands as c
+from tealwing.replica.messages import Snap
+from tealwing.replica.raft import Meta, Mode
+from tealwing.replica.recovery import ASK_LIMIT, OLDEST_MS, Belief, Phase, Return, Seen, Trust, beliefs
+from tealwing.replica.state import State
+from tests.test_replica import Fleet, do
+from tests.test_trials import run
+
+NOW = 1_800_000_000_000  # ms
+
+
+def believed(state: State, last: int = 0) -> dict[tuple[str, str], Belief]:
+    return {(belief.what, belief.key): belief for belief in beliefs(state, last or state.applied, NOW)}
+
+
+def test_the_last_good_settings_serve_at_once_and_a_bad_one_never() -> None:
+    state = State()
+    do(state, 1, c.Settings(1, b"old"))
+    do(state, 2, c.Settings(2, b"good"))
+    do(state, 3, c.Settings(3, b"bad", good=False))
+    found = believed(state)
+    assert found["settings", "2"].trust is Trust.HELD and found["settings", "3"].trust is Trust.NEVER
+    assert ("settings", "1") not in found
+
+
+def test_a_lease_held_before_is_never_trusted_and_waited_out() -> None:
+    state = State()
+    do(state, 1, c.Acquire("sweep", "me/1", 5000))
+    do(state, 2, c.Acquire("free", "me/1", 5000))
+    do(state, 3, c.Release("free", 2))
+    found = believed(state)
+    assert found["lease", "sweep"].trust is Trust.WAITS and ("lease", "free") not in found
+    assert found["lease", "sweep"].until_ms == NOW + round(USUAL.leader_waits(5.0) * 1e3)
+
+
+def test_a_drain_goes_on_under_its_first_cutoff_and_what_has_no_age_is_marked() -> None:
+    state = State()
+    do(state, 1, c.Drain(7, 0, NOW - 3000, NOW - 2000))
+    do(state, 2, c.Drain(7, 0, NOW - 1000, NOW))  # told again, later
+    do(state, 3, c.Drain(8, 0, NOW + 60_000, NOW + 61_000))  # by a clock that was ahead, or ours is behind
+    do(state, 4, c.Note(7, 0, "cold", NOW - 1000))
+    do(state, 5, c.Note(7, 0, "aside"))
+    do(state, 6, c.Level("few", "load", NOW - OLDEST_MS - 1))
+    found = believed(state, last=9)
+    assert found["drain", "7/0"].until_ms == NOW - 2000 and found["drain", "7/0"].trust is Trust.HELD
+    assert found["drain", "8/0"].trust is Trust.MARKED and found["drain", "8/0"].until_ms == NOW
+    assert found["notes", "7/0/cold"].trust is Trust.HELD and found["notes", "7/0/aside"].trust is Trust.MARKED
+    assert found["levels", "few"].trust is Trust.MARKED and found["log", "7..9"].trust is Trust.MARKED
+
+
+def seen(leader: str = "", commit: int = 10, applied: int = 10, unsure: bool = False, term: int = 3) -> Seen:
+    return Seen(leader, term, unsure, commit, applied, 2, 3)
+
+
+def test_service_returns_in_its_order_and_never_waits_for_a_quorum() -> None:
+    back = Return(0.0)
+    assert back.look(0.1, seen("b")) is Phase.DISK and not back.ready
+    back.disk_read(0.2)
+    assert back.look(0.3, seen()) is Phase.ASKING and not back.ready and not back.may_change
+    assert back.look(0.2 + ASK_LIMIT, seen()) is Phase.ALONE and back.ready and not back.may_change
+    assert "2 of 3 members are heard" in back.reason(seen())
+    assert back.look(3.0, seen("b", commit=20)) is Phase.ALONE  # what was committed when it was first heard
+    assert back.look(3.1, seen("b", commit=30, applied=19)) is Phase.ALONE
+    assert back.look(3.2, seen("b", commit=30, applied=20, unsure=True)) is Phase.ALONE
+    assert back.look(3.3, seen("b", commit=30, applied=20)) is Phase.MEMBER and back.may_change
+    assert back.look(4.0, seen()) is Phase.ALONE and back.ready and not back.may_change  # the majority is gone again
+    assert back.told(seen(), [])["member_after_s"] == 3.3
+
+
+def test_a_gateway_that_finds_its_fleet_at_once_is_a_member_at_once() -> None:
+    back = Return(0.0)
+    back.disk_read(0.1)
+    assert back.look(0.2, seen("a")) is Phase.MEMBER and back.ready
+
+
+def test_snapshots_go_to_two_members_at_a_time_when_all_come_back() -> None:
+    # guards the leader's disk and link against a whole fleet that wants all of the state at one moment
+    fleet = Fleet("abcdefg")
+    leader = fleet.leader()
+    fleet.cut = {(leader.me, name) for name in "abcdefg"} | {(name, leader.me) for name in "abcdefg"}
+    others = [name for name in "abcdefg" if name != leader.me]
+    for name in others:
+        leader.progress[name].match, leader.progress[name].next, leader.progress[name].mode = 0, 1, Mode.PROBE
+        leader.progress[name].heard = fleet.now
+        leader.progress[name].inflight.clear()
+    fleet.snapshots[leader.me] = bytes(100)
+    leader.compacted(Meta(leader.commit, leader.term, tuple("abcdefg"), 100))
+    fleet.sent.clear()
+    leader._begin_round(fleet.now)
+    assert len([message for _, message in leader.ready().messages if isinstance(message, Snap)]) == 2
+    fleet.cut = set()
+    fleet.run(8.0)
+    assert {m.commit for m in fleet.members.values()} == {leader.commit} and leader.commit > 0
+
+
+def query(number: int, begin: float, end: float, word: str = "served") -> list[dict[str, Any]]:
+    asked = {"t": begin, "kind": "invoke", "id": number, "op": "query", "process": "a"}
+    return [asked, {"t": end, "kind": "ok", "id": number, "word": word, "text": ""}]
+
+
+def test_the_judge_of_clients_can_fail() -> None:
+    down = [
+        {"t": 2.0, "kind": "fault", "what": "kill", "span": "a", "who": "a"},
+        {"t": 4.0, "kind": "fault", "what": "over", "span": "a", "over": True},
+    ]
+    crossed = {"t": 2.1, "kind": "unknown", "id": 2, "why": "closed"}
+    events = [*query(1, 1.0, 1.1), *query(2, 1.9, 2.1)[:1], *down, crossed, *query(3, 4.5, 4.6)]
+    assert clients.judge(events, 10.0) == []
+    assert len(clients.judge([*events, *query(4, 5.0, 5.1, "refused")], 10.0)) == 1
+
+
+@pytest.mark.trial
+def test_a_whole_fleet_comes_back_from_a_power_loss(tmp_path: Path) -> None:
+    found = runs.attempt(scenario.load("power-loss"), 5, 20.0, 1, tmp_path / "out")
+    assert [str(violation) for violation in found.violations] == []
+    figures = found.figures
+    assert [figures[key] for key in ("lost", "divergent", "split_brain", "refused_for_quorum")] == [0, 0, 0, 0]
+    assert figures["acknowledged_before"] > 50 and figures["ready"] == 5 and figures["quorum_ms"] is not None
+
+
+@pytest.mark.trial
+def test_one_gateway_of_three_serves_alone_takes_no_settings_and_says_why() -> None:
+    from tealwing.lab.client import Session
+    from tealwing.lab.rig.loads import readiness
+    from tests.test_peers import until
+
+    with Trial(scenario.load("power-loss"), 3, 5.0, 1, sections=runs.SECTIONS["power"], engines=2) as trial:
+        trial.start()
+        one = trial.processes["n0"]
+        for process in trial.processes.values():
+            process.kill()
+        one.start()
+        one.ready()
+        listen, admin = one.address("listen"), one.address("admin")
+        assert listen is not None and admin is not None
+        text = b"/* op=lookup,call=00000000000000aa,ttl=3000,org=graan-koop,work=2.0,heap_mb=4 */ SELECT a FROM s_1.t"
+        assert Session(listen).ask(text, 5.0).word == "served"  # whatever readiness says
+        until(lambda: readiness(admin).startswith("ready: no leader is known; 1 of 3 members are heard"))
+        caller = trial.caller("n0")
+        told = caller.ask("replica.settings", text=b"{}")
+        assert told["word"] == "unavailable" and "no leader is known" in told["why"]
+        assert caller.ask("replica.recovery")["phase"] == "alone"
+        assert not any(lease["valid"] for lease in caller.ask("lease.list")["here"])
+        for name in ("n1", "n2"):
+            trial.processes[name].start()
+        until(lambda: readiness(admin).startswith("ready: caught up"))
+        with pytest.raises(Exception, match="text: "):
+            caller.ask("replica.settings", text=b"{}")
+        code, said = run("replica", "status", "--control", "{}:{}".format(*one.control))
+        assert code == 0 and "members n0, n1, n2" in said
+        assert trial.trouble() == []
