Walk the consensus core at random far beyond the whole exploration, and bound a dead queue

Cause: the exploration in whole reaches 10 steps, and a member that is told it is sure after an older disk takes more. Read again: a replica that is out of order went on queueing what its peers sent, without a bound.

Change: lab/models wander, walks of 160 steps with elections, crashes and older disks; a mutation that says Sure at once; a replica that has stopped takes nothing more; tests of a lease as a block, of a lease that another holds, and of one given back at SIGTERM.

--- a/tealwing/lab/models/consensus.py
+++ b/tealwing/lab/models/consensus.py
@@ -16,7 +16,7 @@
 from typing import Any
 
 from tealwing.replica.messages import Append, AppendReply, Entry, Message, Snap, SnapReply, Sure, VoteAsk, VoteReply
-from tealwing.replica.raft import Options, Raft, Role
+from tealwing.replica.raft import Options, Progress, Raft, Role
 
 Disk = tuple[int, str, tuple[Entry, ...]]  # term, vote, log
 STEP = 1.0  # s that pass with each step: all that could be due is
@@ -44,11 +44,20 @@
         return False
 
 
+class SureAtOnce(Raft):
+    """A mutation: a member is told that it is sure as soon as it has what is committed, whoever has confirmed that."""
+
+    def _settle(self, name: str, progress: Progress) -> None:
+        if self.role is Role.LEADER and progress.unsure and progress.match >= self.commit:
+            self._send(name, Sure(self.term, progress.start))
+
+
 MUTATIONS: dict[str, type[Raft]] = {
     "": Raft,
     "commit-old-terms": CommitsOldTerms,
     "vote-twice": VotesTwice,
     "trust-old-disks": TrustsOldDisks,
+    "sure-at-once": SureAtOnce,
 }
 
 
@@ -276,6 +285,14 @@
             return f"term {term}: you have caught up"
 
 
+LIKELY = (("crashes", 0.15), ("stands", 0.1), ("will again", 0.1), ("begins a round", 0.3), ("takes a command", 0.4))
+
+
+def likely(word: str) -> float:
+    """For walks at random: messages come through more often than anything breaks."""
+    return next((weight for part, weight in LIKELY if part in word), 1.0)
+
+
 # Where explorations start that would else be too far away
 
 
--- a/tealwing/lab/models/explore.py
+++ b/tealwing/lab/models/explore.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import time
 from collections.abc import Callable, Hashable, Iterable
 from dataclasses import dataclass
@@ -83,3 +84,22 @@
         if not level:
             return found(at, True)
     return found(depth, True)
+
+
+def wander(model: Model, walks: int, length: int, seed: int, weigh: Callable[[str], float] = lambda word: 1.0) -> Found:
+    """Walk at random, far beyond what can be seen in whole; weigh says how likely a step is against the others."""
+    begun, rng = time.monotonic(), random.Random(seed)
+    steps = 0
+    for _ in range(walks):
+        state, trace = model.initial(), list[str]()
+        for _ in range(length):
+            choices = list(model.steps(state))
+            if not choices:
+                break
+            (word, go), = rng.choices(choices, [weigh(word) for word, _ in choices])
+            state = go()
+            steps += 1
+            trace.append(word)
+            if wrong := model.broken(state):
+                return Found(steps, steps, len(trace), time.monotonic() - begun, False, wrong, tuple(trace))
+    return Found(steps, steps, length, time.monotonic() - begun, False)
--- a/tealwing/replica/node.py
+++ b/tealwing/replica/node.py
@@ -299,6 +299,8 @@
     # The link's reader thread
 
     def _hear(self, name: str, body: bytes) -> None:
+        if self.broken or self._stopped.is_set():  # nobody takes from the queue any more
+            return
         self._queue.put(("message", name, messages.decode(body)))
 
     def _hear_forwarded(self, name: str, body: bytes) -> None:
@@ -312,6 +314,8 @@
             if pending is not None:
                 pending.set(word)
             return
+        if self.broken or self._stopped.is_set():
+            return
         self._queue.put(("ask", word, lambda told: self._link.send(name, FORWARD, _encode(told))))
 
     # Our thread
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -9,9 +11,17 @@
 from tealwing.lab.judges import leases
 from tealwing.lab.models.explore import explore
 from tealwing.lab.models.leases import Leases
+from tealwing.lab.rig.ports import free_port
 from tealwing.leases.expiry import Expiry
 from tealwing.leases.holder import Do, Holder
+from tealwing.leases.keeper import Keeper
 from tealwing.peers.bounds import USUAL, Bounds
+from tealwing.peers.clock import Clock
+from tealwing.peers.link import Link
+from tealwing.peers.plan import Plan as PeersPlan
+from tealwing.replica import commands as c
+from tealwing.replica.node import Replica
+from tealwing.replica.plan import Plan
 
 TTL = 5.0
 MAY = USUAL.holder_may(TTL) - USUAL.told
@@ -84,6 +94,47 @@
     assert expiry.due(1000.0) == []
 
 
+@pytest.fixture
+def alone(tmp_path: Path) -> Iterator[tuple[Replica, Keeper]]:
+    """A fleet of one, which leads itself."""
+    plan = PeersPlan("f", "a", (("a", ("127.0.0.1", free_port())),))
+    link = Link(plan)
+    replica = Replica(Plan(str(tmp_path / "replica"), beat=0.02, election=0.1), link, Clock())
+    keeper = Keeper(replica, replica.clock)
+    replica.start()
+    keeper.start()
+    yield replica, keeper
+    keeper.stop()
+    replica.stop()
+    link.stop()
+
+
+def test_a_block_holds_its_lease_and_its_commands_count_under_it_alone(alone: tuple[Replica, Keeper]) -> None:
+    replica, keeper = alone
+    with keeper.lease("t", 2.0) as held:
+        assert held.valid()
+        fenced = replica.write(c.Command("", 0, c.Put("k", b"v"), held.fence()), 5.0)
+        assert fenced.ok
+        with pytest.raises(ValueError, match="wants t already"):
+            keeper.task("t", 2.0, lambda held: None)
+        assert held.wait(1.2)  # it has been renewed meanwhile: two seconds would be over soon
+    assert not held.valid()
+    assert not replica.state.tables["leases"]["t"].held  # it was given back
+    with keeper.lease("t", 2.0) as again:
+        assert again.token > held.token
+        late = replica.write(c.Command("", 0, c.Put("k", b"old"), held.fence()), 5.0)
+        assert not late.ok and "stale token" in late.why
+    with pytest.raises(ValueError, match="allowed: 1 s or more"):
+        keeper.task("u", 0.5, lambda held: None)
+
+
+def test_a_lease_that_another_holds_is_not_granted(alone: tuple[Replica, Keeper]) -> None:
+    replica, keeper = alone
+    assert replica.write(c.Command("", 0, c.Acquire("t", "another/1", 60_000)), 5.0).ok
+    with pytest.raises(TimeoutError), keeper.lease("t", 2.0, wait=0.5):
+        raise AssertionError("it was granted")
+
+
 def test_no_two_holders_act_at_once_in_all_interleavings_of_a_few_steps() -> None:
     for model in (Leases(8), Leases(8, renewing=True)):
         found = explore(model, 9)
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -12,8 +12,8 @@
 from hypothesis import strategies as st
 
 from tealwing.lab.judges import copies, register
-from tealwing.lab.models.consensus import Budget, Consensus, figure_eight
-from tealwing.lab.models.explore import explore
+from tealwing.lab.models.consensus import Budget, Consensus, figure_eight, likely
+from tealwing.lab.models.explore import explore, wander
 from tealwing.replica import commands as c
 from tealwing.replica.disk import Disk
 from tealwing.replica.messages import Append, AppendReply, Entry, Kind, Message, Snap
@@ -412,6 +412,21 @@
     assert "both lead term 1" in forgot.broken and any("older disk" in word for word in forgot.trace)
 
 
+WALKS = Budget(timeouts=12, beats=30, proposals=8, crashes=3, old=6, twice=5)
+
+
+@pytest.mark.parametrize(("names", "stale"), [("abc", 1), ("abcde", 2)])
+def test_long_walks_at_random_break_nothing_though_disks_come_back_older(names: str, stale: int) -> None:
+    found = wander(Consensus(WALKS, names=names, stale=stale), 150, 160, 1, likely)
+    assert found.broken == "" and found.steps > 15_000
+
+
+@pytest.mark.parametrize("mutation", ["trust-old-disks", "sure-at-once"])
+def test_long_walks_lose_what_was_committed_where_older_disks_are_trusted(mutation: str) -> None:
+    found = wander(Consensus(WALKS, mutation, stale=1), 600, 160, 7, likely)
+    assert "that is committed" in found.broken or "both lead" in found.broken or "applied" in found.broken
+
+
 # The judges
 
 
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -99,6 +99,13 @@
         assert code != 0 and "found 'nowhere'" in text
         until(lambda: "sweep-drains" in run("lease", "list", *control)[1])
         until(lambda: "held by n" in run("lease", "show", *control, "sweep-drains")[1])
+        holder = next(n for n in trial.names if f"held by {n}/" in run("lease", "show", *control, "sweep-drains")[1])
+        trial.processes[holder].terminate()  # it gives its lease back: nobody has to wait until it runs out
+        left = next(name for name in trial.names if name != holder)
+        control = ("--control", "{}:{}".format(*trial.processes[left].control))
+        until(lambda: "held by n" in (said := run("lease", "show", *control, "sweep-drains")[1]) and holder not in said)
+        told = [event["event"] for process in trial.processes.values() for event in process.events()]
+        assert "lease_expired" not in told
         code, text = run("lease", "show", *control, "nothing")
         assert code != 0 and "no lease 'nothing'" in text
         assert trial.trouble() == []
