--- a/tealwing/lab/rig/report.py
+++ b/tealwing/lab/rig/report.py
@@ -55,6 +55,7 @@
     top.legend(loc="upper right", fontsize=7, markerscale=3)
     top.set_title("dots: operations by their end; red squares: led; blue lines: held; bands: faults", fontsize=8)
     ends = [op.end for op in operations(events) if op.word == "ok"]
+    ends += [act["t"] for act in events if act["kind"] == "act" and act["accepted"]]
     if ends:
         bottom.hist(ends, bins=[second / 2 for second in range(int(2 * end) + 2)], color=COLOURS["ok"])
     bottom.set_ylabel("done in 0.5 s", fontsize=8)
--- a/tealwing/replica/node.py
+++ b/tealwing/replica/node.py
@@ -36,6 +36,7 @@
 MOST_AT_ONCE = 256  # items of the queue before the disk is written
 MOST_PENDING = 1024  # proposals and reads that wait for their outcome
 TRAIL, TRAIL_BYTES = 2000, 8 << 20  # entries kept behind a snapshot, for who is a little behind
+SPREAD = (0.75, 1.25)  # times the entries of the plan, at random: members apply the same and would all write at once
 LOG_BYTES = 32 << 20  # of entries after which a snapshot is due, however few they are: the log is in memory too
 ASK_AGAIN = (0.03, 0.3)  # s between two tries to reach a leader, least and most, jittered
 LEADER_WAIT = 1.0  # s that one try at the leader may take before another is made
@@ -139,6 +140,8 @@
         self.broken = ""
         self.terms: dict[int, str] = {}  # leader by term, as far as seen here
         self.snapshots = 0
+        self.slowest_save = 0.0  # s that the disk took for one write and its sync, at most
+        self._due = plan_due(plan)  # entries after which the next snapshot is written
         self._bytes = sum(len(entry.data) for entry in found.log)  # of entries since the last snapshot
         link.on(messages.CHANNEL, self._hear)
         link.on(FORWARD, self._hear_forwarded)
@@ -282,8 +285,9 @@
             "role": core.role.value, "term": core.term, "leader": core.leader, "members": list(core.members),
             "commit": core.commit, "applied": digest_at, "last": core.last_index, "stable": core.stable,
             "snapshot": core.snapshot.index, "unsure": core.unsure, "broken": self.broken, "held": counts,
-            "snapshots": self.snapshots, "refused_stale": self.state.refused_stale,
-            "phase": self.back.phase.value, "leaders": {str(term): name for term, name in list(self.terms.items())},
+            "snapshots": self.snapshots, "save_ms_max": round(self.slowest_save * 1e3, 1),
+            "refused_stale": self.state.refused_stale, "phase": self.back.phase.value,
+            "leaders": {str(term): name for term, name in list(self.terms.items())},
         }  # fmt: skip
 
     def plan_address(self, name: str) -> tuple[str, int] | None:
@@ -427,6 +431,7 @@
 
     def _do(self, ready: Ready) -> None:
         """What the core wants, in its order: the disk, then words that rest on it, then the state."""
+        begun = time.monotonic()
         try:
             self.storage.save(ready.hard, ready.entries)
             if ready.chunk is not None and not self._take_chunk(ready.chunk):
@@ -434,6 +439,10 @@
         except OSError as error:
             self.broken = str(error)
             return
+        took = time.monotonic() - begun
+        self.slowest_save = max(self.slowest_save, took)
+        if took >= self.plan.election / 2:  # while it lasts we answer nobody: a leader may be missed for it
+            log.event("replica_disk_slow", took=round(took, 3), entries=len(ready.entries))
         if ready.entries:
             self.core.saved(self.clock.now(), ready.entries[-1].index, ready.entries[-1].term)
         for name, message in ready.messages:
@@ -519,7 +528,7 @@
         self._queue.put(("wake",))
 
     def _maybe_snapshot(self) -> None:
-        due = self.state.applied - self.core.snapshot.index >= self.plan.snapshot_entries or self._bytes >= LOG_BYTES
+        due = self.state.applied - self.core.snapshot.index >= self._due or self._bytes >= LOG_BYTES
         if self._writing or self.broken or not (due or self._wanted):
             return
         self._wanted = False
@@ -528,7 +537,7 @@
         if index <= self.core.snapshot.index or term is None:
             return
         twin, members = self.state.copy(), self._members_at(index)
-        self._writing, self._bytes = True, 0
+        self._writing, self._bytes, self._due = True, 0, plan_due(self.plan)
 
         def write() -> None:
             try:
@@ -566,6 +575,11 @@
         log.event("replica_snapshot", index=meta.index, size=meta.size)
 
 
+def plan_due(plan: Plan) -> float:
+    """Entries after which the next snapshot is due."""
+    return plan.snapshot_entries * random.uniform(*SPREAD)
+
+
 class _Answering(Pending):
     """A pending outcome whose caller hears it through a function."""
 
