--- a/tealwing/lab/faults/scenario.py
+++ b/tealwing/lab/faults/scenario.py
@@ -58,6 +58,7 @@
     jitter_ms: Annotated[float, msgspec.Meta(ge=0.0, le=60_000.0)] = 0.0
     duplicate: Share = 0.0
     reorder: Share = 0.0
+    gently: bool = False  # a restart by SIGTERM instead of SIGKILL
     pause: Seconds = 0.5  # s between kill and start of a restart, and at most of a power loss
     disk: Literal["kept", "old", "none"] = "kept"  # what a start finds
     step_s: Annotated[float, msgspec.Meta(ge=-60.0, le=60.0)] = 0.0
--- a/tealwing/lab/models/consensus.py
+++ b/tealwing/lab/models/consensus.py
@@ -15,7 +15,18 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from tealwing.replica.messages import Append, AppendReply, Entry, Message, Snap, SnapReply, Sure, VoteAsk, VoteReply
+from tealwing.replica.messages import (
+    Append,
+    AppendReply,
+    Entry,
+    Hand,
+    Message,
+    Snap,
+    SnapReply,
+    Sure,
+    VoteAsk,
+    VoteReply,
+)
 from tealwing.replica.raft import Options, Progress, Raft, Role
 
 Disk = tuple[int, str, tuple[Entry, ...]]  # term, vote, log
@@ -71,6 +82,7 @@
     crashes: int = 1
     old: int = 0  # of the crashes, those that come back with an older disk
     twice: int = 1  # messages delivered and still under way
+    hands: int = 0  # leaders that hand over
 
 
 @dataclass(slots=True)
@@ -97,7 +109,8 @@
     ) -> None:  # fmt: skip
         """begin leads from the empty fleet to where the exploration starts."""
         self._budget, self._core, self._names, self._begin = budget, MUTATIONS[mutation], tuple(names), begin
-        self._options = Options(pre_vote=False, check_quorum=False, stale=stale, entries=1, inflight=2)
+        # elections come by `campaign`: so long a time that whoever was ever heard counts as heard
+        self._options = Options(election=1e6, pre_vote=False, check_quorum=False, stale=stale, entries=1, inflight=2)
         self._stale = stale
 
     def initial(self) -> World:
@@ -129,6 +142,8 @@
             if budget.timeouts and member.role is not Role.LEADER:
                 yield f"{name} stands for election", lambda n=name: self.timeout(world, n)  # type: ignore[misc]
             if member.role is Role.LEADER:
+                if budget.hands:
+                    yield f"{name} hands over", lambda n=name: self.hand(world, n)  # type: ignore[misc]
                 if budget.beats:
                     yield f"{name} begins a round", lambda n=name: self.beat(world, n)  # type: ignore[misc]
                 if budget.proposals:
@@ -163,6 +178,12 @@
         after.members[name].tick(after.at * STEP)
         return self._settle(after, name)
 
+    def hand(self, world: World, name: str) -> World:
+        """A leader has another stand at once."""
+        after = self._after(world, name, hands=1)
+        after.members[name].hand_over(after.at * STEP)
+        return self._settle(after, name)
+
     def propose(self, world: World, name: str) -> World:
         """A leader takes a command."""
         after = self._after(world, name, proposals=1)
@@ -210,6 +231,8 @@
             leader = world.leaders.setdefault(member.term, name)
             if leader != name:
                 world.wrong = f"{leader} and {name} both lead term {member.term}"
+        elif member.leader and world.leaders.get(member.term) != member.leader:
+            world.wrong = f"{name} holds {member.leader} for the leader of term {member.term}, which it does not lead"
         return world
 
     # What must hold
@@ -281,6 +304,8 @@
             return f"term {term}: {f'I have all up to {match}' if ok else f'that does not fit; try {hint}'}"
         case Snap() | SnapReply():
             return "a piece of a snapshot"
+        case Hand(term):
+            return f"term {term}: stand at once"
         case Sure(term, _):
             return f"term {term}: you have caught up"
 
--- a/tealwing/lab/rig/trial.py
+++ b/tealwing/lab/rig/trial.py
@@ -284,7 +284,7 @@
                 self.processes[name].signal(signal.SIGCONT)
                 self._over(("stop", name))
             case "restart":
-                self._kill(name)
+                self._kill(name, step.gently)
                 self.stopping.wait(step.pause)
                 self._start(name, step.disk)
             case "clock":
@@ -339,10 +339,12 @@
                 self.faults += 1
                 self.history.add("fault", what="over", span=str(key), over=True)
 
-    def _kill(self, name: str) -> None:
+    def _kill(self, name: str, gently: bool = False) -> None:
         self._over(("stop", name))
         if self.processes[name].running:
-            self._span(("down", name), "kill", who=name)
+            self._span(("down", name), "kill", who=name, gently=gently)
+            if gently:
+                self.processes[name].terminate()
             self.processes[name].kill()
 
     def _start(self, name: str, disk: str) -> None:
--- a/tealwing/replica/messages.py
+++ b/tealwing/replica/messages.py
@@ -40,6 +40,7 @@
     last_index: Big
     last_term: Big
     pre: bool
+    handed: bool = False  # the leader asked for it: it does not matter that it was heard just now
 
 
 class VoteReply(Record, tag=2, frozen=True):
@@ -108,7 +109,13 @@
     start: Big
 
 
-Message = VoteAsk | VoteReply | Append | AppendReply | Snap | SnapReply | Sure
+class Hand(Record, tag=8, frozen=True):
+    """The leader goes: stand for election at once."""
+
+    term: Big
+
+
+Message = VoteAsk | VoteReply | Append | AppendReply | Snap | SnapReply | Sure | Hand
 
 _encode = msgspec.msgpack.Encoder().encode
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
--- a/tealwing/replica/node.py
+++ b/tealwing/replica/node.py
@@ -40,6 +40,7 @@
 LOG_BYTES = 32 << 20  # of entries after which a snapshot is due, however few they are: the log is in memory too
 ASK_AGAIN = (0.03, 0.3)  # s between two tries to reach a leader, least and most, jittered
 LEADER_WAIT = 1.0  # s that one try at the leader may take before another is made
+HAND_OVER, HAND_OVER_LOOK = 0.5, 0.01  # s that a leader's end may wait for another to lead, and between two looks
 LEADER_LOOK = 0.05  # s between two looks whether it leads still
 RECENT_TERMS = 64  # leaders by term that are remembered for the status
 
@@ -163,7 +164,12 @@
             )  # fmt: skip
 
     def stop(self) -> None:
-        """Take part no more; what waits for an outcome has none."""
+        """Take part no more; what waits for an outcome has none. A leader hands over first, as far as that is quick."""
+        if self.core.role is Role.LEADER and not self.broken:
+            self._queue.put(("leave",))
+            end = time.monotonic() + HAND_OVER
+            while self.core.role is Role.LEADER and not self.broken and time.monotonic() < end:
+                time.sleep(HAND_OVER_LOOK)
         self._stopped.set()
         self._queue.put(("wake",))
 
@@ -394,6 +400,8 @@
             case "at":
                 self._at_index.append((item[1], item[2]))
                 self._answer_at_index()
+            case "leave":
+                log.event("replica_handed_over", to=self.core.hand_over(now) or None, term=self.core.term)
             case "written":
                 self._snapshot_written(item[1])
 
--- a/tealwing/replica/raft.py
+++ b/tealwing/replica/raft.py
@@ -29,6 +29,7 @@
     Append,
     AppendReply,
     Entry,
+    Hand,
     Kind,
     Message,
     Snap,
@@ -257,16 +258,33 @@
         else:
             self._stand(now)
 
-    def _stand(self, now: float) -> None:
-        self.term, self.vote, self._hard = self.term + 1, self.me, True
+    def hand_over(self, now: float) -> str:
+        """Have the follower that is furthest stand at once, as we are about to go; who that is, empty if nobody can.
+
+        Nothing is given away by it: it is elected by votes like anyone, or not, and then an election time passes.
+        """
+        if self.role is not Role.LEADER:
+            return ""
+        ready = [
+            (progress.match, name) for name, progress in self.progress.items()
+            if name in self.members and not progress.unsure and now - progress.heard < self.options.election
+        ]  # fmt: skip
+        if not ready or max(ready)[0] < self.commit:
+            return ""
+        name = max(ready)[1]
+        self._send(name, Hand(self.term))
+        return name
+
+    def _stand(self, now: float, handed: bool = False) -> None:
+        self.term, self.vote, self._hard, self.leader = self.term + 1, self.me, True, ""
         self.role, self.votes = Role.CANDIDATE, {self.me: (True, self.start, self.unsure)}
         self._reset_deadline(now)
-        self._ask_votes(now, self.term, False)
+        self._ask_votes(now, self.term, False, handed)
 
-    def _ask_votes(self, now: float, term: int, pre: bool) -> None:
+    def _ask_votes(self, now: float, term: int, pre: bool, handed: bool = False) -> None:
         for name in self.members:
             if name != self.me:
-                self._send(name, VoteAsk(term, self.last_index, self.last_term, pre))
+                self._send(name, VoteAsk(term, self.last_index, self.last_term, pre, handed))
         self._count_votes(now)  # alone, we have them all
 
     def _count_votes(self, now: float) -> None:
@@ -304,6 +322,9 @@
             self._hear_append(now, source, message)
         elif isinstance(message, Snap):
             self._hear_snap(now, source, message)
+        elif isinstance(message, Hand):
+            if message.term == self.term and source == self.leader and self.me in self.members:
+                self._stand(now, handed=True)
         elif isinstance(message, Sure):
             if message.term == self.term and message.start == self.start:
                 self.unsure = False
@@ -432,7 +453,7 @@
 
     def _vote(self, now: float, source: str, ask: VoteAsk) -> None:
         led = self.role is Role.LEADER or (self.leader and now - self.heard < self.options.election)
-        if self.options.check_quorum and led and self.leader != source:
+        if self.options.check_quorum and led and self.leader != source and not ask.handed:
             return  # our leader is well: who was cut off and comes back must not unseat it
         newer = (ask.last_term, ask.last_index) >= (self.last_term, self.last_index)
         if ask.pre:
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -278,6 +278,25 @@
     assert old.log == new.log  # the conflicting suffix was cut: the leader's log wins
 
 
+def test_a_leader_that_goes_hands_over_and_nobody_waits_for_an_election() -> None:
+    fleet = Fleet()
+    old = fleet.leader()
+    fleet.propose(old, b"before")
+    fleet.run(0.2)
+    begun, to = fleet.now, old.hand_over(fleet.now)
+    fleet.settle(old.me)
+    fleet.pass_on()
+    new = fleet.members[to]
+    assert new.role is Role.LEADER and old.role is Role.FOLLOWER and fleet.now == begun
+    fleet.propose(new, b"after")
+    fleet.run(0.2)
+    assert {tuple(data for _, data in found) for found in fleet.applied.values()} == {(b"before", b"after")}
+    assert old.hand_over(fleet.now) == ""  # only a leader has something to hand over
+    fleet.isolate(new.me)
+    fleet.run(0.7)
+    assert new.hand_over(fleet.now) == ""  # to nobody that it does not hear
+
+
 def test_a_read_is_not_answered_by_a_leader_that_was_deposed() -> None:
     fleet = Fleet(check_quorum=False)  # it still thinks that it leads
     old = fleet.leader()
@@ -412,7 +431,7 @@
     assert "both lead term 1" in forgot.broken and any("older disk" in word for word in forgot.trace)
 
 
-WALKS = Budget(timeouts=12, beats=30, proposals=8, crashes=3, old=6, twice=5)
+WALKS = Budget(timeouts=12, beats=30, proposals=8, crashes=3, old=6, twice=5, hands=3)
 
 
 @pytest.mark.parametrize(("names", "stale"), [("abc", 1), ("abcde", 2)])
