Feed drains, cold starts and levels into the shared state, and know it at a start

Rejected: a sync for each commit (doubles the cost of a write for a word that may lag).

Off without the section `replica`.

--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -164,6 +164,8 @@
             raise LinkFault("peers: the platform's settings forbid talk among gateways (Allowed.Peers)")
         self._peering = Peering(plan, replica, self._fleet_settings)
         self._peering.start()
+        if self._peering.feed is not None:
+            self._peering.feed.engines(self._decisions.listed, self._settings.rules)
 
     def _gossip(self, plan: GossipPlan | None) -> None:
         """Begin, change or end gossip; a GossipFault leaves it as it is."""
@@ -211,7 +213,7 @@
                 module.adopt(plan, now)
                 return module
             assert isinstance(module, Gateway)
-            return Governor(self._settings, module, plan, _say)
+            return Governor(self._settings, module, plan, self._say)
 
         self._decisions.change(change)
         if plan is None and self._vitals is not None:
@@ -233,11 +235,15 @@
             kind = api.ListKind.CACHED
         entries = tuple(member.entry for member in update.members)
         self._decisions.submit(api.EngineList(kind, update.revision, entries))
+        if self._peering is not None and self._peering.feed is not None:
+            self._peering.feed.engines(entries, self._settings.rules)
         states = {member.name: member.entry.health.name for member in update.members}
         log.event("engine_list", index=update.index, complete=update.complete, members=states)
         for why in update.unusable:
             log.event("engine_unusable", why=why)
 
-
-def _say(name: str, fields: dict[str, Any]) -> None:
-    log.event(name, **fields)
+    def _say(self, name: str, fields: dict[str, Any]) -> None:
+        """What the governor tells: to the log, and a level that changes to the fleet too."""
+        log.event(name, **fields)
+        if name == "service_level" and self._peering is not None and self._peering.feed is not None:
+            self._peering.feed.level(str(fields["from"]), str(fields["to"]), str(fields.get("why", "")), "full")
--- a/tealwing/gateway/decisions.py
+++ b/tealwing/gateway/decisions.py
@@ -66,6 +66,12 @@
         """Requests taken and not yet ended."""
         return len(self._mailboxes)
 
+    @property
+    def listed(self) -> tuple[api.ListEntry, ...]:
+        """The engine list as it was last heard."""
+        with self._lock:
+            return tuple(self._listed.values())
+
     @property
     def settings(self) -> api.Settings:
         """The settings of the module that takes new requests."""
--- a/tealwing/leases/peering.py
+++ b/tealwing/leases/peering.py
@@ -15,6 +15,7 @@
 from tealwing.peers.link import Link, LinkFault
 from tealwing.peers.plan import Plan
 from tealwing.replica.commands import Command, Result, Settings
+from tealwing.replica.feed import Feed
 from tealwing.replica.node import Replica
 from tealwing.replica.plan import Plan as ReplicaPlan
 from tealwing.replica.recovery import Phase
@@ -47,6 +48,7 @@
                 self.link.stop()
                 raise LinkFault(f"replica: folder {replica.folder}: {error}") from None
         self._take = take
+        self.feed = Feed(self.replica, plan.name) if self.replica is not None else None
         if self.replica is not None:
             self.replica.watch(self._applied)
             self.replica.on_installed(self._take_best)
@@ -81,6 +83,8 @@
         if self.keeper is not None and self.replica is not None:
             self.keeper.start()
             sweep.begin(self.keeper, self.replica)
+        if self.feed is not None:
+            self.feed.start()
         if self.control is not None:
             self.control.start()
         if self.plan.faults:
@@ -90,6 +94,8 @@
         """The gateway ends."""
         if self.control is not None:
             self.control.stop()
+        if self.feed is not None:
+            self.feed.stop()
         if self.keeper is not None:
             self.keeper.stop()
         if self.replica is not None:
--- a/tealwing/replica/node.py
+++ b/tealwing/replica/node.py
@@ -40,6 +40,7 @@
 LOG_BYTES = 32 << 20  # of entries after which a snapshot is due, however few they are: the log is in memory too
 ASK_AGAIN = (0.03, 0.3)  # s between two tries to reach a leader, least and most, jittered
 LEADER_WAIT = 1.0  # s that one try at the leader may take before another is made
+COMMIT_EVERY = 0.25  # s between two words to the disk of how far the log is committed, where nothing else is written
 HAND_OVER, HAND_OVER_LOOK = 0.5, 0.01  # s that a leader's end may wait for another to lead, and between two looks
 LEADER_LOOK = 0.05  # s between two looks whether it leads still
 RECENT_TERMS = 64  # leaders by term that are remembered for the status
@@ -122,7 +123,12 @@
             snapshot=found.snapshot,
             log=found.log,
             incoming=found.incoming,
+            commit=found.commit,
         )
+        for entry in self.core.ready().committed:  # what was known to be committed is the state, whoever is there
+            if entry.kind is Kind.DATA:
+                self.state.apply(entry.index, entry.data)
+            self.state.applied = entry.index
         self.beliefs = beliefs(self.state, self.core.last_index, int(time.time() * 1e3))
         self.back.disk_read(time.monotonic())
         self._queue: SimpleQueue[tuple[Any, ...]] = SimpleQueue()
@@ -141,6 +147,7 @@
         self.broken = ""
         self.terms: dict[int, str] = {}  # leader by term, as far as seen here
         self.snapshots = 0
+        self._committed_at = 0.0  # monotonic, when the disk last heard how far all is committed
         self.slowest_save = 0.0  # s that the disk took for one write and its sync, at most
         self._due = plan_due(plan)  # entries after which the next snapshot is written
         self._bytes = sum(len(entry.data) for entry in found.log)  # of entries since the last snapshot
@@ -371,6 +378,19 @@
                 del self.terms[min(self.terms)]
             log.event("replica_led", term=self.core.term, leader=self.core.leader)
         self._maybe_snapshot()
+        if self.storage.commit < min(self.core.commit, self.core.stable) and not self.broken:
+            self._keep_commit()
+
+    def _keep_commit(self) -> None:
+        """Tell the disk how far the log is committed, now and then: a start then knows its state without a leader."""
+        now = time.monotonic()
+        if now - self._committed_at < COMMIT_EVERY:
+            return
+        self._committed_at = now
+        try:
+            self.storage.save(None, (), min(self.core.commit, self.core.stable))
+        except OSError as error:
+            self.broken = str(error)
 
     def seen(self) -> Seen:
         """What this member sees of the fleet, for the order of return."""
@@ -441,7 +461,11 @@
         """What the core wants, in its order: the disk, then words that rest on it, then the state."""
         begun = time.monotonic()
         try:
-            self.storage.save(ready.hard, ready.entries)
+            commit = min(self.core.commit, self.core.stable)
+            due = ready.hard is not None or ready.entries or begun - self._committed_at >= COMMIT_EVERY
+            if due:
+                self.storage.save(ready.hard, ready.entries, commit)
+                self._committed_at = begun
             if ready.chunk is not None and not self._take_chunk(ready.chunk):
                 ready.messages = [m for m in ready.messages if not isinstance(m[1], SnapReply)]
         except OSError as error:
--- a/tealwing/replica/raft.py
+++ b/tealwing/replica/raft.py
@@ -151,6 +151,7 @@
         snapshot: Meta = Meta(),  # noqa: B008 - frozen
         log: Iterable[Entry] = (),
         incoming: tuple[int, int, int] = (0, 0, 0),
+        commit: int = 0,
     ) -> None:
         """From what the disk has. start is a number that no earlier start of this member had.
 
@@ -165,7 +166,8 @@
         self.first_members = members
         self.log = list(log)  # after the base
         self.members = self._members_now()
-        self.commit = self.applied = snapshot.index
+        self.applied = snapshot.index
+        self.commit = max(snapshot.index, min(commit, self.last_index))
         self.unsure = options.stale > 0 and len(self.members) > 1
         self.role, self.leader = Role.FOLLOWER, ""
         self.heard = now - 2 * options.election  # when a leader was heard
--- a/tealwing/replica/storage.py
+++ b/tealwing/replica/storage.py
@@ -40,10 +40,11 @@
 
 
 class Hard(Record, tag="h", frozen=True):
-    """Term and vote."""
+    """Term and vote, and how far the log is known to be committed: that may lag, and is never too much."""
 
     term: int
     vote: str
+    commit: int = 0
 
 
 class Stored(Record, tag="e", frozen=True):
@@ -78,6 +79,7 @@
 
     term: int = 0
     vote: str = ""
+    commit: int = 0
     snapshot: Meta = field(default_factory=Meta)
     log: list[Entry] = field(default_factory=list)
     cut: int = 0  # bytes of a torn tail that were cut
@@ -116,7 +118,7 @@
             highest = 0
             for record in self._records(path, place == len(paths) - 1, found):
                 if isinstance(record, Hard):
-                    found.term, found.vote = record.term, record.vote
+                    found.term, found.vote, found.commit = record.term, record.vote, record.commit
                     self._hard = record
                     continue
                 if isinstance(record, Installed):
@@ -186,13 +188,22 @@
 
     # The log
 
-    def save(self, hard: tuple[int, str] | None, entries: Iterable[Entry]) -> None:
-        """Have term and vote, and entries, on the disk when this returns. OSError: nobody knows, write no more."""
+    @property
+    def commit(self) -> int:
+        """How far the disk knows the log to be committed."""
+        return self._hard.commit
+
+    def save(self, hard: tuple[int, str] | None, entries: Iterable[Entry], commit: int = 0) -> None:
+        """Have term and vote, and entries, on the disk when this returns. OSError: nobody knows, write no more.
+
+        commit goes with what is written; it alone is written where neither of the others is given.
+        """
         if self.broken:
             raise OSError(5, self.broken)
         records: list[Written] = []
-        if hard is not None:
-            self._hard = Hard(*hard)
+        commit = max(commit, self._hard.commit)
+        if hard is not None or commit > self._hard.commit:
+            self._hard = Hard(*(hard or (self._hard.term, self._hard.vote)), commit)
             records.append(self._hard)
         records += [Stored(entry) for entry in entries]
         if not records:
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -7,12 +7,14 @@
 
 import pytest
 
+from tealwing import interface as api
 from tealwing.lab.faults import scenario
 from tealwing.lab.judges import clients
 from tealwing.lab.rig import runs
 from tealwing.lab.rig.trial import Trial
 from tealwing.peers.bounds import USUAL
 from tealwing.replica import commands as c
+from tealwing.replica.feed import words
 from tealwing.replica.messages import Snap
 from tealwing.replica.raft import Meta, Mode
 from tealwing.replica.recovery import ASK_LIMIT, OLDEST_MS, Belief, Phase, Return, Seen, Trust, beliefs
@@ -62,6 +64,23 @@
     assert found["levels", "few"].trust is Trust.MARKED and found["log", "7..9"].trust is Trust.MARKED
 
 
+def test_only_what_the_state_does_not_have_is_told() -> None:
+    state = State()
+    draining, ready = api.Health.DRAINING, api.Health.READY
+    told = [api.ListEntry(7, 0, 0, 0, draining, 1.0, 0.0), api.ListEntry(8, 0, 0, 0, ready, 1.0, NOW / 1e3 - 2)]
+    first = words(told, state, NOW, 1000, 13_000)
+    assert first == [c.Drain(7, 0, NOW, NOW + 1000), c.Note(8, NOW - 2000, "cold", NOW - 2000)]
+    for index, body in enumerate(first, 1):
+        do(state, index, body)
+    assert words(told, state, NOW + 500, 1000, 13_000) == []
+    again = [api.ListEntry(7, 0, 0, 0, ready, 1.0, 0.0), api.ListEntry(8, 0, 0, 0, api.Health.GONE, 1.0, 0.0)]
+    over = words(again, state, NOW + 900, 1000, 13_000)
+    assert over == [c.Drain(7, 0, over=True), c.Note(8, NOW - 2000, "cold", over=True)]
+    for index, body in enumerate(over, 3):
+        assert do(state, index, body).ok
+    assert state.counts()["drains"] == state.counts()["notes"] == 0
+
+
 def seen(leader: str = "", commit: int = 10, applied: int = 10, unsure: bool = False, term: int = 3) -> Seen:
     return Seen(leader, term, unsure, commit, applied, 2, 3)
 
@@ -141,6 +160,11 @@
     with Trial(scenario.load("power-loss"), 3, 5.0, 1, sections=runs.SECTIONS["power"], engines=2) as trial:
         trial.start()
         one = trial.processes["n0"]
+        engine = trial.engines.members()[1] | {"phase": "draining"}
+        trial.coordinator.tell([engine])
+        caller = trial.caller("n0")
+        until(lambda: caller.ask("replica.status")["held"]["drains"] == 1)  # told by all three, and kept once
+        caller.close()
         for process in trial.processes.values():
             process.kill()
         one.start()
@@ -153,7 +177,9 @@
         caller = trial.caller("n0")
         told = caller.ask("replica.settings", text=b"{}")
         assert told["word"] == "unavailable" and "no leader is known" in told["why"]
-        assert caller.ask("replica.recovery")["phase"] == "alone"
+        back = caller.ask("replica.recovery")
+        assert back["phase"] == "alone"
+        assert [(b["trust"], b["until_ms"] > 0) for b in back["beliefs"] if b["what"] == "drain"] == [("held", True)]
         assert not any(lease["valid"] for lease in caller.ask("lease.list")["here"])
         for name in ("n1", "n2"):
             trial.processes[name].start()
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -75,6 +75,19 @@
     assert [(e.index, e.term) for e in found.log] == [(1, 1), (2, 2)] and (found.term, found.vote) == (2, "")
 
 
+def test_a_start_knows_what_was_committed_though_nobody_leads(tmp_path: Path) -> None:
+    # guards settings and drains after a power loss: what stood only in the log was no more until a leader was back
+    storage = Storage(tmp_path)
+    storage.open()
+    storage.save((1, "a"), [entry(1, 1, put("k", b"known")), entry(2, 1, put("k", b"not known"))])
+    storage.save(None, (), 1)
+    storage.save((2, ""), ())  # a later term and vote keep it
+    found = Storage(tmp_path).open()
+    assert (found.term, found.commit) == (2, 1)
+    core = Raft("a", ("a", "b", "c"), 0.0, term=2, log=found.log, commit=found.commit)
+    assert [e.index for e in core.ready().committed] == [1] and core.commit == 1
+
+
 def test_after_a_failed_sync_nothing_more_is_written(tmp_path: Path) -> None:
     for number, fault in enumerate(("fsync", "short", "full")):
         folder = tmp_path / str(number)
