End what a scenario was just about to start when a trial closes

Cause: a process of an early trial was still there an hour later, its folder gone: the scenario's thread had started it between the kill of all and its own end. Change: all are killed once more after the trial's threads have ended. Measured: a trial of three processes ends as before; the race itself was not caused again.

--- a/tealwing/lab/rig/trial.py
+++ b/tealwing/lab/rig/trial.py
@@ -119,6 +119,8 @@
             process.kill()
         for thread in self._threads:
             thread.join(15.0)
+        for process in self.processes.values():  # one that the scenario was just about to start
+            process.kill()
         self.proxy.stop()
         self.coordinator.stop()
         self.engines.stop()
