--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -92,7 +92,7 @@
         code, text = run("replica", "members", *control)
         assert code == 0 and text.count("alive") == 3
         assert run("replica", "snapshot", *control)[0] == 0
-        assert run("replica", "verify", *control) == (0, run("replica", "verify", *control)[1])
+        assert run("replica", "verify", *control)[0] == 0
         code, text = run("replica", "status", "--control", "127.0.0.1:1")
         assert code != 0 and "no gateway answers there" in text
         code, text = run("replica", "status", "--control", "nowhere")
