--- /dev/null
+++ b/tealwing/rules/records.py
@@ -0,0 +1,177 @@
+"""What is said and kept of versions of the rules in the replicated log; pure.
+
+A version is one immutable bundle under a number. Commands change its phase; the registry applies them.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import msgspec
+
+from tealwing.replica.messages import Big, Record
+
+Word = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+Text = Annotated[str, msgspec.Meta(max_length=2000)]
+LARGEST = 256 * 1024  # bytes of a bundle's text
+Bundled = Annotated[bytes, msgspec.Meta(max_length=LARGEST)]
+LostTouch = Literal["serve", "hold"]
+Phase = Literal[
+    "proposed", "checked", "preparing", "agreed", "active", "superseded", "rejected", "aborted", "withdrawn"
+]
+IN_FLIGHT: tuple[Phase, ...] = ("proposed", "checked", "preparing", "agreed")
+
+
+# Commands
+
+
+class Propose(Record, tag="rules.propose", frozen=True):
+    """A new version with that parent; number 0 takes the next one, else the federation's."""
+
+    parent: Big
+    digest: Word  # of the text: bundle.digest
+    text: Bundled
+    who: Word
+    when: Big  # ms of the Unix clock at the proposer; nothing is decided by it
+    why: Text = ""
+    number: Big = 0
+    federated: bool = False  # decided in the federation's log, not here
+    needs: Big = 1  # the least build that can put it in force
+
+
+class Verdict(Record, tag="rules.verdict", frozen=True):
+    """A member's word on a proposed version, as checked in that start of it."""
+
+    number: Big
+    member: Word
+    start: Big
+    yes: bool
+    reason: Text = ""
+
+
+class Close(Record, tag="rules.close", frozen=True):
+    """Every member stops deciding what the change touches as it applies this."""
+
+    number: Big
+
+
+class Closed(Record, tag="rules.closed", frozen=True):
+    """A member has closed in that start of it, and its disk says so."""
+
+    number: Big
+    member: Word
+    start: Big
+
+
+class Activate(Record, tag="rules.activate", frozen=True):
+    """The version is in force; refused where it is not covered."""
+
+    number: Big
+    decided: Big = 0  # of a federated version: the index in the federation's log
+
+
+class Abort(Record, tag="rules.abort", frozen=True):
+    """The version will never be in force."""
+
+    number: Big
+    reason: Text = ""
+    decided: Big = 0
+
+
+class Withdraw(Record, tag="rules.withdraw", frozen=True):
+    """Its proposer, or another operator, takes it back before anyone closes for it."""
+
+    number: Big
+    who: Word
+    why: Text = ""
+
+
+class Begin(Record, tag="rules.begin", frozen=True):
+    """A member's present start; the member is in the table from here on."""
+
+    member: Word
+    start: Big
+    lost_touch: LostTouch
+    build: Big = 1
+    permit: Big = 0  # ms that a permit of it lasts (hold)
+
+
+class Lapse(Record, tag="rules.lapse", frozen=True):
+    """No permit of that start is given any more (hold only)."""
+
+    member: Word
+    start: Big
+
+
+class Witness(Record, tag="rules.witness", frozen=True):
+    """By its own clock, a member has waited until a permit given before that lapse must be over."""
+
+    member: Word
+    lapse: Big  # index of the lapse
+    by: Word
+
+
+class Forget(Record, tag="rules.forget", frozen=True):
+    """An operator takes a member out; off: they vouch that it is switched off for good."""
+
+    member: Word
+    off: bool = False
+
+
+Body = Propose | Verdict | Close | Closed | Activate | Abort | Withdraw | Begin | Lapse | Witness | Forget
+
+
+# What is kept
+
+
+class Said(Record, frozen=True):
+    """A member's verdict."""
+
+    start: Big
+    yes: bool
+    reason: Text = ""
+
+
+class Version(Record, frozen=True):
+    """One version, and all that was said of it."""
+
+    number: Big
+    parent: Big
+    digest: Word
+    text: Bundled
+    who: Word
+    when: Big
+    why: Text
+    phase: Phase
+    index: Big  # of its proposal
+    changed: Big  # index of the entry that gave it its phase
+    federated: bool = False
+    needs: Big = 1
+    said: dict[str, Said] = {}  # by member
+    outcome: Text = ""  # why it was rejected, aborted or withdrawn, and by whom
+    decided: Big = 0
+
+
+class Member(Record, frozen=True):
+    """One member in its present start."""
+
+    start: Big
+    lost_touch: LostTouch
+    build: Big = 1
+    permit: Big = 0  # ms
+    begun: Big = 0  # index of its Begin
+    closed: Big = 0  # number of the version that it has closed for, in this start
+    lapsed: Big = 0  # index of its Lapse; 0: none
+    witnesses: tuple[str, ...] = ()
+    over: bool = False  # every permit given before the lapse is over
+    leaving: bool = False  # it is forgotten once that is so
+
+
+class Facts(Record, frozen=True):
+    """What holds of all versions."""
+
+    last: Big = 0  # number given last
+    active: Big = 0  # number of the version in force; 0: none yet
+
+
+NOW = "now"  # the one key of the table of facts
