Split the core of the replicated log by concern into a package

The class is built in layers, each on the one before: log, quorum, following, sending, commit, leading, election, core. No line of a method changed.

--- /dev/null
+++ b/tealwing/replica/raft/commit.py
@@ -0,0 +1,87 @@
+"""What is committed, what may be read, and who is sure again."""
+
+from __future__ import annotations
+
+from tealwing.replica.messages import Sure
+from tealwing.replica.raft.records import NotLeader, Progress, Role
+from tealwing.replica.raft.sending import Sending
+
+
+class Committing(Sending):
+    """What a leader makes of what its followers have."""
+
+    def read(self, now: float, number: int) -> None:
+        """A read that must see all that was committed before it: read-index. NotLeader."""
+        if self.role is not Role.LEADER:
+            raise NotLeader(self.leader)
+        if self.commit < self.settled:  # what is committed is not known before our first entry is
+            self._reads.append((number, 0))
+            return
+        self._begin_round(now)
+        self._reads.append((number, self.round))
+        self._answer_reads()
+
+    def _answer_reads(self) -> None:
+        if not self._reads:
+            return
+        left = []
+        for number, round_ in self._reads:
+            answered = [name for name, progress in self.progress.items() if progress.round >= round_]
+            if round_ and self.enough([self.me, *answered]):
+                self._done_reads.append((number, self.commit))
+            else:
+                left.append((number, round_))
+        self._reads = left
+
+    def saved(self, now: float, index: int, term: int) -> None:
+        """The log is on disk up to an index, whose entry then had that term."""
+        if self.term_at(index) == term and index > self.stable:  # else it was cut meanwhile
+            self.stable = index
+            if self.role is Role.LEADER:
+                self._advance_commit(now)
+
+    def _advance_commit(self, now: float) -> None:
+        """What a quorum has on disk is committed, if it is of our own term: with it all that comes before."""
+        marks = sorted({p.match for p in self.progress.values()} | {self.stable}, reverse=True)
+        for mark in marks:
+            if mark <= self.commit or not self._may_commit(mark):
+                continue
+            if self.enough(self._have(mark)):
+                self.commit = mark
+                self._committed(now)
+                return
+
+    def _may_commit(self, index: int) -> bool:
+        return self.term_at(index) == self.term
+
+    def _have(self, index: int) -> list[str]:
+        there = [name for name, progress in self.progress.items() if progress.match >= index]
+        return [self.me, *there] if self.stable >= index else there
+
+    def _committed(self, now: float) -> None:
+        if self.commit >= self.settled:
+            # a quorum of this start's votes made us leader, so nothing that we forgot can have been committed
+            self.unsure = False
+        if self.me not in self.members and self.commit >= self._members_index():
+            self._follow(now, self.term, "")  # our removal is committed: the others go on
+            return
+        waiting = [number for number, round_ in self._reads if not round_]
+        if waiting and self.commit >= self.settled:
+            self._reads = [read for read in self._reads if read[1]]
+            for number in waiting:
+                self.read(now, number)
+        for name, progress in self.progress.items():
+            self._settle(name, progress)
+        self._replicate(now)
+
+    def _settle(self, name: str, progress: Progress) -> None:
+        """Say `Sure` to a member that has caught up with all that it may have forgotten."""
+        if self.role is not Role.LEADER or not progress.unsure or self.commit < self.settled:
+            return
+        if progress.match < self.commit:
+            return
+        if self.granted.get(name) != progress.start:
+            since = [other for other, p in self.progress.items() if other != name and p.round > progress.known_round]
+            if not self.enough([self.me, *since]):
+                return
+        self._send(name, Sure(self.term, progress.start))
--- /dev/null
+++ b/tealwing/replica/raft/log.py
@@ -0,0 +1,136 @@
+"""What a member has: its state, and the log with its entries, terms and members."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+
+from tealwing import log
+from tealwing.replica.messages import Entry, Kind, Message, Snap, members_of
+from tealwing.replica.raft.records import Meta, Options, Progress, Role
+
+
+class Log:
+    """The state of a member, and what it does with its log."""
+
+    def __init__(
+        self,
+        me: str,
+        members: tuple[str, ...],
+        now: float,
+        seed: int = 0,
+        start: int = 1,
+        options: Options = Options(),  # noqa: B008 - frozen
+        term: int = 0,
+        vote: str = "",
+        snapshot: Meta = Meta(),  # noqa: B008 - frozen
+        log: Iterable[Entry] = (),
+        incoming: tuple[int, int, int] = (0, 0, 0),
+        commit: int = 0,
+    ) -> None:
+        """From what the disk has. start is a number that no earlier start of this member had.
+
+        members holds where neither snapshot nor log says who they are; none: this one joins a fleet that has it added.
+        incoming is index, term and size so far of a snapshot that was being received.
+        """
+        self.me, self.options, self.start = me, options, start
+        self._random = random.Random(seed)
+        self.term, self.vote = term, vote
+        self.snapshot = snapshot
+        self.base = (snapshot.index, snapshot.term)  # of what comes before the log: the snapshot's, or older
+        self.first_members = members
+        self.log = list(log)  # after the base
+        self.members = self._members_now()
+        self.applied = snapshot.index
+        self.commit = max(snapshot.index, min(commit, self.last_index))
+        self.unsure = options.stale > 0 and len(self.members) > 1
+        self.role, self.leader = Role.FOLLOWER, ""
+        self.heard = now - 2 * options.election  # when a leader was heard
+        self.deadline = 0.0
+        self.votes: dict[str, tuple[bool, int, bool]] = {}  # granted, start and unsure, by who answered
+        self.granted: dict[str, int] = {}  # the starts that voted for us as we became leader
+        self.progress: dict[str, Progress] = {}
+        self.round = 0
+        self.beaten = 0.0  # when the last round began
+        self.settled = 0  # index of our first entry as leader
+        self.stable = self.last_index  # written to disk up to here
+        self._hard = False  # term or vote is not on disk
+        self._out: list[tuple[str, Message]] = []
+        self._chunk: Snap | None = None
+        self._incoming = incoming
+        self._reads: list[tuple[int, int]] = []  # number, round that must be answered; round 0: not begun
+        self._done_reads: list[tuple[int, int]] = []
+        self._failed_reads: list[int] = []
+        self._reset_deadline(now)
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self.base[0] + len(self.log)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        return self.log[-1].term if self.log else self.base[1]
+
+    def term_at(self, index: int) -> int | None:
+        """Term of the entry at an index; None where the log has none there."""
+        if index == self.base[0]:
+            return self.base[1]
+        place = index - self.base[0] - 1
+        return self.log[place].term if 0 <= place < len(self.log) else None
+
+    def entries(self, first: int, last: int) -> list[Entry]:
+        """The entries from first to last, as far as the log has them."""
+        begin = self.base[0] + 1
+        return self.log[max(first - begin, 0) : max(last - begin + 1, 0)]
+
+    def _members_now(self) -> tuple[str, ...]:
+        for entry in reversed(self.log):
+            if entry.kind is Kind.MEMBERS:
+                return members_of(entry)
+        return self.snapshot.members or self.first_members
+
+    def _members_index(self) -> int:
+        for entry in reversed(self.log):
+            if entry.kind is Kind.MEMBERS:
+                return entry.index
+        return self.snapshot.index
+
+    def _append(self, kind: Kind, data: bytes) -> Entry:
+        entry = Entry(self.last_index + 1, self.term, kind, data)
+        self.log.append(entry)
+        if kind is Kind.MEMBERS:
+            self.members = self._members_now()
+        return entry
+
+    def _cut(self, index: int) -> None:
+        """Drop the entries from an index on; none of them was committed."""
+        log.must_hold(index > self.commit, "what is committed is never cut")
+        del self.log[index - self.base[0] - 1 :]
+        self.stable = min(self.stable, index - 1)
+        self.members = self._members_now()
+
+    def compacted(self, meta: Meta, trail: int = 0) -> None:
+        """A snapshot of our own state is on disk: the log up to it can go, but for so many entries.
+
+        Who is a little behind takes those, and not the whole state.
+        """
+        if meta.index <= self.snapshot.index:
+            return
+        self.snapshot = meta
+        keep = max(self.base[0], meta.index - trail)
+        term = self.term_at(keep)
+        if term is not None:
+            self.log, self.base = self.entries(keep + 1, self.last_index), (keep, term)
+
+    def _take_snapshot(self, meta: Meta) -> None:
+        """A snapshot of another takes the place of the log, but for what comes after it and agrees."""
+        kept = self.entries(meta.index + 1, self.last_index) if self.term_at(meta.index) == meta.term else []
+        self.snapshot, self.base, self.log = meta, (meta.index, meta.term), kept
+
+    def _reset_deadline(self, now: float) -> None:
+        self.deadline = now + self.options.election * (1.0 + self._random.random())
+
+    def _send(self, name: str, message: Message) -> None:
+        self._out.append((name, message))
--- /dev/null
+++ b/tealwing/replica/raft/records.py
@@ -0,0 +1,102 @@
+"""What the core is told, keeps and says: roles, options, snapshots, progress, errors."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum
+
+from tealwing.replica.messages import Entry, Message, Snap
+
+
+class Role(Enum):
+    """What a member is for now."""
+
+    FOLLOWER = "follower"
+    PRECANDIDATE = "precandidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class Mode(Enum):
+    """How the leader sends to a follower."""
+
+    PROBE = "probe"  # one message at a time, until it is known where the logs agree
+    REPLICATE = "replicate"  # several under way
+    SNAPSHOT = "snapshot"  # it needs what the log has no more
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """Seconds, bytes and counts; the same at all members but for mutations of the model check."""
+
+    beat: float = 0.1  # s between two rounds of a leader that has nothing else to say
+    election: float = 0.6  # s without a leader after which a member asks for votes, at least; up to twice that
+    resend: float = 0.5  # s without an answer after which what is under way to a follower counts as lost
+    batch: int = 64 * 1024  # bytes of entries in one message, but one entry at least
+    entries: int = 256  # of one message
+    inflight: int = 8  # messages under way to one follower
+    uncommitted: int = 4096  # entries beyond which a leader takes no more for now
+    sending: int = 2  # snapshots under way at once, lest a fleet that returns takes them all together
+    stale: int = 0  # members that may at once have come back with an older disk
+    pre_vote: bool = True
+    check_quorum: bool = True
+
+
+class NotLeader(RuntimeError):
+    """Only the leader can do that; `leader` is who that may be, empty if unknown."""
+
+    def __init__(self, leader: str) -> None:
+        super().__init__(f"not the leader; {leader or 'nobody'} may be")
+        self.leader = leader
+
+
+class Busy(RuntimeError):
+    """Not now: too much is under way, or another change of members is."""
+
+
+@dataclass(frozen=True, slots=True)
+class Meta:
+    """A snapshot: the state up to an index, its term, the members then, its size in bytes."""
+
+    index: int = 0
+    term: int = 0
+    members: tuple[str, ...] = ()
+    size: int = 0
+
+
+@dataclass(slots=True)
+class Progress:
+    """What the leader knows of one follower."""
+
+    next: int
+    match: int = 0
+    mode: Mode = Mode.PROBE
+    inflight: deque[int] = field(default_factory=deque)  # last index of each message under way
+    sent: float = 0.0  # when the oldest that is unanswered was sent; 0: none is
+    heard: float = 0.0
+    round: int = 0  # highest that it answered
+    start: int = 0  # of its process, as it said last
+    unsure: bool = False
+    known_round: int = 0  # our round when we heard of that start first
+    offset: int = 0  # of the snapshot that it has
+
+    def clone(self) -> Progress:
+        """One like this."""
+        return Progress(
+            self.next, self.match, self.mode, deque(self.inflight), self.sent, self.heard, self.round, self.start,
+            self.unsure, self.known_round, self.offset,
+        )  # fmt: skip
+
+
+@dataclass(slots=True)
+class Ready:
+    """What the shell has to do, in this order: write, say `saved`, send, apply, answer reads."""
+
+    hard: tuple[int, str] | None  # term and vote, to be on disk before anything is sent
+    entries: list[Entry]  # to be on disk; the first takes the place of all from its index on
+    chunk: Snap | None  # a piece of a snapshot, to be on disk; the last one of it then is to be installed
+    messages: list[tuple[str, Message]]
+    committed: list[Entry]
+    reads: list[tuple[int, int]]  # number and index: once the state is at the index, the read may be answered
+    failed_reads: list[int]
--- /dev/null
+++ b/tealwing/replica/raft/sending.py
@@ -0,0 +1,84 @@
+"""A leader's messages: rounds, entries and snapshots, as far as they may be under way."""
+
+from __future__ import annotations
+
+from tealwing import log
+from tealwing.replica.messages import Append, Entry, Snap
+from tealwing.replica.raft.following import Following
+from tealwing.replica.raft.records import Mode, Progress
+
+
+class Sending(Following):
+    """What a leader says."""
+
+    def _begin_round(self, now: float) -> None:
+        """One message to everyone, numbered: its answers show who still follows us."""
+        self.round += 1
+        self.beaten = now
+        for name, progress in self.progress.items():
+            self._send_to(now, name, progress, beat=True)
+
+    def _replicate(self, now: float) -> None:
+        for name, progress in self.progress.items():
+            self._send_to(now, name, progress)
+
+    def _send_to(self, now: float, name: str, progress: Progress, beat: bool = False) -> None:
+        """What a follower needs next, as far as it may be under way; a beat at least, where one is due."""
+        if progress.next <= self.base[0]:
+            self._send_snap(now, name, progress, beat)
+            return
+        progress.mode = Mode.PROBE if progress.mode is Mode.SNAPSHOT else progress.mode
+        room = self.options.inflight if progress.mode is Mode.REPLICATE else 1
+        sent = False
+        while len(progress.inflight) < room and progress.next <= self.last_index:
+            entries = self._batch(progress.next)
+            self._send_append(now, name, progress, entries)
+            sent = True
+            progress.inflight.append(entries[-1].index)
+            if progress.mode is not Mode.REPLICATE:
+                break
+            progress.next = entries[-1].index + 1
+        if beat and not sent:
+            self._send_append(now, name, progress, [])
+
+    def _send_append(self, now: float, name: str, progress: Progress, entries: list[Entry]) -> None:
+        prev = progress.next - 1
+        term = self.term_at(prev)
+        if term is None:
+            log.must_hold(False, "what a follower needs is in the log, or in the snapshot")
+            return
+        self._send(name, Append(self.term, prev, term, tuple(entries), self.commit, self.round))
+        if entries and not progress.sent:
+            progress.sent = now
+
+    def _batch(self, first: int) -> list[Entry]:
+        found: list[Entry] = []
+        size = 0
+        for entry in self.entries(first, first + self.options.entries - 1):
+            if found and size + len(entry.data) > self.options.batch:
+                break
+            found.append(entry)
+            size += len(entry.data)
+        return found
+
+    def _send_snap(self, now: float, name: str, progress: Progress, beat: bool) -> None:
+        """One piece at a time, sent again where no answer came; the shell puts the bytes in."""
+        taking = sum(1 for other in self.progress.values() if other.mode is Mode.SNAPSHOT and other.inflight)
+        if progress.mode is not Mode.SNAPSHOT:
+            progress.mode, progress.offset = Mode.SNAPSHOT, 0
+            progress.inflight.clear()
+        if progress.inflight or taking >= self.options.sending:
+            if beat:  # a sign of life: it is refused, and its answer says that the member hears us
+                self._send(name, Append(self.term, self.last_index, self.last_term, (), self.commit, self.round))
+            return
+        meta = self.snapshot
+        progress.inflight.append(meta.index)
+        progress.sent = now
+        self._send(name, Snap(self.term, meta.index, meta.term, progress.offset, meta.size, b"", self.round))
+
+    def _probe(self, progress: Progress) -> None:
+        """What is under way counts as lost: find out anew where the logs agree."""
+        progress.inflight.clear()
+        progress.sent = 0.0
+        if progress.mode is Mode.REPLICATE:  # else where they agree is not known, and `next` is our guess at it
+            progress.mode, progress.next = Mode.PROBE, progress.match + 1
