--- a/tealwing/replica/commands.py
+++ b/tealwing/replica/commands.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from tealwing.replica.messages import Big, Record
+from tealwing.rules import records
 
 Word = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 Text = Annotated[str, msgspec.Meta(max_length=4096)]
@@ -99,7 +100,7 @@
     renewed: Big
 
 
-Body = Put | Delete | Settings | Drain | Note | Level | Acquire | Renew | Release | Expire
+Body = Put | Delete | Settings | Drain | Note | Level | Acquire | Renew | Release | Expire | records.Body
 
 
 class Fence(Record, frozen=True):
--- a/tealwing/replica/state.py
+++ b/tealwing/replica/state.py
@@ -14,6 +14,7 @@
 
 from tealwing.replica import commands as c
 from tealwing.replica.messages import Record
+from tealwing.rules import records, registry
 
 MOST_SESSIONS = 1024  # clients remembered: the one that has been quiet longest by index goes first
 KEPT_SETTINGS = 16  # versions of settings kept, and the last good one
@@ -63,6 +64,9 @@
     "leases": Lease,
     "fences": int,
     "sessions": Session,
+    "rules": records.Version,  # these three: see tealwing.rules.registry
+    "rule_members": records.Member,
+    "rule_facts": records.Facts,
 }
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -148,6 +152,8 @@
                 if lease is None or lease.renewed != renewed:  # renewed meanwhile: it has not run out
                     return c.Result(False, index, why=f"{name} is renewed or another's")
                 return self._end(index, name, token)
+            case _:
+                return registry.apply(self.tables, index, body)
 
     def _put(self, index: int, key: str, value: bytes, expect: int | None) -> c.Result:
         before: Value | None = self.tables["values"].get(key)
--- a/tealwing/rules/__init__.py
+++ b/tealwing/rules/__init__.py
@@ -1,1 +1,1 @@
-"""Versions of the rules: records, bundle, registry, cover, touch, check, overlay, errors; all pure."""
+"""Versions of the rules; read records, digests, kept, cover, registry with its parts, then bundle and what takes it."""
--- /dev/null
+++ b/tealwing/rules/deciding.py
@@ -0,0 +1,57 @@
+"""How a version ends: in force, or not; pure. Whoever asks for it, the state itself looks whether it may be."""
+
+from __future__ import annotations
+
+from tealwing.log import must_hold
+from tealwing.replica.commands import Result
+from tealwing.rules import history, kept
+from tealwing.rules.cover import uncovered
+from tealwing.rules.kept import Tables, no, yes
+from tealwing.rules.records import IN_FLIGHT, Abort, Activate, Facts, Version, Withdraw
+
+
+def activate(tables: Tables, index: int, body: Activate) -> Result:
+    """In force from here on. Refused where some member may still decide under the old rules, whoever leads."""
+    found = kept.version(tables, body.number)
+    if found is None or found.phase != "agreed":
+        return no(index, f"version {body.number} is {found.phase if found else 'unknown'}, not agreed", body.number)
+    missing = uncovered(tables, body.number)
+    must_hold(not missing, "an agreed version is covered")
+    if missing:
+        return no(index, f"version {body.number} is not closed for at {', '.join(missing)}", body.number)
+    if found.federated and not body.decided:
+        return no(index, _elsewhere(found), body.number)
+    now, before = kept.facts(tables), kept.active(tables)
+    if before is not None:
+        kept.turn(tables, index, before, "superseded", decided=before.decided)
+    kept.turn(tables, index, found, "active", decided=body.decided)
+    tables["rule_facts"]["now"] = Facts(now.last, body.number)
+    history.trim(tables)
+    return yes(index, body.number)
+
+
+def abort(tables: Tables, index: int, body: Abort) -> Result:
+    """It will never be in force; who has closed for it opens under the rules there were."""
+    found = kept.version(tables, body.number)
+    if found is None or found.phase not in IN_FLIGHT:
+        return no(index, f"version {body.number} is {found.phase if found else 'unknown'}", body.number)
+    if found.federated and not body.decided:
+        return no(index, _elsewhere(found), body.number)
+    kept.turn(tables, index, found, "aborted", body.reason, body.decided)
+    return yes(index, body.number)
+
+
+def withdraw(tables: Tables, index: int, body: Withdraw) -> Result:
+    """An operator takes it back before anyone closes for it."""
+    found = kept.version(tables, body.number)
+    if found is None or found.phase not in ("proposed", "checked"):
+        phase = found.phase if found else "unknown"
+        return no(index, f"version {body.number} is {phase}: it can be withdrawn until members close", body.number)
+    if found.federated:
+        return no(index, _elsewhere(found), body.number)
+    kept.turn(tables, index, found, "withdrawn", f"{body.who}: {body.why}")
+    return yes(index, body.number)
+
+
+def _elsewhere(found: Version) -> str:
+    return f"version {found.number} is decided in the federation's log and not here"
--- /dev/null
+++ b/tealwing/rules/kept.py
@@ -0,0 +1,74 @@
+"""The registry's three tables, read and written; pure. A change of a record is another record in its place."""
+
+from __future__ import annotations
+
+from datetime import datetime, timedelta
+from typing import Any
+
+from msgspec.structs import replace
+
+from tealwing.replica.commands import Result
+from tealwing.rules.records import IN_FLIGHT, NOW, Facts, Member, Phase, Version
+
+Tables = dict[str, dict[str, Any]]
+_EPOCH = datetime(1970, 1, 1)
+_LAST_MS = 250_000_000_000_000  # of the calendar that datetime knows
+
+
+def facts(tables: Tables) -> Facts:
+    """What holds of all versions."""
+    found: Facts = tables["rule_facts"].get(NOW) or Facts()
+    return found
+
+
+def version(tables: Tables, number: int) -> Version | None:
+    """The version of that number, as far as it is kept."""
+    found: Version | None = tables["rules"].get(str(number))
+    return found
+
+
+def active(tables: Tables) -> Version | None:
+    """The version in force; None before the first."""
+    return version(tables, facts(tables).active)
+
+
+def in_flight(tables: Tables) -> Version | None:
+    """The version that is neither in force nor over; there is one at most."""
+    return next((found for found in tables["rules"].values() if found.phase in IN_FLIGHT), None)
+
+
+def members(tables: Tables) -> dict[str, Member]:
+    """All members by name; the table itself."""
+    return tables["rule_members"]
+
+
+def put(tables: Tables, found: Version) -> None:
+    """Keep a version as it is now."""
+    tables["rules"][str(found.number)] = found
+
+
+def turn(tables: Tables, index: int, found: Version, phase: Phase, outcome: str = "", decided: int = 0) -> None:
+    """A version comes into a phase by the entry at an index."""
+    put(tables, replace(found, phase=phase, changed=index, outcome=outcome or found.outcome, decided=decided))
+
+
+def no(index: int, why: str, number: int = 0) -> Result:
+    """The registry refuses a command."""
+    return Result(False, index, number, why)
+
+
+def yes(index: int, number: int) -> Result:
+    """The registry has applied a command."""
+    return Result(True, index, number)
+
+
+def moment(when: int) -> str:
+    """A time of the Unix clock in ms, as people read it; always UTC."""
+    if when > _LAST_MS:
+        return f"{when} ms"
+    return (_EPOCH + timedelta(milliseconds=when)).isoformat(" ", "seconds") + " UTC"
+
+
+def by(found: Version) -> str:
+    """Whose a version is, and since when."""
+    return f"version {found.number} by {found.who} of {moment(found.when)}"
--- /dev/null
+++ b/tealwing/rules/members.py
@@ -0,0 +1,71 @@
+"""Who takes part: members come, and go by an operator's word; pure."""
+
+from __future__ import annotations
+
+from msgspec.structs import replace
+
+from tealwing.replica.commands import Result
+from tealwing.rules import kept
+from tealwing.rules.cover import settle
+from tealwing.rules.kept import Tables, no, yes
+from tealwing.rules.records import Begin, Forget, Member
+
+MOST = 128  # members
+
+
+def begin(tables: Tables, index: int, body: Begin) -> Result:
+    """A member's new start; what was said and closed in the one before counts no more.
+
+    `hold`: it decides nothing until it has applied this very entry, and sees then what is closing: it counts as closed.
+    `serve`: what its disk says held it back meanwhile; it says anew that it has closed.
+    """
+    table = kept.members(tables)
+    before = table.get(body.member)
+    present = before.start if before else 0
+    if before is not None and present == body.start:  # it was sent twice
+        return no(index, "that start has lapsed: begin with another", present) if before.lapsed else yes(index, index)
+    if body.replaces != present:
+        return no(index, f"{body.member} is there with the start {present}, not {body.replaces}: name that", present)
+    if before is None and len(table) >= MOST:
+        return no(index, f"{MOST} members already; forget those that are gone")
+    flying = kept.in_flight(tables)
+    closing = flying is not None and flying.phase in ("preparing", "agreed")
+    for found in (kept.active(tables), flying):
+        if found is not None and found.phase != "proposed" and found.needs > body.build:  # to a proposed one it says no
+            return no(index, f"version {found.number} of the rules needs build {found.needs}, and {body.member} is"
+                             f" build {body.build}: install that one or a newer one", present)  # fmt: skip
+    closed = flying.number if flying is not None and closing and body.lost_touch == "hold" else 0
+    table[body.member] = Member(body.start, body.lost_touch, body.build, body.permit, index, closed)
+    _unsay(tables, body.member)
+    settle(tables, index)
+    return yes(index, index)
+
+
+def forget(tables: Tables, index: int, body: Forget) -> Result:
+    """Take a member out: at once where an operator vouches for it, else when it surely decides no more."""
+    table = kept.members(tables)
+    member = table.get(body.member)
+    if member is None:
+        return no(index, f"there is no member {body.member}")
+    if body.off or (member.lapsed and member.over):
+        remove(tables, index, body.member)
+    elif member.lost_touch == "serve":
+        return no(index, f"{body.member} serves on when it is cut off: switch it off for good, then forget it with off")
+    else:
+        table[body.member] = replace(member, lapsed=member.lapsed or index, leaving=True)
+        settle(tables, index)
+    return yes(index, index)
+
+
+def remove(tables: Tables, index: int, name: str) -> None:
+    """A member is in the table no more."""
+    del kept.members(tables)[name]
+    _unsay(tables, name)
+    settle(tables, index)
+
+
+def _unsay(tables: Tables, name: str) -> None:
+    """What a member said of the version in flight counts no more."""
+    flying = kept.in_flight(tables)
+    if flying is not None and name in flying.said:
+        kept.put(tables, replace(flying, said={who: word for who, word in flying.said.items() if who != name}))
--- a/tealwing/rules/records.py
+++ b/tealwing/rules/records.py
@@ -87,13 +87,18 @@
 
 
 class Begin(Record, tag="rules.begin", frozen=True):
-    """A member's present start; the member is in the table from here on."""
+    """A member's present start; the member is in the table from here on.
+
+    A start of `hold` counts as closed for a change under way, so that one which comes late, sent by a process that is
+    no more, must not take the place of the start that decides now: it names the one that it replaces.
+    """
 
     member: Word
     start: Big
     lost_touch: LostTouch
     build: Big = 1
     permit: Big = 0  # ms that a permit of it lasts (hold)
+    replaces: Big = 0  # the start that the table has; 0: the member is not in it
 
 
 class Lapse(Record, tag="rules.lapse", frozen=True):
--- /dev/null
+++ b/tests/test_rules_registry.py
@@ -0,0 +1,239 @@
+"""Versions of the rules in the replicated state: direct cases, and a machine that tries what it can."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from tealwing.replica import commands as c
+from tealwing.replica.state import State
+from tealwing.rules import records as r
+from tealwing.rules import registry
+from tealwing.rules.digests import digest
+
+TEXT = b"# rules\n"
+
+
+class Log:
+    """A state, and commands given to it one after the other."""
+
+    def __init__(self, *members: tuple[str, str], build: int = 1) -> None:
+        self.state, self.index = State(), 0
+        for name, mode in members:
+            self.ok(r.Begin(name, 1, mode, build, 2000))  # type: ignore[arg-type]
+
+    def do(self, body: r.Body) -> c.Result:
+        self.index += 1
+        return self.state.apply(self.index, c.encode(c.Command("t", 0, body)))
+
+    def ok(self, body: r.Body) -> c.Result:
+        result = self.do(body)
+        assert result.ok, result.why
+        return result
+
+    def refused(self, body: r.Body, why: str) -> None:
+        before = self.state.digest()
+        result = self.do(body)
+        assert not result.ok and why in result.why, result
+        assert self.state.digest() == before
+
+    def propose(self, parent: int = 0, who: str = "lerato", text: bytes = TEXT, **more: Any) -> int:
+        return self.ok(propose(parent, who, text, **more)).version
+
+    def version(self, number: int) -> r.Version:
+        found: r.Version = self.state.tables["rules"][str(number)]
+        return found
+
+    def phase(self, number: int) -> str:
+        return self.version(number).phase
+
+    def member(self, name: str) -> r.Member:
+        found: r.Member = self.state.tables["rule_members"][name]
+        return found
+
+    def to_preparing(self, **more: Any) -> int:
+        number = self.propose(registry.facts(self.state.tables).active, **more)
+        for name, member in self.state.tables["rule_members"].items():
+            if not member.lapsed:
+                self.ok(r.Verdict(number, name, member.start, True))
+        self.ok(r.Close(number))
+        return number
+
+    def to_active(self) -> int:
+        number = self.to_preparing()
+        for name, member in self.state.tables["rule_members"].items():
+            if not member.lapsed:
+                self.ok(r.Closed(number, name, member.start))
+        self.ok(r.Activate(number))
+        return number
+
+
+def propose(parent: int = 0, who: str = "lerato", text: bytes = TEXT, **more: Any) -> r.Propose:
+    return r.Propose(parent, digest(text), text, who, 1_790_000_000_000, **more)
+
+
+def test_a_version_goes_from_proposal_to_force_and_the_one_before_is_superseded() -> None:
+    log = Log(("a", "serve"), ("b", "hold"))
+    first = log.to_active()
+    second = log.to_preparing(text=b"# other\n")
+    assert log.phase(second) == "preparing" and registry.uncovered(log.state.tables, second) == ["a", "b"]
+    log.ok(r.Closed(second, "a", 1))
+    log.refused(r.Activate(second), "preparing, not agreed")
+    log.ok(r.Closed(second, "b", 1))
+    log.ok(r.Activate(second))
+    assert (log.phase(first), log.phase(second)) == ("superseded", "active")
+    assert registry.active(log.state.tables) == log.version(second)
+    twin = State()
+    twin.load(log.state.applied, log.state.dump())
+    assert twin.digest() == log.state.digest()
+
+
+def test_of_two_operators_at_once_the_later_one_is_told_whose_was_first() -> None:
+    log = Log(("a", "serve"))
+    log.propose(who="lerato")
+    log.refused(propose(who="andries"), "version 1 by lerato of 2026-09-21")
+    log.ok(r.Withdraw(1, "lerato"))
+    log.to_active()
+    log.refused(propose(0, who="andries"), "made from version 0, but in force is version 2 by lerato")
+    log.refused(r.Propose(2, "0" * 32, TEXT, "andries", 0), "digest")
+
+
+def test_one_no_rejects_a_version_and_says_who_and_why() -> None:
+    log = Log(("a", "serve"), ("b", "serve"))
+    log.propose()
+    log.ok(r.Verdict(1, "a", 1, True))
+    log.refused(r.Verdict(1, "b", 2, False, "old"), "not begun in that start")
+    log.ok(r.Verdict(1, "b", 1, False, "no such class"))
+    assert (log.phase(1), log.version(1).outcome) == ("rejected", "b: no such class")
+    log.refused(r.Verdict(1, "a", 1, True), "rejected")
+
+
+def test_an_old_leaders_activation_is_refused_after_a_member_came_that_has_not_closed() -> None:
+    log = Log(("a", "serve"), ("b", "serve"))
+    number = log.to_preparing()
+    log.ok(r.Closed(number, "a", 1))
+    log.ok(r.Closed(number, "b", 1))
+    assert log.phase(number) == "agreed"  # the leader that sees this proposes to activate, and is slow
+    log.ok(r.Begin("b", 7, "serve", replaces=1))
+    log.refused(r.Activate(number), "preparing, not agreed")
+    log.refused(r.Closed(number, "b", 1), "not begun in that start")
+    log.ok(r.Closed(number, "b", 7))
+    log.ok(r.Activate(number))
+    log.refused(r.Activate(number), "active")
+
+
+def test_a_begin_that_comes_late_does_not_take_the_place_of_the_start_that_decides() -> None:
+    log = Log(("a", "hold"), ("b", "hold"))
+    number = log.to_preparing()
+    log.ok(r.Closed(number, "a", 1))
+    late = r.Begin("b", 5, "hold", replaces=9)  # of a process that is no more: it would count as closed
+    log.refused(late, "b is there with the start 1")
+    assert log.phase(number) == "preparing"
+    assert log.do(r.Begin("b", 1, "hold")).ok and log.member("b").closed == 0  # sent twice: nothing changes
+
+
+def test_a_hold_member_that_begins_while_a_change_closes_counts_as_closed_and_a_serve_member_does_not() -> None:
+    log = Log(("a", "hold"), ("b", "serve"))
+    number = log.to_preparing()
+    log.ok(r.Begin("a", 2, "hold", replaces=1))
+    log.ok(r.Begin("b", 2, "serve", replaces=1))
+    log.ok(r.Begin("c", 2, "hold"))
+    assert registry.uncovered(log.state.tables, number) == ["b"]
+
+
+def test_one_clock_alone_can_not_end_a_lapse() -> None:
+    log = Log(("a", "hold"), ("b", "hold"), ("c", "hold"), ("d", "serve"))
+    number = log.to_preparing()
+    log.refused(r.Lapse("d", 1), "serves on")
+    lapse = log.ok(r.Lapse("c", 1)).index
+    for name in ("a", "b", "d"):
+        log.ok(r.Closed(number, name, 1))
+    for _ in range(3):
+        log.ok(r.Witness("c", lapse, "a"))
+    log.refused(r.Witness("c", lapse, "c"), "no other member")
+    log.refused(r.Witness("c", lapse - 1, "b"), "no lapse at")
+    assert not log.member("c").over and log.phase(number) == "preparing"
+    log.ok(r.Witness("c", lapse, "b"))
+    assert log.member("c").over and log.phase(number) == "agreed"
+
+
+def test_a_leader_with_a_wild_clock_can_not_lapse_all_others_and_be_the_only_witness() -> None:
+    log = Log(("a", "hold"), ("b", "hold"), ("c", "hold"))
+    for name in ("b", "c"):
+        lapse = log.ok(r.Lapse(name, 1)).index
+        log.ok(r.Witness(name, lapse, "a"))
+    assert not log.member("b").over and not log.member("c").over
+
+
+def test_with_two_members_the_other_one_ends_a_lapse() -> None:
+    log = Log(("a", "hold"), ("b", "hold"))
+    lapse = log.ok(r.Lapse("b", 1)).index
+    log.ok(r.Witness("b", lapse, "a"))
+    assert log.member("b").over
+    log.refused(r.Begin("b", 1, "hold", replaces=1), "that start has lapsed")
+    log.ok(r.Begin("b", 2, "hold", replaces=1))
+    assert not log.member("b").lapsed
+
+
+def test_a_federated_version_is_not_decided_here() -> None:
+    log = Log(("a", "serve"))
+    log.refused(propose(federated=True), "a number is given by the federation")
+    log.refused(propose(number=4), "a number is given by the federation")
+    assert log.to_preparing(number=4, federated=True) == 4
+    log.refused(r.Withdraw(4, "lerato"), "withdrawn until")
+    log.refused(r.Abort(4, "slow"), "decided in the federation's log")
+    log.ok(r.Closed(4, "a", 1))
+    log.refused(r.Activate(4), "decided in the federation's log")
+    log.ok(r.Activate(4, decided=31))
+    assert log.version(4).decided == 31
+    log.refused(propose(4, number=3, federated=True), "number 3 was given already")
+
+
+def test_a_federations_version_that_was_rejected_here_may_come_up_again_with_the_same_text_only() -> None:
+    log = Log(("a", "serve"))
+    log.propose(number=4, federated=True)
+    log.refused(r.Withdraw(4, "lerato"), "decided in the federation's log")
+    log.ok(r.Verdict(4, "a", 1, False, "not mended yet"))
+    log.refused(propose(text=b"# another\n", number=4, federated=True), "was given already")
+    assert log.propose(number=4, federated=True) == 4
+    assert log.phase(4) == "proposed" and not log.version(4).said
+
+
+def test_forgetting_a_serve_member_needs_the_operators_word_and_a_hold_member_goes_when_it_is_over() -> None:
+    log = Log(("a", "serve"), ("b", "hold"), ("c", "serve"))
+    number = log.to_preparing()
+    log.ok(r.Closed(number, "c", 1))
+    log.refused(r.Forget("a"), "switch it off")
+    log.ok(r.Forget("b"))
+    lapse = log.member("b").lapsed
+    assert lapse and log.member("b").leaving
+    for name in ("a", "c"):
+        log.ok(r.Witness("b", lapse, name))
+    assert "b" not in log.state.tables["rule_members"] and log.phase(number) == "preparing"
+    log.ok(r.Forget("a", off=True))
+    assert log.phase(number) == "agreed"
+
+
+def test_a_member_whose_build_is_too_old_is_refused_or_rejects_what_it_can_not_put_in_force() -> None:
+    log = Log(("a", "serve"), build=3)
+    number = log.propose(needs=3)
+    log.ok(r.Begin("b", 1, "serve", 2))
+    log.ok(r.Verdict(number, "b", 1, True))
+    assert log.phase(number) == "rejected" and "needs build 3" in log.version(number).outcome
+    log.ok(r.Forget("b", off=True))
+    log.to_preparing(needs=3)
+    log.refused(r.Begin("b", 1, "serve", 2), "install that one or a newer one")
+
+
+def test_a_state_without_rules_has_the_bytes_and_the_digest_that_it_had_before() -> None:
+    state = State()
+    state.apply(1, c.encode(c.Command("x", 1, c.Put("k", b"v"))))
+    state.apply(2, c.encode(c.Command("x", 2, c.Acquire("lease", "me", 2000))))
+    assert state.digest() == "2524ece13afb3c28"
+    old = bytes.fromhex(
+        "0000001193a676616c756573a16bc40592c40176010000001a93a66c6561736573a56c65617365c40a95a26d65cd07d00202"
+        "c30000001193a666656e636573a56c65617365c401020000001593a873657373696f6e73a178c407920294c30202a0"
+    )  # as a build without rules wrote it
+    assert b"".join(state.dump()) == old
+    twin = State()
+    twin.load(2, [old])
+    assert twin.digest() == state.digest()
