--- a/tealwing/gateway/__init__.py
+++ b/tealwing/gateway/__init__.py
@@ -1,1 +1,1 @@
-"""The gateway: the life of a request, the lock round the decisions, and the drain."""
+"""The gateway: the life of a request, the decisions and their versions and timers, and the daemon round them."""
--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -14,8 +14,9 @@
 from tealwing.coordinator.follower import Follower
 from tealwing.coordinator.news import Update
 from tealwing.exchange import Query
-from tealwing.gateway.decisions import Decisions, Module
+from tealwing.gateway.decisions import Decisions
 from tealwing.gateway.life import Life, Word
+from tealwing.gateway.versions import Module
 from tealwing.gateway.vitals import Vitals
 from tealwing.policy import Gateway
 from tealwing.resp.fleet import Fleet
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -34,7 +34,7 @@
     life = Life(Query(b"1" * 16, 0, 0, 5.0, b"SELECT 1"), settings, decisions, fleet)
     life.abandon()  # before the request has met the module
     assert isinstance(life.run(), Abandoned)
-    module = decisions._gateway
+    module = decisions.module
     assert isinstance(module, Gateway)
     assert not module.jobs and module.flows[0].out == 0 and module.engines[7].queries == 0
 
@@ -139,6 +139,6 @@
     decisions.submit(listing(entry(7)))
     life = Life(Query(b"1" * 16, 0, 0, 0.05, b"SELECT 1"), settings, decisions, fleet)
     assert isinstance(life.run(), Refused)
-    module = decisions._gateway
+    module = decisions.module
     assert isinstance(module, Gateway)
     assert not module.jobs and module.engines[7].queries == 0
