Add routing tables: validation, difference and who serves, all pure

The tables name their sites in order of preference; faults are told all at once, each with place and remedy; the difference of two tables is found by ranges and is checked against every single group by hypothesis.

--- /dev/null
+++ b/tealwing/routing/serving.py
@@ -0,0 +1,26 @@
+"""Which zones may serve a request now, by the routing table and what is ready; pure."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+from tealwing.routing.table import Table
+
+
+def allowed(
+    table: Table | None, group: int, zones: tuple[str, ...], ready: Collection[int]
+) -> frozenset[int] | None:
+    """The zones, by their places in `zones`, whose engines may serve the group; None: all of them.
+
+    ready has the zones with a ready engine. The first site in order of preference that has one serves alone; where
+    none has, all sites of the route are given, so that whoever decides finds no engine there and says so. A site
+    that `zones` does not name has no engine.
+    """
+    sites = table.sites_of(group) if table is not None else ()
+    if not sites:
+        return None
+    places = [zones.index(site) for site in sites if site in zones]
+    for place in places:
+        if place in ready:
+            return frozenset((place,))
+    return frozenset(places)
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,100 @@
+"""Routing tables: what they say, their faults, their differences, and who serves."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tealwing.routing.diff import Ranges, moved
+from tealwing.routing.serving import allowed
+from tealwing.routing.table import Route, Table
+from tealwing.routing.validate import faults
+
+MOST = 24  # groups in the trials below
+SITES = ("a", "b", "c")
+
+
+@st.composite
+def tables(draw: st.DrawFn) -> Table | None:
+    """A table without overlaps, written in any order, or none."""
+    edges = sorted(draw(st.sets(st.integers(0, MOST), max_size=8)))
+    routes = []
+    for first, after in zip(edges, edges[1:], strict=False):
+        if draw(st.booleans()):
+            routes.append(Route(first, after - 1, tuple(draw(st.permutations(SITES))[: draw(st.integers(1, 3))])))
+    return draw(st.sampled_from([None, Table.of(draw(st.permutations(routes)))]))
+
+
+def plain(table: Table | None, group: int) -> tuple[str, ...]:
+    """The sites of a group, found by looking at every route."""
+    routes = table.routes if table else ()
+    return next((route.sites for route in routes if route.first <= group <= route.last), ())
+
+
+@given(tables(), tables())
+def test_the_difference_is_that_of_every_single_group(old: Table | None, new: Table | None) -> None:
+    found = moved(old, new)
+    for group in range(-1, MOST + 2):
+        assert found.has(group) == (plain(old, group) != plain(new, group))
+    assert bool(found) == any(plain(old, group) != plain(new, group) for group in range(MOST))
+    for (_, last), (first, _) in zip(found.pairs, found.pairs[1:], strict=False):
+        assert last + 1 < first  # apart, so that each stands for one stretch
+    assert not moved(old, old) and moved(new, old) == found
+
+
+def test_an_order_of_sites_that_changed_is_a_difference() -> None:
+    old = Table.of([Route(0, 9, ("a", "b")), Route(10, 19, ("c",))])
+    new = Table.of([Route(0, 9, ("b", "a")), Route(10, 12, ("c",))])
+    assert moved(old, new) == Ranges(((0, 9), (13, 19)))
+
+
+@given(tables(), st.integers(0, MOST), st.sets(st.integers(0, 2)))
+def test_the_first_site_with_an_engine_serves_alone(table: Table | None, group: int, ready: set[int]) -> None:
+    zones = ("b", "c", "a")
+    found, sites = allowed(table, group, zones, ready), plain(table, group)
+    able = [zones.index(site) for site in sites if zones.index(site) in ready]
+    if not sites:
+        assert found is None
+    else:
+        assert found == (frozenset(able[:1]) if able else frozenset(map(zones.index, sites)))
+
+
+def test_a_site_without_engines_or_name_leaves_nobody_to_serve() -> None:
+    table = Table.of([Route(0, 3, ("gone",))])
+    assert allowed(table, 2, ("a", "b"), {0, 1}) == frozenset()
+    assert allowed(table, 4, ("a", "b"), {0, 1}) is None
+
+
+def test_all_faults_are_told_at_once_each_with_its_place_and_remedy() -> None:
+    routes = [
+        Route(10, 20, ("a",)),
+        Route(5, 2, ()),
+        Route(20, 30, ("b", "b", "")),
+        Route(12, 12, ("c",)),
+        Route(33, 40, ("c",)),
+    ]
+    told = [str(fault) for fault in faults(routes, complete=True)]
+    expected = [
+        ("routes[1]", "reversed", "smaller"),
+        ("routes[1]", "no sites", "leave the route out"),
+        ("routes[2]", "no name", "engine list"),
+        ("routes[2]", "b is named twice", "once"),
+        ("routes[0]", "groups 0 to 9 before it", "complete"),
+        ("routes[3]", "groups 12 to 12 are those of routes[0]", "one of them"),
+        ("routes[2]", "groups 20 to 20 are those of routes[0]", "one of them"),
+        ("routes[4]", "groups 31 to 32 before it", "complete"),
+    ]
+    assert len(told) == len(expected)
+    for text, (place, what, remedy) in zip(told, expected, strict=True):
+        assert text.startswith(place) and what in text and remedy in text
+    assert len(faults(routes)) == len(expected) - 2  # gaps are none where it is not said to be complete
+    assert not faults([Route(4, 6, ("a",)), Route(0, 3, ("b",))], complete=True)
+
+
+@given(st.lists(st.builds(Route, st.integers(0, 9), st.integers(0, 9), st.just(("a",))), max_size=5), st.booleans())
+def test_a_table_without_faults_names_each_group_once(routes: list[Route], complete: bool) -> None:
+    counts = [sum(route.first <= group <= route.last for route in routes) for group in range(10)]
+    last = max((route.last for route in routes), default=-1)
+    good = all(route.first <= route.last for route in routes) and max(counts) <= 1
+    good = good and not (complete and 0 in counts[: last + 1])
+    assert good == (not faults(routes, complete))
