Split the rig's loads and trial into modules by concern

Loads are now base, echo, register, lease, power, queries and figures; the trial keeps the whole, and its director, acts, ledger, samples and configuration stand apart.

--- a/tealwing/lab/rig/__init__.py
+++ b/tealwing/lab/rig/__init__.py
@@ -1,1 +1,1 @@
-"""The rig: several real processes of the program, faults between them, a history of what happened, and its report."""
+"""Trials of real processes; read history, process, trial, samples, ledger, acts, director, loads, runs, report."""
--- /dev/null
+++ b/tealwing/lab/rig/acts.py
@@ -0,0 +1,106 @@
+"""What is done to the processes of a trial: ended, started, told faults of their own, all at once without power."""
+
+from __future__ import annotations
+
+import signal
+import time
+from typing import TYPE_CHECKING, Any
+
+from tealwing.lab.faults.scenario import Step
+from tealwing.lab.rig.samples import ASK_LIMIT
+from tealwing.peers.control import Turned
+
+if TYPE_CHECKING:
+    from tealwing.lab.rig.trial import Trial
+
+
+class Acts:
+    """The faults of processes; each is noted in the ledger."""
+
+    def __init__(self, trial: Trial, stale: int) -> None:
+        """stale: how many may come back with an older disk from a power loss."""
+        self._trial, self._stale = trial, stale
+        self._ledger, self._history = trial.ledger, trial.history
+
+    def kill(self, name: str, gently: bool = False) -> None:
+        """End it, by SIGTERM first if gently."""
+        self._ledger.over(("stop", name))
+        process = self._trial.processes[name]
+        if process.running:
+            self._ledger.span(("down", name), "kill", who=name, gently=gently)
+            if gently:
+                process.terminate()
+            process.kill()
+
+    def start(self, name: str, disk: str) -> None:
+        """Start it if it does not run; `disk` is what it finds: kept, old or none."""
+        process = self._trial.processes[name]
+        if process.running:
+            return
+        process.bring_disk(disk)
+        self._history.add("starting", who=name)  # it may speak from here on, and is ready later
+        process.start()
+        if disk != "kept":
+            self._ledger.fault("disk", who=name, disk=disk)
+        self._trial.spawn(lambda: self._await_ready(name), f"ready-{name}")
+
+    def _await_ready(self, name: str) -> None:
+        process = self._trial.processes[name]
+        try:
+            process.ready()
+        except Exception:
+            if self._trial.stopping.is_set() or not process.running:  # killed again meanwhile
+                return
+            raise
+        self._ledger.over(("down", name))
+        self._history.add("ready", process=name, start=process.starts)
+
+    def stop(self, name: str) -> None:
+        """It stands still, and does not know it."""
+        self._trial.processes[name].signal(signal.SIGSTOP)
+        self._ledger.span(("stop", name), "stop", who=name)
+
+    def cont(self, name: str) -> None:
+        """It goes on."""
+        self._trial.processes[name].signal(signal.SIGCONT)
+        self._ledger.over(("stop", name))
+
+    def tell(self, name: str, call: str, **fields: Any) -> None:
+        """A fault within a process, through its control address."""
+        try:
+            caller = self._trial.caller(name)
+            try:
+                caller.ask(call, ASK_LIMIT, **fields)
+            finally:
+                caller.close()
+            self._ledger.fault(call.removeprefix("fault."), who=name, **fields)
+        except (OSError, Turned) as error:
+            self._history.add("fault-not-taken", who=name, call=call, why=str(error))
+
+    def power_loss(self, step: Step) -> None:
+        """All at once, and back in any order: some late, some with an older disk, over links that lose frames."""
+        trial, random = self._trial, self._trial.random
+        names = [name for name in trial.names if trial.processes[name].running]
+        for name in names:
+            self._ledger.span(("down", name), "kill", who=name)
+            trial.processes[name].signal(signal.SIGKILL)
+        for name in names:
+            trial.processes[name].kill()
+        self._history.add("power", what="lost", who=names)
+        old = random.sample(names, min(self._stale, round(step.old * len(names)))) if step.old else []
+        waits = {name: random.uniform(0.0, step.pause) for name in names}
+        if step.late and names:
+            waits[random.choice(names)] = step.late
+        if step.drop_on_return:
+            with trial.proxy.lock:
+                for a in trial.names:
+                    for b in trial.names:
+                        if a != b and random.random() < 0.25:
+                            trial.weather.change(a, b, drop=step.drop_on_return)
+            self._ledger.span(("link", "power", ""), "link", source="some", target="some", drop=step.drop_on_return)
+        lost = time.monotonic()
+        for name in sorted(waits, key=lambda name: waits[name]):
+            if trial.stopping.wait(max(0.0, lost + waits[name] - time.monotonic())):
+                return
+            self._history.add("power", what="back", who=[name], old=name in old)
+            self.start(name, "old" if name in old else "kept")
--- /dev/null
+++ b/tealwing/lab/rig/loads/__init__.py
@@ -0,0 +1,1 @@
+"""What clients do during a trial; read base, figures, echo, register, lease, queries, power."""
--- /dev/null
+++ b/tealwing/lab/rig/loads/base.py
@@ -0,0 +1,80 @@
+"""What loads are made of: clients that go on until they are stopped, and their lines to the processes."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING, Any, Protocol
+
+from tealwing.lab.judges.verdict import Violation
+from tealwing.lab.rig.history import Event
+from tealwing.peers.control import Caller
+
+if TYPE_CHECKING:
+    from tealwing.lab.rig.trial import Trial
+
+PAUSE = 0.02  # s between two operations of one client
+
+Judge = Callable[[Sequence[Event], float], list[Violation]]
+
+
+class Load(Protocol):
+    """What clients do during a trial."""
+
+    judges: Sequence[Judge]
+
+    def start(self, trial: Trial) -> None:
+        """Begin."""
+
+    def stop(self) -> None:
+        """Begin nothing more, and let what is open end."""
+
+    def finish(self, trial: Trial) -> None:
+        """All is healed: look at what must hold in the end, into the history."""
+
+    def figures(self, events: Sequence[Event]) -> dict[str, Any]:
+        """What came of it."""
+
+
+class Clients:
+    """Some threads that do one thing after another until they are stopped."""
+
+    def __init__(self) -> None:
+        self.stopped = threading.Event()
+        self.threads: list[threading.Thread] = []
+
+    def spawn(self, run: Callable[[], None], name: str) -> None:
+        """One more client."""
+        thread = threading.Thread(target=run, name=name, daemon=True)
+        self.threads.append(thread)
+        thread.start()
+
+    def stop(self) -> None:
+        """Let them end."""
+        self.stopped.set()
+        for thread in self.threads:
+            thread.join(20.0)
+
+
+class Line:
+    """A client's connection to one process, made anew where it broke."""
+
+    def __init__(self, trial: Trial, name: str) -> None:
+        self._trial, self.name = trial, name
+        self._caller: Caller | None = None
+
+    def ask(self, call: str, limit: float, **fields: Any) -> dict[str, Any]:
+        """One call; Turned or OSError where it did not come to an answer."""
+        if self._caller is None:
+            self._caller = self._trial.caller(self.name, 0.5)
+        try:
+            return self._caller.ask(call, limit, **fields)
+        except OSError:
+            self.close()
+            raise
+
+    def close(self) -> None:
+        """End the connection."""
+        if self._caller is not None:
+            self._caller.close()
+            self._caller = None
--- /dev/null
+++ b/tealwing/lab/rig/loads/lease.py
@@ -0,0 +1,111 @@
+"""The load of one lease: every process wants it, and acts on a resource while it holds it."""
+
+from __future__ import annotations
+
+import contextlib
+from collections import Counter
+from collections.abc import Sequence
+from typing import TYPE_CHECKING, Any
+
+from tealwing.lab.judges import copies, leases, views
+from tealwing.lab.rig.history import Event
+from tealwing.lab.rig.loads.base import Clients, Judge, Line
+from tealwing.lab.rig.loads.figures import percentile
+from tealwing.lab.rig.loads.register import RegisterLoad
+from tealwing.lab.standins.resource import Resource
+from tealwing.peers.control import Turned
+
+if TYPE_CHECKING:
+    from tealwing.lab.rig.trial import Trial
+
+LEASE, LEASE_TTL = "lab", 2.0  # s
+
+
+class LeaseLoad:
+    """Every process wants one lease, and acts on a resource of the laboratory while it holds it."""
+
+    judges: Sequence[Judge] = (leases.judge, copies.judge, views.judge)
+
+    def __init__(self) -> None:
+        self._clients = Clients()
+        self._resource: Resource | None = None
+        self.careless = False  # on purpose: the tasks go on when their lease is lost
+        self.fenced = True
+        self._span = (0.0, 0.0)
+
+    def start(self, trial: Trial) -> None:
+        """The resource, and a watcher that has every start of a process want the lease."""
+        self._resource = resource = Resource(trial.history.add)
+        resource.fenced = self.fenced
+        resource.start()
+        self._clients.spawn(lambda: self._want(trial, resource.address), "load-leases")
+        self._clients.spawn(lambda: self._who(trial), "load-holder")
+        begun = trial.history.now()
+        self._span = begun, begun
+
+    def _want(self, trial: Trial, address: str) -> None:
+        told: dict[str, int] = {}
+        while not self._clients.stopped.wait(0.1):
+            for name, process in trial.processes.items():
+                if not process.running or process.stopped or told.get(name) == process.pid:
+                    continue
+                line, pid = Line(trial, name), process.pid
+                try:
+                    line.ask("lease.run", 1.0, name=LEASE, ttl_s=LEASE_TTL, resource=address, careless=self.careless)
+                    told[name] = pid or 0
+                except (Turned, OSError):
+                    pass
+                line.close()
+
+    def _who(self, trial: Trial) -> None:
+        """Who holds it, for faults that are meant for the holder."""
+        while not self._clients.stopped.wait(0.1):
+            for name, process in trial.processes.items():
+                if not process.running or process.stopped:
+                    continue
+                line = Line(trial, name)
+                with contextlib.suppress(Turned, OSError):
+                    found = line.ask("lease.list", 0.5)["here"]
+                    if any(each["name"] == LEASE and each["valid"] for each in found):
+                        trial.holder = name
+                line.close()
+
+    def stop(self) -> None:
+        """Begin nothing more; the tasks go on until the resource is gone."""
+        self._clients.stop()
+
+    def finish(self, trial: Trial, alone: bool = True) -> None:
+        """Let it go on a little, all being well; then what each tenure was, and, if alone, all copies' hashes."""
+        trial.stopping.wait(2.0)
+        self._span = self._span[0], trial.history.now()
+        if self._resource is not None:
+            self._resource.stop()
+        if alone:
+            RegisterLoad().finish(trial)
+        holders = {}
+        for name in trial.names:
+            for event in trial.processes[name].events():
+                if event.get("event") == "lease_gained" and event.get("name") == LEASE:
+                    holders[event["token"]] = name
+        for tenure in leases.tenures(trial.history.events):
+            fields = {"from": tenure.begin, "to": tenure.end, "token": tenure.token, "actions": tenure.actions}
+            trial.history.add("held", process=holders.get(tenure.token, "?"), **fields)
+
+    def figures(self, events: Sequence[Event]) -> dict[str, Any]:
+        """Actions, and what must be none of them; how long nobody held the lease."""
+        acts = [event for event in events if event["kind"] == "act"]
+        rules = Counter(violation.rule for violation in leases.judge(events, 0.0))
+        moves = [seconds * 1e3 for seconds in leases.handovers(events)]
+        gaps = leases.idle(events, *self._span)
+        return {
+            "operations": len(acts),
+            "actions": sum(1 for act in acts if act["accepted"]),
+            "overlaps": rules["overlap"],
+            "stale_accepted": rules["stale-accepted"] + rules["token"],
+            "refused_stale": sum(1 for act in acts if not act["accepted"]),
+            "tenures": len(leases.tenures(events)),
+            "handover_ms_p50": percentile(moves, 0.5),
+            "handover_ms_max": percentile(moves, 1.0),
+            "idle_ms_max": round(gaps[-1] * 1e3, 1),
+            "divergent": sum(1 for v in copies.judge(events, 0.0) if v.rule == "divergent"),
+        }
--- /dev/null
+++ b/tealwing/lab/rig/loads/power.py
@@ -0,0 +1,64 @@
+"""The load for a power loss of all: registers, a lease, clients with queries, and who says that it is ready."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import TYPE_CHECKING, Any
+
+from tealwing.lab.judges import clients, copies, leases, register, views
+from tealwing.lab.rig.history import Event, operations
+from tealwing.lab.rig.loads.base import Clients, Judge
+from tealwing.lab.rig.loads.figures import returned
+from tealwing.lab.rig.loads.lease import LeaseLoad
+from tealwing.lab.rig.loads.queries import Gateways
+from tealwing.lab.rig.loads.register import RegisterLoad
+
+if TYPE_CHECKING:
+    from tealwing.lab.rig.trial import Trial
+
+
+class PowerLoad:
+    """All at once: registers, a lease, clients with queries, and who says that it is ready; for a power loss of all."""
+
+    judges: Sequence[Judge] = (register.judge, leases.judge, copies.judge, views.judge, clients.judge)
+
+    def __init__(self) -> None:
+        self._registers, self._leases, self._clients = RegisterLoad(), LeaseLoad(), Clients()
+        self._gateways = Gateways(self._clients.stopped)
+
+    def start(self, trial: Trial) -> None:
+        """Everything."""
+        self._registers.start(trial)
+        self._leases.start(trial)
+        for name in trial.names:
+            self._clients.spawn(lambda name=name: self._gateways.ask(trial, name), f"load-q-{name}")  # type: ignore[misc]
+            self._clients.spawn(lambda name=name: self._gateways.look(trial, name), f"load-ready-{name}")  # type: ignore[misc]
+
+    def stop(self) -> None:
+        """Begin nothing more."""
+        self._clients.stop()
+        self._registers.stop()
+        self._leases.stop()
+
+    def finish(self, trial: Trial) -> None:
+        """What the registers and the lease look at."""
+        self._leases.finish(trial, alone=False)
+        self._registers.finish(trial)
+
+    def figures(self, events: Sequence[Event]) -> dict[str, Any]:
+        """What was kept, who was refused, and how service came back."""
+        found = self._registers.figures(events)
+        lost = next((event["t"] for event in events if event["kind"] == "power" and event["what"] == "lost"), None)
+        writes = [op for op in operations(events, "put") if op.word == "ok"]
+        queries = operations(events, "query")
+        leased = self._leases.figures(events)
+        told: dict[str, Any] = {
+            "acknowledged_before": sum(1 for op in writes if lost is not None and op.end < lost),
+            **{key: found[key] for key in ("operations", "acknowledged", "lost", "stale_reads", "divergent")},
+            "split_brain": found["two_leaders"] + leased["overlaps"] + leased["stale_accepted"],
+            "queries": len(queries),
+            "queries_served": sum(1 for op in queries if op.word == "ok" and op.result["word"] == "served"),
+            "refused_for_quorum": len(clients.refused(events)),
+            "lease_idle_ms_max": leased["idle_ms_max"],
+        }
+        return told | returned(events, lost)
--- /dev/null
+++ b/tealwing/lab/rig/loads/queries.py
@@ -0,0 +1,78 @@
+"""Clients of the gateways: queries over MySQL, and what readiness says over HTTP."""
+
+from __future__ import annotations
+
+import contextlib
+import itertools
+import socket
+import threading
+from typing import TYPE_CHECKING
+
+from tealwing.lab.client import Session
+
+if TYPE_CHECKING:
+    from tealwing.lab.rig.trial import Trial
+
+ASK_EVERY = 0.1  # s between two queries of one client, and between two looks at readiness
+QUERY_LIMIT = 3.0  # s: a lookup's deadline
+
+
+class Gateways:
+    """The clients of all gateways of one trial, until they are stopped."""
+
+    def __init__(self, stopped: threading.Event) -> None:
+        self._stopped = stopped
+        self._calls = itertools.count(1)
+
+    def ask(self, trial: Trial, name: str) -> None:
+        """Queries of one client of one gateway, whenever it listens; one that can't connect asked nobody."""
+        session: Session | None = None
+        session_of = 0
+        while not self._stopped.wait(ASK_EVERY):
+            process = trial.processes[name]
+            address, start = process.address("listen"), process.starts
+            if address is None or process.stopped:
+                continue
+            call = f"{trial.seed & 0xFFFF:04x}{next(self._calls):012x}"
+            text = f"/* op=lookup,call={call},ttl=3000,org=graan-koop,work=2.0,heap_mb=4 */ SELECT a FROM sales_1.t"
+            try:
+                if session is None or session_of != start:
+                    session, session_of = Session(address), start
+            except OSError:
+                session = None
+                continue
+            number = trial.history.invoke("query", name, start=start)
+            try:
+                answer = session.ask(text.encode(), QUERY_LIMIT)
+                trial.history.complete(number, "ok", word=answer.word, text=answer.text)
+            except OSError as error:
+                trial.history.complete(number, "unknown", why=str(error), lives=process.running)
+                session.close()
+                session = None
+        if session is not None:
+            session.close()
+
+    def look(self, trial: Trial, name: str) -> None:
+        """What readiness says, whenever that changes."""
+        said = ""
+        while not self._stopped.wait(ASK_EVERY / 2):
+            process = trial.processes[name]
+            address = process.address("admin")
+            word = "down"
+            if address is not None and not process.stopped:
+                with contextlib.suppress(OSError):
+                    word = readiness(address)
+            if word != said:
+                said = word
+                trial.history.add("readiness", process=name, word=word, start=process.starts)
+
+
+def readiness(address: tuple[str, int]) -> str:
+    """What GET /ops/readiness says: the first line of its body."""
+    with socket.create_connection(address, 1.0) as sock:
+        sock.settimeout(1.0)
+        sock.sendall(b"GET /ops/readiness HTTP/1.1\r\nHost: gateway\r\n\r\n")
+        got = b""
+        while part := sock.recv(4096):
+            got += part
+    return got.partition(b"\r\n\r\n")[2].decode("utf-8", "replace").strip()
--- a/tealwing/lab/rig/runs.py
+++ b/tealwing/lab/rig/runs.py
@@ -11,7 +11,11 @@
 from tealwing.lab.judges.verdict import Violation
 from tealwing.lab.rig import report
 from tealwing.lab.rig.history import Event
-from tealwing.lab.rig.loads import EchoLoad, LeaseLoad, Load, PowerLoad, RegisterLoad
+from tealwing.lab.rig.loads.base import Load
+from tealwing.lab.rig.loads.echo import EchoLoad
+from tealwing.lab.rig.loads.lease import LeaseLoad
+from tealwing.lab.rig.loads.power import PowerLoad
+from tealwing.lab.rig.loads.register import RegisterLoad
 from tealwing.lab.rig.trial import Trial, write_json
 
 LOADS: dict[str, Callable[[], Load]] = {
@@ -71,7 +75,7 @@
                        for e in events if e["kind"] == "never-settled"]  # fmt: skip
         violations.sort(key=lambda violation: violation.at)
         figures: dict[str, Any] = {
-            "scenario": scenario.title, "procs": procs, "seconds": seconds, "seed": seed, "faults": trial.faults,
+            "scenario": scenario.title, "procs": procs, "seconds": seconds, "seed": seed, "faults": trial.ledger.count,
             **load.figures(events), "violations": len(violations), "frames": trial.proxy.counts["frames"],
             "frames_dropped": trial.proxy.counts["dropped"], "took_s": round(time.monotonic() - begun, 1),
         }  # fmt: skip
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -154,7 +154,7 @@
 @pytest.mark.trial
 def test_one_gateway_of_three_serves_alone_takes_no_settings_and_says_why() -> None:
     from tealwing.lab.client import Session
-    from tealwing.lab.rig.loads import readiness
+    from tealwing.lab.rig.loads.queries import readiness
     from tests.test_peers import until
 
     with Trial(scenario.load("power-loss"), 3, 5.0, 1, sections=runs.SECTIONS["power"], engines=2) as trial:
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -10,7 +10,7 @@
 
 from tealwing.lab.faults import scenario
 from tealwing.lab.rig import runs
-from tealwing.lab.rig.loads import EchoLoad
+from tealwing.lab.rig.loads.echo import EchoLoad
 from tealwing.lab.rig.trial import Trial
 from tests.peers import LIMIT
 from tests.test_peers import until
