Read the section rules, and keep on disk which change a gateway has closed for

A gateway must know after a start up to which change it may not decide on its own. The mark is written whole under another name, synced and renamed, through the hook that lets the laboratory's disk fail; a damaged one is told with its remedy. A section may now say what it contradicts in others, so that `check` finds it too.

--- a/tealwing/conf/reader.py
+++ b/tealwing/conf/reader.py
@@ -16,6 +16,7 @@
     "gossip": "tealwing.gossip.section",
     "peers": "tealwing.peers.section",
     "replica": "tealwing.replica.section",
+    "rules": "tealwing.rollout.section",
 }
 MOST_FILES = 64  # files that one file may include, in all
 LARGEST = 1 << 20  # bytes of one file
@@ -63,6 +64,9 @@
             conf.blocks[top.name] = block
             if len(report.problems) == before:  # what does not stand by itself can't be held together
                 conf.records[top.name] = what.build(block, report)
+    for name in conf.blocks:
+        if (across := section(name).across) is not None:
+            across(conf.records, conf.blocks, report)
     if report.problems:
         raise ConfError(report.problems)
     return conf
--- a/tealwing/conf/schema.py
+++ b/tealwing/conf/schema.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -32,6 +32,8 @@
     help: str
     specs: tuple[Spec, ...]
     build: Callable[[Block, Report], Any]  # the subsystem's own record; problems go to the report
+    # what it contradicts in other sections: all records and blocks by section, once each stands by itself
+    across: Callable[[Mapping[str, Any], Mapping[str, Block], Report], None] | None = None
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/tealwing/rollout/section.py
@@ -0,0 +1,75 @@
+"""The section `rules` of the operators' file."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+from tealwing.conf import values
+from tealwing.conf.grammar import Place
+from tealwing.conf.schema import Block, Report, Section, Spec
+from tealwing.peers.bounds import LEAST_TTL, USUAL
+from tealwing.rollout.plan import SABOTAGES, Plan
+
+SPECS = (
+    Spec("lost-touch", "serve|hold", "What this gateway does when it is cut off: go on serving, and a change that it"
+         " has not closed for waits or is aborted; or hold once its permit is over, and a change goes on without it.",
+         values.choice("serve", "hold"), "serve"),
+    Spec("permit", "DURATION", "hold: how long a permit lasts, and with it how long a change may wait for a gateway"
+         " that was lost.", values.durations(LEAST_TTL, 60.0), "2s"),
+    Spec("limit", "DURATION", "A change that not every gateway has closed for by then is aborted; longer than"
+         " patience.", values.durations(0.5, 120.0), "5s"),
+    Spec("patience", "DURATION", "Silence of a gateway that holds after which a change goes on without it.",
+         values.durations(0.1, 30.0), "500ms"),
+    Spec("queue", "COUNT", "Requests that may wait while a change is closed; more are refused and may come again.",
+         values.wholes(1, 4096), "64"),
+    Spec("sabotage", "WORD", "Broken on purpose, so that a trial's judges can be seen to find it; needs `faults on` in"
+         " the section peers. Never in service.", values.choice(*SABOTAGES)),
+)  # fmt: skip
+
+
+def build(block: Block, report: Report) -> Plan:
+    """The plan that a checked section makes."""
+    plan = Plan(
+        block.one("lost-touch"), block.one("permit"), block.one("limit"), block.one("patience"), block.one("queue"),
+        block.one("sabotage") or "",
+    )  # fmt: skip
+    place = block.entries["lost-touch"][0].place
+    if plan.limit <= plan.patience:
+        least = f"more than patience, {values.written_duration(plan.patience)}"
+        report.add(block.place("limit", place), "limit", values.written_duration(plan.limit), least)
+    over = USUAL.leader_waits(plan.permit) + plan.patience
+    if plan.lost_touch == "hold" and plan.limit <= over:
+        least = f"more than patience and a permit's end, {values.written_duration(round(over, 3))}"
+        report.add(block.place("limit", place), "limit", values.written_duration(plan.limit), least)
+    return plan
+
+
+def across(records: Mapping[str, Any], blocks: Mapping[str, Block], report: Report) -> None:
+    """What the section contradicts in others; the others stand by themselves already."""
+    block, plan = blocks["rules"], records.get("rules")
+    place = next((entries[0].place for entries in block.entries.values()), Place("", 0))
+    for other in ("peers", "replica"):
+        if other not in blocks:
+            report.add(place, "rules", f"no section {other}", f"a section {other}: versions are kept in its log")
+    peers, replica = records.get("peers"), records.get("replica")
+    if plan is None or peers is None or replica is None:
+        return
+    if plan.lost_touch == "serve" and replica.stale > 0:
+        report.add(
+            block.place("lost-touch", place), "lost-touch", f"serve, with stale {replica.stale} in the section replica",
+            "hold; or stale 0: a gateway that serves on what its disk says can't come back with an older disk",
+        )  # fmt: skip
+    if plan.sabotage and not peers.faults:
+        report.add(block.place("sabotage", place), "sabotage", plan.sabotage,
+                   "none; or `faults on` in the section peers, in a laboratory")  # fmt: skip
+
+
+SECTION = Section(
+    "rules",
+    "Changes of the rules that take hold on every gateway or on none; needs the sections `peers` and `replica`; see"
+    " docs/operating/rules.md. Absent: none.",
+    SPECS,
+    build,
+    across,
+)
--- /dev/null
+++ b/tests/test_rollout.py
@@ -0,0 +1,71 @@
+"""A change of the rules takes hold everywhere or nowhere: the section, the mark on disk, and processes."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from tealwing.conf import reader
+from tealwing.conf.reader import ConfError
+from tealwing.replica.disk import Disk
+from tealwing.rollout.mark import NAME, Mark, MarkDamaged
+from tealwing.rollout.plan import Plan
+
+PEERS = "peers\n    name n0\n    member n0 127.0.0.1:1\n"
+REPLICA = "replica\n    folder data\n"
+
+
+def read(folder: Path, text: str) -> Plan:
+    path = folder / "tealwing.conf"
+    path.write_text(text)
+    found = reader.read(str(path)).records["rules"]
+    assert isinstance(found, Plan)
+    return found
+
+
+def test_the_section_has_its_defaults(tmp_path: Path) -> None:
+    assert read(tmp_path, PEERS + REPLICA + "rules\n    lost-touch serve\n") == Plan()
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("rules\n    lost-touch serve\n", "no section peers"),
+        (PEERS + "rules\n    lost-touch serve\n", "no section replica"),
+        (PEERS + REPLICA + "    stale 1\nrules\n    lost-touch serve\n", "serve, with stale 1"),
+        (PEERS + REPLICA + "    stale 1\nrules\n    limit 9s\n", "hold; or stale 0"),
+        (PEERS + REPLICA + "rules\n    sabotage early-open\n", "`faults on`"),
+        (PEERS + "    faults on\n" + REPLICA + "rules\n    sabotage gently\n", "gently"),
+        (PEERS + REPLICA + "rules\n    limit 1s\n    patience 2s\n", "more than patience, 2s"),
+        (PEERS + REPLICA + "rules\n    lost-touch hold\n    permit 5s\n", "a permit's end"),
+    ],
+)
+def test_a_section_that_contradicts_itself_or_others_is_refused_with_what_is_allowed(
+    text: str, says: str, tmp_path: Path
+) -> None:
+    with pytest.raises(ConfError, match=says):
+        read(tmp_path, text)
+
+
+def test_a_mark_outlives_its_writer_and_a_write_that_failed(tmp_path: Path) -> None:
+    disk = Disk()
+    mark = Mark(tmp_path, disk)
+    assert mark.read() == 0
+    mark.write(7)
+    for fault in ("fsync", "short", "full"):
+        disk.fail(fault, 1)
+        with pytest.raises(OSError):
+            mark.write(8)
+        assert Mark(tmp_path, disk).read() == 7
+    mark.write(8)
+    assert Mark(tmp_path, disk).read() == 8
+    assert [path.name for path in tmp_path.iterdir()] == [NAME]
+
+
+@pytest.mark.parametrize("damage", [b"", b"closed-for 8", b"\x00" * 60])
+def test_a_damaged_mark_is_told_with_its_remedy(damage: bytes, tmp_path: Path) -> None:
+    Mark(tmp_path, Disk()).write(7)
+    (tmp_path / NAME).write_bytes(damage)
+    with pytest.raises(MarkDamaged, match="holds all requests until the log has told"):
+        Mark(tmp_path, Disk()).read()
