--- a/tealwing/conf/reader.py
+++ b/tealwing/conf/reader.py
@@ -16,6 +16,7 @@
     "gossip": "tealwing.gossip.section",
     "peers": "tealwing.peers.section",
     "replica": "tealwing.replica.section",
+    "federation": "tealwing.federation.section",
 }
 MOST_FILES = 64  # files that one file may include, in all
 LARGEST = 1 << 20  # bytes of one file
--- /dev/null
+++ b/tealwing/federation/__init__.py
@@ -0,0 +1,1 @@
+"""Several sites that change their rules together: plan, section, delegate (pure), shell."""
--- /dev/null
+++ b/tealwing/federation/section.py
@@ -0,0 +1,71 @@
+"""The section `federation` of the operators' file."""
+
+from __future__ import annotations
+
+from tealwing.conf import values
+from tealwing.conf.schema import Block, Entry, Report, Section, Spec
+from tealwing.federation.plan import Plan
+
+LEAST_SITES = 3  # with two, the loss of one leaves no majority of the federation's log
+MOST_SITES = 32  # each has voters in one log, whose leader writes to all
+
+
+def _site(words: values.Words) -> tuple[str, tuple[str, ...]]:
+    if len(words) < 2:
+        raise values.Unfit("the site's name, as the engine list says it, and its gateways, as bloemfontein n0 n1 n2")
+    name = values.instance(words[:1])
+    return name, tuple(values.instance((word,)) for word in words[1:])
+
+
+SPECS = (
+    Spec("folder", "PATH", "Where the federation's log and snapshots are kept; not the folder of `replica`.",
+         values.text, needed=True),
+    Spec("site", "NAME GATEWAY...", "A site, by the name that engines have as their locality, and its gateways by"
+         " their names in the section peers.", _site, many=True, needed=True),
+    Spec("limit", "DURATION", "Time in which all sites must have agreed on a change; then it is aborted.",
+         values.durations(0.5, 600.0), "8s"),
+    Spec("voters", "COUNT", "Gateways of one site that vote in the federation's log, at most; its others follow it.",
+         values.wholes(1, 7), "3"),
+    Spec("beat", "DURATION", "Between two words of the federation's leader that has nothing else to say.",
+         values.durations(0.02, 5.0), "100ms"),
+    Spec("election", "DURATION", "Silence of that leader after which another is elected; a few round trips between"
+         " the farthest sites and three beats, at least.", values.durations(0.1, 60.0), "1s"),
+)  # fmt: skip
+
+
+def build(block: Block, report: Report) -> Plan:
+    """The plan that a checked section makes."""
+    sites: list[Entry] = [entry for entry in block.all("site") if entry.value is not None]
+    seen: dict[str, Entry] = {}
+    home: dict[str, str] = {}
+    for entry in sites:
+        name, members = entry.value
+        if name in seen:
+            report.add(entry.place, "site", f"a second site {name}", f"one, and {seen[name].place} has it")
+        seen[name] = entry
+        for member in members:
+            if member in home:
+                report.add(entry.place, "site", f"{member}, which is of {home[member]}", "a gateway of one site")
+            home[member] = name
+    first = sites[0].place if sites else block.entries["site"][0].place
+    if len(seen) < LEAST_SITES:
+        report.add(first, "site", f"{len(seen)} sites", f"{LEAST_SITES} or more: two do not bear the loss of one")
+    if len(seen) > MOST_SITES:
+        report.add(first, "site", f"{len(seen)} sites", f"at most {MOST_SITES}")
+    beat, election = block.one("beat"), block.one("election")
+    if beat is not None and election is not None and election < 3 * beat:
+        report.add(block.place("election", first), "election", values.written_duration(election),
+                   f"three beats or more, {values.written_duration(3 * beat)}")  # fmt: skip
+    return Plan(
+        block.one("folder"), tuple(entry.value for entry in sites), block.one("limit"), block.one("voters"),
+        beat, election,
+    )  # fmt: skip
+
+
+SECTION = Section(
+    "federation",
+    "Several sites, each a fleet with a replicated log of its own, that change their rules together; needs the"
+    " sections peers, replica and rules; see docs/operating/federation.md. Absent: this fleet decides alone.",
+    SPECS,
+    build,
+)
