Read bundles of rules, and say what they change, whom they touch and where they do not fit

Faults name the key, what was found and what is allowed, and each kind of error has a remedy that a test finds in the manual.

--- /dev/null
+++ b/tealwing/rules/typed.py
@@ -0,0 +1,104 @@
+"""Typed records from plain data, with faults that name the key, what was found, and what is allowed; pure.
+
+msgspec checks each value; the walk is ours, as its own messages leave out the keys of tables.
+"""
+
+from __future__ import annotations
+
+from math import isfinite
+from types import UnionType
+from typing import Annotated, Any, TypeVar, Union, get_args, get_origin
+
+import msgspec
+from msgspec import inspect
+
+from tealwing.rules.errors import BadValue, TooLarge, UnknownKey
+
+Record = TypeVar("Record", bound=msgspec.Struct)
+SHOWN = 60  # characters of what was found
+
+
+def read(kind: type[Record], data: Any, where: str = "") -> Record:
+    """The record that a table makes. UnknownKey, BadValue or TooLarge for the first thing that is wrong."""
+    known = {field.encode_name: field for field in msgspec.structs.fields(kind)}
+    found = {}
+    for key, value in _table(data, where).items():
+        if key not in known:
+            raise UnknownKey(_under(where, key), f"no such key; allowed: {', '.join(known)}")
+        found[known[key].name] = _value(known[key].type, value, _under(where, key))
+    for key, field in known.items():
+        if field.required and field.name not in found:
+            raise UnknownKey(_under(where, key), "missing")
+    return kind(**found)
+
+
+def _value(kind: Any, data: Any, where: str) -> Any:
+    if get_origin(kind) in (Union, UnionType):  # with None, for a key that may be absent
+        kind = get_args(kind)[0]
+    bare, most = kind, None
+    if get_origin(kind) is Annotated:
+        bare, meta = get_args(kind)
+        most = meta.max_length
+    if isinstance(bare, type) and issubclass(bare, msgspec.Struct):
+        return read(bare, data, where)
+    if get_origin(bare) is dict:
+        names, values = get_args(bare)
+        _few(_table(data, where), most, where)
+        return {_leaf(names, key, where): _value(values, value, _under(where, key)) for key, value in data.items()}
+    if get_origin(bare) is tuple:
+        if not isinstance(data, list):
+            raise BadValue(where, f"{_shown(data)}; allowed: a list")
+        _few(data, most, where)
+        try:
+            return msgspec.convert(data, kind)  # lists are long, and are walked only to tell what is wrong
+        except msgspec.ValidationError:
+            pass
+        return tuple(_value(get_args(bare)[0], value, f"{where}[{place}]") for place, value in enumerate(data))
+    return _leaf(kind, data, where)
+
+
+def _leaf(kind: Any, data: Any, where: str) -> Any:
+    try:
+        found = msgspec.convert(data, kind)
+        if not isinstance(found, float) or isfinite(found):
+            return found
+    except msgspec.ValidationError:
+        pass
+    raise BadValue(where, f"{_shown(data)}; allowed: {_allowed(inspect.type_info(kind))}")
+
+
+def _table(data: Any, where: str) -> dict[str, Any]:
+    if not isinstance(data, dict):
+        raise BadValue(where, f"{_shown(data)}; allowed: a table")
+    return data
+
+
+def _few(found: Any, most: int | None, where: str) -> None:
+    if most is not None and len(found) > most:
+        raise TooLarge(where, f"{len(found)} of them; allowed: {most}")
+
+
+def _allowed(kind: inspect.Type) -> str:
+    """What values are allowed, as a fault says it."""
+    match kind:
+        case inspect.IntType():
+            return f"{kind.ge} to {kind.le}"
+        case inspect.FloatType():
+            return f"{kind.ge:g} to {kind.le:g}"
+        case inspect.LiteralType():
+            return " or ".join(map(str, kind.values))
+        case inspect.StrType():
+            return f"text of {kind.min_length or 0} to {kind.max_length} characters"
+    return "another kind of value"
+
+
+def _under(where: str, key: str) -> str:
+    return f"{where}.{_shown(key)}" if where else _shown(key)
+
+
+def _shown(data: Any) -> str:
+    if isinstance(data, (dict, list)):
+        return "a table" if isinstance(data, dict) else "a list"
+    text = data if isinstance(data, str) else repr(data)
+    text = "".join(sign if sign.isprintable() else "?" for sign in text[: SHOWN + 1])
+    return text if len(text) <= SHOWN else text[:SHOWN] + "..."
--- /dev/null
+++ b/tests/test_rules_bundle.py
@@ -0,0 +1,193 @@
+"""Bundles: what they may say, what is wrong with them and told how, and what a change from one to another touches."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tealwing import interface as api
+from tealwing.replica.commands import NewerEntry
+from tealwing.rules import check, errors, overlay
+from tealwing.rules.bundle import EMPTY, MOST_ROUTES, Bundle, parse
+from tealwing.rules.touch import EVERYTHING, touched
+from tests.build import make_settings, request_class
+
+WHOLE = """
+levels = '''
+levels
+    window 2s
+    level calm
+        enter when fleet.load > 0.9 for 2s
+        exit when fleet.load < 0.6 for 4s
+        attempts look 1
+'''
+[attempts]
+most = 3
+[classes.look]
+aim-ms = 600
+effect = "keyed"
+worth = 2
+[tenants.graan-koop]
+share = 0.81
+[[routes]]
+first = 0
+last = 31
+sites = ["bloemfontein", "upington"]
+"""
+
+
+def platform(**more: Any) -> api.Settings:
+    given: dict[str, Any] = dict(
+        classes=(request_class(), request_class(name="load")), zones=("bloemfontein", "upington"),
+        tenants=("graan-koop", "wol"), accounts=(api.Account("graan-koop", 0.5, 1.0), api.Account("wol", 0.5, 1.0)),
+    )  # fmt: skip
+    return make_settings(**(given | more))
+
+
+def routes(*found: tuple[int, int, str]) -> bytes:
+    parts = [f"[[routes]]\nfirst={first}\nlast={last}\nsites={sites.split()}\n" for first, last, sites in found]
+    return "".join(parts).encode()
+
+
+def test_a_bundle_takes_the_place_of_what_it_names_in_the_platforms_settings_and_of_nothing_else() -> None:
+    bundle, before = parse(WHOLE.encode()), platform()
+    after = overlay.apply(bundle, before)
+    look = after.classes[0]
+    assert (look.aim, look.deadline, look.effect, look.worth) == (0.6, 5.0, api.Effect.KEYED, 2.0)
+    assert after.classes[1] == before.classes[1] and after.limits.max_attempts == 3
+    assert [account.share for account in after.accounts] == [0.81, 0.5]
+    assert overlay.apply(EMPTY, before) == before and check.check(bundle, check.Running(before)) == []
+
+
+@pytest.mark.parametrize(
+    ("text", "kind", "told"),
+    [
+        ("classes.lookup.aim-ms = 0", errors.BadValue, "classes.lookup.aim-ms: 0; allowed: 1 to 3600000"),
+        ("classes.lookup.aim-ms = true", errors.BadValue, "aim-ms: True; allowed: 1 to"),
+        ("classes.a.worth = nan", errors.BadValue, "classes.a.worth: nan; allowed: 0 to 1e+06"),
+        ("classes.a.effect = 'often'", errors.BadValue, "often; allowed: keyed or safe or unsafe"),
+        ("classes.a.aim = 3", errors.UnknownKey, "classes.a.aim: no such key; allowed: aim-ms, deadline-ms, effect"),
+        ("classes = 3", errors.BadValue, "classes: 3; allowed: a table"),
+        ("tenants.x.share = 1.1", errors.BadValue, "tenants.x.share: 1.1; allowed: 0 to 1"),
+        ("routes = [{first = 1, sites = ['a']}]", errors.UnknownKey, "routes[0].last: missing"),
+        ("routes = [{first = -1, last = 2, sites = ['a']}]", errors.BadValue, "routes[0].first: -1; allowed: 0 to"),
+        ("routes = [{first = 1, last = 2, sites = [3]}]", errors.BadValue, "routes[0].sites[0]: 3; allowed: text"),
+        ("routes = 7", errors.BadValue, "routes: 7; allowed: a list"),
+        ("rutes = []", errors.UnknownKey, "rutes: no such key; allowed: levels, attempts, classes, tenants, routes"),
+        ("a = ", errors.NotToml, "(at end of document)"),
+        ("a = " + "[" * 100_000, errors.NotToml, "too many brackets"),
+        ("a = " + "9" * 5000, errors.NotToml, "digits"),
+        ("levels = 'levels'", errors.BadLevels, "levels:1: levels: found no level"),
+        ("levels = 'include x'", errors.BadLevels, "the line `levels`, the rest below it"),
+        ("levels = '''levels\n  window 9d'''", errors.BadLevels, "levels:2: window: found 9d; allowed: from 500ms"),
+        ("levels = '''levels\n  level ?\n   x'''", errors.BadLevels, "levels:2: level: found ?; allowed: one name"),
+        ("levels = '''levels\n   every 1s\n  every 1s'''", errors.BadLevels, "levels:3: every: found an indentation"),
+        ("#" * (256 * 1024 + 1), errors.TooLarge, "allowed: 262144"),
+    ],
+)
+def test_what_is_wrong_with_a_bundle_is_told_with_its_key_what_was_found_and_what_is_allowed(
+    text: str, kind: type[errors.RulesError], told: str
+) -> None:
+    with pytest.raises(kind) as caught:
+        parse(text.encode())
+    assert told in str(caught.value) and str(caught.value).endswith(kind.remedy)
+
+
+def faults() -> Iterator[errors.RulesError]:
+    """One of each kind that only shows at a gateway, or in routes."""
+    running = check.Running(platform())
+    for text, now in [
+        (b"\xff", running),
+        (routes((0, 5, "upington"), (5, 9, "upington")), running),
+        (routes(*[(n, n, "upington") for n in range(MOST_ROUTES + 1)]), running),
+        (b"classes.no.aim-ms = 1", running),
+        (b"tenants.no.share = 1", running),
+        (WHOLE.replace("look 1", "lock 1").encode(), running),
+        (b"attempts.most = 5", running),
+        (routes((0, 5, "kimberley")), running),
+        (routes((0, 5, "upington")), check.Running(platform(), sites=frozenset({"bloemfontein"}))),
+        (b"classes.look.aim-ms = 7", check.Running(platform(), gossip=True)),
+        (WHOLE.encode(), check.Running(platform(), levels=True)),
+        (routes((0, 5, "upington")), check.Running(platform(), memory=1000.0)),
+    ]:
+        reasons = check.judge(text, now)
+        assert reasons, text[:40]
+        yield from reasons
+    yield from check.judge(b"", running, needs=check.BUILD + 1)
+
+
+def kinds(of: type[errors.RulesError] = errors.RulesError) -> set[type[errors.RulesError]]:
+    return {of}.union(*map(kinds, of.__subclasses__()))
+
+
+def test_every_error_is_met_and_its_remedy_stands_in_the_manual_word_for_word() -> None:
+    met = {type(fault) for fault in faults()} | {errors.BadValue, errors.UnknownKey, errors.BadLevels}
+    bases = {errors.RulesError, errors.BundleError, errors.MisfitError}
+    ours = {kind for kind in kinds() if kind.__module__ == errors.__name__}
+    assert met == ours - bases
+    pages = [Path(__file__).parent.parent / "docs" / "operating" / f"{name}.md" for name in ("rules", "federation")]
+    manual = "\n".join(page.read_text() for page in pages if page.exists())
+    for remedy in [kind.remedy for kind in kinds() - bases] + [NewerEntry.remedy]:
+        assert remedy in manual
+
+
+def test_a_site_in_trouble_does_not_stop_a_change_that_leaves_its_groups_alone() -> None:
+    old = routes((0, 5, "upington"), (6, 9, "bloemfontein"))
+    down = check.Running(platform(), parse(old), frozenset({"bloemfontein"}))
+    assert check.judge(old + b"[classes.look]\naim-ms = 5\n", down) == []
+    assert check.judge(routes((0, 9, "bloemfontein")), down) == []
+    assert len(check.judge(routes((0, 9, "upington")), down)) == 1
+
+
+def test_a_change_that_gossip_need_not_hear_of_passes_while_gossip_is_on() -> None:
+    active = parse(b"classes.look.aim-ms = 7")
+    running = check.Running(platform(), active, gossip=True)
+    assert check.judge(b"classes.look.aim-ms = 7\n" + routes((0, 5, "upington")), running) == []
+    assert [type(reason) for reason in check.judge(b"", running)] == [errors.NeedsRestart]
+
+
+@pytest.mark.parametrize(
+    ("text", "everything", "classes"),
+    [
+        (b"# words only\n[classes.look]\n", False, set()),
+        (b"classes.look.aim-ms = 5", False, {"look"}),
+        (b"classes.look.effect = 'unsafe'", False, {"look"}),
+        (b"classes.look.worth = 5", True, set()),
+        (b"tenants.wol.share = 0.1", True, set()),
+        (b"tenants.wol = {}", False, set()),
+        (b"attempts.most = 2", True, set()),
+        (WHOLE.encode(), True, set()),
+    ],
+)
+def test_a_change_touches_the_class_it_is_about_or_everything(text: bytes, everything: bool, classes: set[str]) -> None:
+    for touch in (touched(None, parse(text)), touched(parse(text), EMPTY)):
+        assert (touch.everything, set(touch.classes)) == (everything, classes)
+        assert touch.hits("look", "wol", 3) == (everything or "look" in classes)
+        assert touch.hits("load", "wol", 3) == everything
+    assert EVERYTHING.hits("any", "any", 0) and not touched(parse(text), parse(text + b"\n# more")).everything
+
+
+LISTS = st.lists(st.tuples(st.integers(0, 6), st.integers(0, 4), st.sampled_from(["a", "b", "a b", "b a"])), max_size=5)
+
+
+@given(LISTS, LISTS)
+def test_a_change_of_routes_touches_just_the_groups_whose_sites_differ(
+    old: list[tuple[int, int, str]], new: list[tuple[int, int, str]]
+) -> None:
+    def laid(steps: list[tuple[int, int, str]]) -> tuple[Bundle, dict[int, str]]:
+        ranges, at, plain = [], 0, dict[int, str]()
+        for gap, length, sites in steps:
+            ranges.append((at + gap, at + gap + length, sites))
+            plain |= dict.fromkeys(range(at + gap, at + gap + length + 1), sites)
+            at += gap + length + 1
+        return parse(routes(*reversed(ranges))), plain
+
+    (before, was), (after, will) = laid(old), laid(new)
+    touch = touched(before, after)
+    for group in range(60):
+        assert touch.hits("look", "wol", group) == (was.get(group) != will.get(group))
