--- a/tests/test_rules_registry.py
+++ b/tests/test_rules_registry.py
@@ -18,6 +18,7 @@
 from tealwing.rules import records as r
 from tealwing.rules import registry
 from tealwing.rules.digests import digest
+from tealwing.rules.history import KEPT
 
 TEXT = b"# rules\n"
 
@@ -170,6 +171,7 @@
     for name in ("b", "c"):
         lapse = log.ok(r.Lapse(name, 1)).index
         log.ok(r.Witness(name, lapse, "a"))
+    log.refused(r.Witness("b", log.member("b").lapsed, "c"), "its clock is not asked")
     assert not log.member("b").over and not log.member("c").over
 
 
@@ -303,3 +305,14 @@
     finally:
         replica.stop()
     assert replica.broken == f"an entry of a newer build: a command rules.merge; {c.NewerEntry.remedy}"
+
+
+def test_the_history_is_bounded_and_keeps_what_is_in_force_and_the_way_back() -> None:
+    log = Log(("a", "serve"))
+    first, second = log.to_active(), log.to_active()
+    for _ in range(KEPT + 10):
+        log.ok(r.Withdraw(log.propose(second), "lerato"))
+    flying = log.propose(second)
+    kept = sorted(map(int, log.state.tables["rules"]))
+    assert len(kept) == KEPT and kept[:2] == [first, second] and kept[-1] == flying
+    log.refused(r.Activate(first + 2), "unknown")
