Split the shell of the replicated log by concern, and give the fleet side a home of its name

What puts the link, the state and the leases together is no matter of leases: it moves to tealwing/fleet/peering.py. No behaviour changes: the tests of the replica, leases, recovery, peers and commands pass as they were.

--- /dev/null
+++ b/tealwing/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What a gateway runs among its peers, put together: peering.py."""
--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -21,10 +21,10 @@
 from tealwing.resp.fleet import Fleet
 
 if TYPE_CHECKING:  # what the operators' file does not switch on is not imported
+    from tealwing.fleet.peering import Peering
     from tealwing.gossip.observe import Evidence
     from tealwing.gossip.plan import Plan as GossipPlan
     from tealwing.gossip.transport import Link
-    from tealwing.leases.peering import Peering
     from tealwing.levels.plan import Plan
     from tealwing.peers.plan import Plan as PeersPlan
     from tealwing.replica.plan import Plan as ReplicaPlan
@@ -152,7 +152,7 @@
             if replica is not None:
                 raise ValueError("replica: needs the section peers, whose members take part")
             return
-        from tealwing.leases.peering import Peering
+        from tealwing.fleet.peering import Peering
         from tealwing.peers.link import LinkFault  # only where it is on
 
         if self._peering is not None:
--- a/tealwing/replica/__init__.py
+++ b/tealwing/replica/__init__.py
@@ -1,1 +1,1 @@
-"""State that the gateways share: a replicated log (Raft), its disk, the state that it makes, and recovery."""
+"""State that all gateways share, in a replicated log: read raft.py, state.py, storage.py, then member.py and node.py."""
--- /dev/null
+++ b/tealwing/replica/member.py
@@ -0,0 +1,130 @@
+"""One member without its thread: its core, its disk and its state, and what the core wants, done in its order."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from pathlib import Path
+from queue import SimpleQueue
+from typing import Any
+
+from tealwing import log
+from tealwing.peers.clock import Clock
+from tealwing.peers.link import Link
+from tealwing.replica import commands, messages, opening
+from tealwing.replica.disk import Disk
+from tealwing.replica.listeners import Listeners
+from tealwing.replica.messages import Kind, Message, Snap, SnapReply
+from tealwing.replica.plan import Plan
+from tealwing.replica.raft import Ready
+from tealwing.replica.recovery import Return, beliefs
+from tealwing.replica.snapshots import Snapshots
+from tealwing.replica.state import State
+from tealwing.replica.storage import Storage
+from tealwing.replica.waiting import Waiting
+
+COMMIT_EVERY = 0.25  # s between two words to the disk of how far the log is committed, where nothing else is written
+
+
+class Member(Listeners):
+    """The core, its disk and its state. Its thread's own, but for what is read under the lock."""
+
+    def __init__(self, plan: Plan, link: Link, clock: Clock, disk: Disk | None = None) -> None:
+        """Read the disk. storage.StorageError where it can't be trusted."""
+        super().__init__()
+        self.plan, self._link, self.clock = plan, link, clock
+        self.disk = disk or Disk()
+        self.storage = Storage(Path(plan.folder), self.disk)
+        self.back = Return(time.monotonic())
+        self.lock = threading.Lock()  # round the state, and what status reads
+        self.found = self.storage.open()
+        self.state = opening.read_state(self.storage, self.found)  # the thread's own; others read under the lock
+        self.start_number = random.SystemRandom().randrange(1, 2**53)
+        self.core = opening.make_core(plan, link.plan, self.found, clock.now(), self.start_number)
+        self._queue: SimpleQueue[tuple[Any, ...]] = SimpleQueue()
+        self.snapshots = Snapshots(plan, self.storage, self.core, self._queue, self._replace)
+        opening.catch_up(self.core, self.state)
+        self.beliefs = beliefs(self.state, self.core.last_index, int(time.time() * 1e3))
+        self.back.disk_read(time.monotonic())
+        self._waiting = Waiting()
+        self.broken = ""
+        self.terms: dict[int, str] = {}  # leader by term, as far as seen here
+        self._committed_at = 0.0  # monotonic, when the disk last heard how far all is committed
+        self.slowest_save = 0.0  # s that the disk took for one write and its sync, at most
+
+    def _do(self, ready: Ready) -> None:
+        """What the core wants, in its order: the disk, then words that rest on it, then the state."""
+        begun = time.monotonic()
+        try:
+            commit = min(self.core.commit, self.core.stable)
+            due = ready.hard is not None or ready.entries or begun - self._committed_at >= COMMIT_EVERY
+            if due:
+                self.storage.save(ready.hard, ready.entries, commit)
+                self._committed_at = begun
+            if ready.chunk is not None and not self.snapshots.take(ready.chunk):
+                ready.messages = [m for m in ready.messages if not isinstance(m[1], SnapReply)]
+        except OSError as error:
+            self.broken = str(error)
+            return
+        took = time.monotonic() - begun
+        self.slowest_save = max(self.slowest_save, took)
+        if took >= self.plan.election / 2:  # while it lasts we answer nobody: a leader may be missed for it
+            log.event("replica_disk_slow", took=round(took, 3), entries=len(ready.entries))
+        if ready.entries:
+            self.core.saved(self.clock.now(), ready.entries[-1].index, ready.entries[-1].term)
+        for name, message in ready.messages:
+            self._send(name, message)
+        for entry in ready.committed:
+            self._apply(entry)
+        if ready.committed:
+            self._waiting.reached(self.state.applied)
+        for number in ready.failed_reads:
+            self._waiting.read_failed(number)
+        for number, index in ready.reads:
+            self._waiting.read_done(number, index)
+
+    def _send(self, name: str, message: Message) -> None:
+        if isinstance(message, Snap):  # the core says which piece
+            filled = self.snapshots.fill(message)
+            if filled is None:
+                return  # it is no more: the newer one goes out with the next beat
+            message = filled
+        self._link.send(name, messages.CHANNEL, messages.encode(message))
+
+    def _apply(self, entry: messages.Entry) -> None:
+        command = result = None
+        self.snapshots.bytes += len(entry.data)
+        with self.lock:
+            if entry.kind is Kind.DATA:
+                result = self.state.apply(entry.index, entry.data)
+            else:
+                self.state.applied = entry.index
+        if self._watchers and entry.kind is Kind.DATA:
+            try:
+                command = commands.decode(entry.data)
+            except ValueError:
+                command = None
+        for watch in self._watchers:
+            watch(entry.index, command, result)
+        self._waiting.applied(entry, result)
+
+    def _replace(self, fresh: State) -> None:
+        """Another's snapshot takes the place of the state."""
+        with self.lock:
+            fresh.refused_stale = self.state.refused_stale
+            self.state = fresh
+        for told in self._installed:
+            told()
+        self._waiting.reached(fresh.applied)
+
+    def _keep_commit(self) -> None:
+        """Tell the disk how far the log is committed, now and then: a start then knows its state without a leader."""
+        commit, now = min(self.core.commit, self.core.stable), time.monotonic()
+        if self.storage.commit >= commit or now - self._committed_at < COMMIT_EVERY:
+            return
+        self._committed_at = now
+        try:
+            self.storage.save(None, (), commit)
+        except OSError as error:
+            self.broken = str(error)
--- /dev/null
+++ b/tealwing/replica/opening.py
@@ -0,0 +1,45 @@
+"""From what the disk has to a member: its core, and the state as far as it is known to be committed."""
+
+from __future__ import annotations
+
+from tealwing.peers.plan import Plan as PeersPlan
+from tealwing.replica.messages import Kind
+from tealwing.replica.plan import Plan
+from tealwing.replica.raft import Options, Raft
+from tealwing.replica.state import State
+from tealwing.replica.storage import Found, Storage
+
+
+def read_state(storage: Storage, found: Found) -> State:
+    """The state of the newest snapshot; an empty one where there is none. storage.StorageError."""
+    state = State()
+    if found.snapshot.index:
+        state.load(found.snapshot.index, storage.body(found.snapshot))
+    return state
+
+
+def make_core(plan: Plan, peers: PeersPlan, found: Found, now: float, start: int) -> Raft:
+    """The core as the disk has it; start is a number that no earlier start of this member had."""
+    names = tuple(sorted(name for name, _ in peers.members))
+    return Raft(
+        peers.name,
+        () if plan.join else names,
+        now,
+        seed=start,
+        start=start,
+        options=Options(beat=plan.beat, election=plan.election, stale=plan.stale),
+        term=found.term,
+        vote=found.vote,
+        snapshot=found.snapshot,
+        log=found.log,
+        incoming=found.incoming,
+        commit=found.commit,
+    )
+
+
+def catch_up(core: Raft, state: State) -> None:
+    """Apply what was known to be committed: it is the state, whoever is there."""
+    for entry in core.ready().committed:
+        if entry.kind is Kind.DATA:
+            state.apply(entry.index, entry.data)
+        state.applied = entry.index
--- /dev/null
+++ b/tealwing/replica/outcomes.py
@@ -0,0 +1,84 @@
+"""What callers wait for, what a follower asks its leader, and how either can fail."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from tealwing.replica import commands
+from tealwing.replica.commands import Result
+
+MOST_PENDING = 1024  # proposals and reads that wait for their outcome
+
+
+class Unknown(RuntimeError):
+    """No outcome in time: it may have been applied, or may yet be; sent again under its number it is applied once."""
+
+
+class Unavailable(RuntimeError):
+    """It was surely not applied: no leader was reached, or this member is out of order."""
+
+
+class Pending:
+    """What a caller waits for."""
+
+    __slots__ = ("done", "outcome", "term")
+
+    def __init__(self) -> None:
+        self.done = threading.Event()
+        self.outcome: Any = None
+        self.term = 0
+
+    def set(self, outcome: Any) -> None:
+        """It has come."""
+        self.outcome = outcome
+        self.done.set()
+
+
+class Ask(msgspec.Struct, array_like=True, frozen=True, tag=1):
+    """A follower asks the leader: to propose this command, or, without one, at which index a read sees all."""
+
+    number: int
+    command: bytes
+    members: list[str] | None = None
+
+
+class Told(msgspec.Struct, array_like=True, frozen=True, tag=2):
+    """The answer: how it went, and a result or an index."""
+
+    number: int
+    word: str  # ok, not-leader, busy, lost, refused
+    result: bytes
+    index: int
+
+
+encode = msgspec.msgpack.Encoder().encode
+_decoder: msgspec.msgpack.Decoder[Ask | Told] = msgspec.msgpack.Decoder(Ask | Told)
+
+
+def decode(body: bytes) -> Ask | Told:
+    """What was forwarded; ValueError for anything else."""
+    try:
+        return _decoder.decode(body)
+    except msgspec.DecodeError as error:
+        raise ValueError(str(error)) from None
+
+
+class Answering(Pending):
+    """A pending outcome whose caller hears it through a function."""
+
+    __slots__ = ("answer", "number")
+
+    def __init__(self, number: int, answer: Callable[[Told], None]) -> None:
+        super().__init__()
+        self.number, self.answer = number, answer
+
+    def set(self, outcome: tuple[Result, int] | None) -> None:
+        """It has come; None: its place in the log is another's."""
+        if outcome is None:
+            self.answer(Told(self.number, "lost", b"", 0))
+        else:
+            self.answer(Told(self.number, "ok", commands.encode_result(outcome[0]), outcome[1]))
--- /dev/null
+++ b/tealwing/replica/waiting.py
@@ -0,0 +1,71 @@
+"""What waits at a member: proposals for their entry, reads for their round, calls for an index. Its thread's own."""
+
+from __future__ import annotations
+
+from tealwing.replica.commands import Result
+from tealwing.replica.messages import Entry
+from tealwing.replica.outcomes import MOST_PENDING, Answering, Pending
+
+
+class Waiting:
+    """The pending outcomes of one member."""
+
+    def __init__(self) -> None:
+        self._proposed: dict[int, Pending] = {}  # by index
+        self._reads: dict[int, Pending] = {}
+        self._at_index: list[tuple[int, Pending]] = []  # reads that wait for the state to be there
+
+    @property
+    def full(self) -> bool:
+        """Whether nothing more is taken for now."""
+        return len(self._proposed) + len(self._reads) >= MOST_PENDING
+
+    def propose(self, index: int, term: int, pending: Pending) -> None:
+        """It waits for the entry at an index, and only if that is of this term."""
+        pending.term = term
+        if (older := self._proposed.pop(index, None)) is not None:
+            older.set(None)
+        self._proposed[index] = pending
+
+    def applied(self, entry: Entry, result: Result | None) -> None:
+        """An entry is applied."""
+        pending = self._proposed.pop(entry.index, None)
+        if pending is not None:
+            # another's entry at the index of ours: ours is lost, or was cut and may be proposed again
+            pending.set((result or Result(True, entry.index), entry.index) if pending.term == entry.term else None)
+
+    def read(self, number: int, pending: Answering) -> None:
+        """It waits for the read of that number."""
+        self._reads[number] = pending
+
+    def forget(self, number: int) -> None:
+        """That read is not asked."""
+        del self._reads[number]
+
+    def read_done(self, number: int, index: int) -> None:
+        """A quorum has confirmed the index of a read."""
+        self._reads.pop(number).set((Result(True, index), index))
+
+    def read_failed(self, number: int) -> None:
+        """We lead no more: it has to be asked again."""
+        self._reads.pop(number).set(None)
+
+    def at(self, index: int, pending: Pending) -> None:
+        """It waits for the state to be at an index."""
+        self._at_index.append((index, pending))
+
+    def reached(self, applied: int) -> None:
+        """The state is at an index."""
+        waiting, self._at_index = self._at_index, []
+        for index, pending in waiting:
+            if applied >= index:
+                pending.set(index)
+            else:
+                self._at_index.append((index, pending))
+
+    def fail_all(self) -> None:
+        """We take part no more."""
+        for pending in [*self._proposed.values(), *self._reads.values()]:
+            pending.set(None)
+        self._proposed.clear()
+        self._reads.clear()
