--- a/tealwing/rollout/__init__.py
+++ b/tealwing/rollout/__init__.py
@@ -1,1 +1,2 @@
-"""One version of the rules on every gateway or on none: read plan, mark, shell, service."""
+"""The switch from one version of the rules to the next: actions, view, retry, permit, member; conductor, witnesses (pure);
+gate, mark, plan, section, errands, shell, service."""
