Let members learn without voting, and take a lost voter's place one change at a time

A fleet has many gateways and few voters: the others replicate as learners. Learners have a slower beat of their own; hurry begins a round at once where something was committed; roster says the next change as a voter is lost for good.

A walk showed that a demotion to fewer than 2 s + 1 voters breaks what stale promises: it is refused.

--- a/tealwing/lab/models/consensus.py
+++ b/tealwing/lab/models/consensus.py
@@ -1,11 +1,10 @@
 """The model of the replicated log: the core itself under all interleavings of a few steps of three members.
 
 What may happen: a member's election time is over, a leader begins a round, a client proposes, a message is delivered
-(in any order, or twice, or never), a member crashes and comes back with its disk, or with an older one. Checked in
-every state: one leader a term, equal prefixes where index and term agree, every committed entry in the log of every
-later leader, and one entry at an index for all that ever applied it (Raft's figure 3).
-
-Mutations put a known fault into the core, so that the check can be seen to find it.
+(in any order, or twice, or never), a member crashes and comes back with its disk, or with an older one; where there are
+learners, a leader promotes one, or demotes a voter. Checked in every state: one leader a term, equal prefixes where
+index and term agree, every committed entry in the log of every later leader, and one entry at an index for all that
+ever applied it (Raft's figure 3).
 """
 
 from __future__ import annotations
@@ -15,63 +14,20 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
+from tealwing.lab.models.mutations import MUTATIONS
+from tealwing.lab.models.words import told
 from tealwing.replica.messages import (
     Append,
     AppendReply,
     Entry,
-    Hand,
     Message,
-    Snap,
-    SnapReply,
-    Sure,
-    VoteAsk,
-    VoteReply,
 )
-from tealwing.replica.raft import Options, Progress, Raft, Role
+from tealwing.replica.raft import Busy, Options, Raft, Role
 
 Disk = tuple[int, str, tuple[Entry, ...]]  # term, vote, log
 STEP = 1.0  # s that pass with each step: all that could be due is
 
 
-class CommitsOldTerms(Raft):
-    """A mutation: an entry of an earlier term counts as committed once a majority has it (Raft's figure 8)."""
-
-    def _may_commit(self, index: int) -> bool:
-        return True
-
-
-class VotesTwice(Raft):
-    """A mutation: the vote that was given is not looked at."""
-
-    def _vote(self, now: float, source: str, ask: VoteAsk) -> None:
-        self.vote = ""
-        super()._vote(now, source, ask)
-
-
-class TrustsOldDisks(Raft):
-    """A mutation: members that may have forgotten count as though they had not."""
-
-    def _is_unsure(self, name: str) -> bool:
-        return False
-
-
-class SureAtOnce(Raft):
-    """A mutation: a member is told that it is sure as soon as it has what is committed, whoever has confirmed that."""
-
-    def _settle(self, name: str, progress: Progress) -> None:
-        if self.role is Role.LEADER and progress.unsure and progress.match >= self.commit:
-            self._send(name, Sure(self.term, progress.start))
-
-
-MUTATIONS: dict[str, type[Raft]] = {
-    "": Raft,
-    "commit-old-terms": CommitsOldTerms,
-    "vote-twice": VotesTwice,
-    "trust-old-disks": TrustsOldDisks,
-    "sure-at-once": SureAtOnce,
-}
-
-
 @dataclass(frozen=True, slots=True)
 class Budget:
     """How often each thing may happen."""
@@ -83,6 +39,8 @@
     old: int = 0  # of the crashes, those that come back with an older disk
     twice: int = 1  # messages delivered and still under way
     hands: int = 0  # leaders that hand over
+    promotions: int = 0  # of learners
+    demotions: int = 0  # of voters
 
 
 @dataclass(slots=True)
@@ -105,25 +63,27 @@
 
     def __init__(
         self, budget: Budget, mutation: str = "", names: str = "abc", stale: int = 0,
-        begin: Callable[[Consensus, World], World] | None = None,
+        begin: Callable[[Consensus, World], World] | None = None, learners: str = "",
     ) -> None:  # fmt: skip
-        """begin leads from the empty fleet to where the exploration starts."""
+        """names vote at first, learners do not; begin leads from the empty fleet to where the exploration starts."""
         self._budget, self._core, self._names, self._begin = budget, MUTATIONS[mutation], tuple(names), begin
+        self._learners = tuple(learners)
         # elections come by `campaign`: so long a time that whoever was ever heard counts as heard
         self._options = Options(election=1e6, pre_vote=False, check_quorum=False, stale=stale, entries=1, inflight=2)
         self._stale = stale
 
     def initial(self) -> World:
         """No leader, empty logs."""
-        members = {name: self._start(name, number + 1, (0, "", ())) for number, name in enumerate(self._names)}
-        world = World(members, frozenset(), {name: ((0, "", ()),) for name in self._names}, self._budget)
+        names = self._names + self._learners
+        members = {name: self._start(name, number + 1, (0, "", ())) for number, name in enumerate(names)}
+        world = World(members, frozenset(), {name: ((0, "", ()),) for name in names}, self._budget)
         for member in members.values():
             member.unsure = False  # a first start has nothing to forget
         return self._begin(self, world) if self._begin is not None else world
 
     def _start(self, name: str, start: int, disk: Disk) -> Raft:
         term, vote, log = disk
-        return self._core(name, self._names, 0.0, 1, start, self._options, term, vote, log=log)
+        return self._core(name, self._names, 0.0, 1, start, self._options, term, vote, log=log, learners=self._learners)
 
     # Steps
 
@@ -131,7 +91,7 @@
         """All that can happen."""
         budget = world.budget
         for source, target, message in sorted(world.network, key=repr):
-            word = f"{target} hears of {source}: {_told(message)}"
+            word = f"{target} hears of {source}: {told(message)}"
             yield word, lambda s=source, t=target, m=message: self.deliver(world, s, t, m, False)  # type: ignore[misc]
             if budget.twice:
                 yield (
@@ -139,7 +99,7 @@
                     lambda s=source, t=target, m=message: self.deliver(world, s, t, m, True),  # type: ignore[misc]
                 )
         for name, member in world.members.items():
-            if budget.timeouts and member.role is not Role.LEADER:
+            if budget.timeouts and member.role is not Role.LEADER and name in member.members:
                 yield f"{name} stands for election", lambda n=name: self.timeout(world, n)  # type: ignore[misc]
             if member.role is Role.LEADER:
                 if budget.hands:
@@ -148,6 +108,7 @@
                     yield f"{name} begins a round", lambda n=name: self.beat(world, n)  # type: ignore[misc]
                 if budget.proposals:
                     yield f"{name} takes a command", lambda n=name: self.propose(world, n)  # type: ignore[misc]
+                yield from self._changes(world, name, member)
             if budget.crashes:
                 yield f"{name} crashes and comes back", lambda n=name: self.crash(world, n, -1)  # type: ignore[misc]
             doubtful = sum(1 for other in world.members.values() if other.unsure)
@@ -158,6 +119,29 @@
                         lambda n=name, p=place: self.crash(world, n, p),  # type: ignore[misc]
                     )
 
+    def _changes(self, world: World, name: str, leader: Raft) -> Iterable[tuple[str, Callable[[], World]]]:
+        for other in leader.learners if world.budget.promotions else ():
+            if self._may(world, leader, other):
+                yield f"{name} promotes {other}", lambda o=other: self.change(world, name, o)  # type: ignore[misc]
+        for other in leader.members if world.budget.demotions and len(leader.members) > 2 else ():
+            if self._may(world, leader, other):
+                yield f"{name} demotes {other}", lambda o=other: self.change(world, name, o)  # type: ignore[misc]
+
+    def _may(self, world: World, leader: Raft, other: str) -> bool:
+        try:
+            leader.clone().change_members(world.at * STEP, *_changed(leader, other))
+        except (Busy, ValueError):
+            return False
+        return True
+
+    def change(self, world: World, name: str, other: str) -> World:
+        """A leader promotes a learner, or demotes a voter."""
+        spent = {"promotions" if other in world.members[name].learners else "demotions": 1}
+        after = self._after(world, name, **spent)
+        leader = after.members[name]
+        leader.change_members(after.at * STEP, *_changed(leader, other))
+        return self._settle(after, name)
+
     def deliver(self, world: World, source: str, target: str, message: Message, again: bool) -> World:
         """A message arrives."""
         after = self._after(world, target, twice=int(again))
@@ -265,7 +249,7 @@
             if m.role is Role.LEADER:
                 progress = tuple(
                     (o, p.next, p.match, p.mode, tuple(p.inflight), p.start, p.unsure,
-                     (p.round, p.known_round) if rounds else 0)
+                     (p.round, p.known_round) if rounds else 0, p.told if o in m.learners else 0)
                     for o, p in sorted(m.progress.items())
                 )  # fmt: skip
             members.append(
@@ -283,69 +267,15 @@
         )  # fmt: skip
 
 
+def _changed(leader: Raft, other: str) -> tuple[tuple[str, ...], tuple[str, ...]]:
+    """Voters and learners where one goes to the other side."""
+    voters, learners = ({*names} ^ {other} for names in (leader.members, leader.learners))
+    return tuple(sorted(voters)), tuple(sorted(learners))
+
+
 def _roundless(message: Message) -> Message | tuple[Any, ...]:
     if isinstance(message, Append):
         return ("append", message.term, message.prev_index, message.prev_term, message.entries, message.commit)
     if isinstance(message, AppendReply):
         return ("reply", message.term, message.ok, message.match, message.hint_index, message.hint_term, message.start)
     return message
-
-
-def _told(message: Message) -> str:
-    match message:
-        case VoteAsk(term, index, last):
-            return f"vote for me in term {term} (my log ends at {index} of term {last})"
-        case VoteReply(_, asked, _, granted):
-            return f"{'yes' if granted else 'no'} for term {asked}"
-        case Append(term, prev, _, entries, commit):
-            what = ", ".join(f"{entry.index} of term {entry.term}" for entry in entries) or "nothing new"
-            return f"I lead term {term}: after {prev} comes {what}; {commit} is committed"
-        case AppendReply(term, ok, match, hint):
-            return f"term {term}: {f'I have all up to {match}' if ok else f'that does not fit; try {hint}'}"
-        case Snap() | SnapReply():
-            return "a piece of a snapshot"
-        case Hand(term):
-            return f"term {term}: stand at once"
-        case Sure(term, _):
-            return f"term {term}: you have caught up"
-
-
-LIKELY = (("crashes", 0.15), ("stands", 0.1), ("will again", 0.1), ("begins a round", 0.3), ("takes a command", 0.4))
-
-
-def likely(word: str) -> float:
-    """For walks at random: messages come through more often than anything breaks."""
-    return next((weight for part, weight in LIKELY if part in word), 1.0)
-
-
-# Where explorations start that would else be too far away
-
-
-def message_between(world: World, source: str, target: str, kind: type) -> Message:
-    """The newest message of a kind under way between two."""
-    found = [m for s, t, m in world.network if (s, t) == (source, target) and isinstance(m, kind)]
-    return max(found, key=lambda m: (m.term, repr(m)))
-
-
-def elect(model: Consensus, world: World, name: str, voter: str) -> World:
-    """A member comes back from a crash, stands until its term is new, and gets the vote of another."""
-    world = model.crash(world, name, -1)
-    while world.members[name].term <= world.members[voter].term or world.members[name].role is Role.FOLLOWER:
-        world = model.timeout(world, name)
-    world = model.deliver(world, name, voter, message_between(world, name, voter, VoteAsk), False)
-    return model.deliver(world, voter, name, message_between(world, voter, name, VoteReply), False)
-
-
-def figure_eight(model: Consensus, world: World) -> World:
-    """Raft's figure 8 (a) and (b) with three members, as a leads again.
-
-    a led term 1 and then c a later one, and each has an entry of its own that no other has; a is elected anew by b.
-    """
-    budget = world.budget
-    world.budget = replace(budget, timeouts=20, crashes=20)
-    for name in "aca":
-        world = elect(model, world, name, "b")
-        under_way = world.network if world.members["a"].term > 2 else frozenset()
-        world.network = frozenset(m for m in under_way if m[:2] == ("a", "b") and isinstance(m[2], Append))
-    world.budget = budget
-    return world
--- /dev/null
+++ b/tealwing/lab/models/starts.py
@@ -0,0 +1,64 @@
+"""Where explorations of the replicated log start that would else be too far away, and what walks at random do."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from tealwing.lab.models.consensus import Consensus, World
+from tealwing.replica.messages import Append, AppendReply, Message, VoteAsk, VoteReply
+from tealwing.replica.raft import Role
+
+LIKELY = (
+    ("crashes", 0.15), ("stands", 0.1), ("will again", 0.1), ("begins a round", 0.3), ("takes a command", 0.4),
+    ("motes", 0.3),
+)  # fmt: skip
+
+
+def likely(word: str) -> float:
+    """For walks at random: messages come through more often than anything breaks."""
+    return next((weight for part, weight in LIKELY if part in word), 1.0)
+
+
+def message_between(world: World, source: str, target: str, kind: type) -> Message:
+    """The newest message of a kind under way between two."""
+    found = [m for s, t, m in world.network if (s, t) == (source, target) and isinstance(m, kind)]
+    return max(found, key=lambda m: (m.term, repr(m)))
+
+
+def elect(model: Consensus, world: World, name: str, voter: str) -> World:
+    """A member comes back from a crash, stands until its term is new, and gets the vote of another."""
+    world = model.crash(world, name, -1)
+    while world.members[name].term <= world.members[voter].term or world.members[name].role is Role.FOLLOWER:
+        world = model.timeout(world, name)
+    world = model.deliver(world, name, voter, message_between(world, name, voter, VoteAsk), False)
+    return model.deliver(world, voter, name, message_between(world, voter, name, VoteReply), False)
+
+
+def figure_eight(model: Consensus, world: World) -> World:
+    """Raft's figure 8 (a) and (b) with three members, as a leads again.
+
+    a led term 1 and then c a later one, and each has an entry of its own that no other has; a is elected anew by b.
+    """
+    budget = world.budget
+    world.budget = replace(budget, timeouts=20, crashes=20)
+    for name in "aca":
+        world = elect(model, world, name, "b")
+        under_way = world.network if world.members["a"].term > 2 else frozenset()
+        world.network = frozenset(m for m in under_way if m[:2] == ("a", "b") and isinstance(m[2], Append))
+    world.budget = budget
+    return world
+
+
+def led(model: Consensus, world: World) -> World:
+    """a leads term 1 by the vote of b, its first entry is committed, and learners have it; nothing is under way."""
+    a, voters = "a", [name for name in world.members if name in world.members["a"].members]
+    budget = world.budget
+    world.budget = replace(budget, timeouts=1)
+    world = model.timeout(world, a)
+    world = model.deliver(world, a, "b", message_between(world, a, "b", VoteAsk), False)
+    world = model.deliver(world, "b", a, message_between(world, "b", a, VoteReply), False)
+    for name in [name for name in world.members if name == "b" or name not in voters]:
+        world = model.deliver(world, a, name, message_between(world, a, name, Append), False)
+        world = model.deliver(world, name, a, message_between(world, name, a, AppendReply), False)
+    world.budget, world.network = budget, frozenset()
+    return world
--- /dev/null
+++ b/tealwing/lab/models/words.py
@@ -0,0 +1,35 @@
+"""The words of a story that the model check of the replicated log tells."""
+
+from __future__ import annotations
+
+from tealwing.replica.messages import (
+    Append,
+    AppendReply,
+    Hand,
+    Message,
+    Snap,
+    SnapReply,
+    Sure,
+    VoteAsk,
+    VoteReply,
+)
+
+
+def told(message: Message) -> str:
+    """A message as words."""
+    match message:
+        case VoteAsk(term, index, last):
+            return f"vote for me in term {term} (my log ends at {index} of term {last})"
+        case VoteReply(_, asked, _, granted):
+            return f"{'yes' if granted else 'no'} for term {asked}"
+        case Append(term, prev, _, entries, commit):
+            what = ", ".join(f"{entry.index} of term {entry.term}" for entry in entries) or "nothing new"
+            return f"I lead term {term}: after {prev} comes {what}; {commit} is committed"
+        case AppendReply(term, ok, match, hint):
+            return f"term {term}: {f'I have all up to {match}' if ok else f'that does not fit; try {hint}'}"
+        case Snap() | SnapReply():
+            return "a piece of a snapshot"
+        case Hand(term):
+            return f"term {term}: stand at once"
+        case Sure(term, _):
+            return f"term {term}: you have caught up"
--- a/tealwing/replica/messages.py
+++ b/tealwing/replica/messages.py
@@ -21,7 +21,7 @@
 
     NOOP = 0  # a leader's first: with it what came before is committed too
     DATA = 1  # a command to the state
-    MEMBERS = 2  # the members from here on, as msgpack of their names in order
+    MEMBERS = 2  # the members from here on: see `members_data`
 
 
 class Entry(Record, frozen=True):
@@ -115,11 +115,18 @@
     term: Big
 
 
+class Names(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Voters and learners in the data of an entry, where there are learners."""
+
+    voters: list[str]
+    learners: list[str]
+
+
 Message = VoteAsk | VoteReply | Append | AppendReply | Snap | SnapReply | Sure | Hand
 
 _encode = msgspec.msgpack.Encoder().encode
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
-_members = msgspec.msgpack.Decoder(list[str])
+_members: msgspec.msgpack.Decoder[list[str] | Names] = msgspec.msgpack.Decoder(list[str] | Names)
 
 
 def encode(message: Message) -> bytes:
@@ -135,11 +142,18 @@
         raise ValueError(f"no message of the replicated log: {error}") from None
 
 
-def members_data(names: tuple[str, ...]) -> bytes:
-    """The data of an entry that says who the members are."""
-    return _encode(list(names))
+def members_data(voters: tuple[str, ...], learners: tuple[str, ...] = ()) -> bytes:
+    """The data of an entry that says who the members are: without learners a plain list of names, as it always was."""
+    return _encode(Names(list(voters), list(learners)) if learners else list(voters))
 
 
 def members_of(entry: Entry) -> tuple[str, ...]:
-    """The members that an entry says."""
-    return tuple(_members.decode(entry.data))
+    """The voters that an entry says."""
+    names = _members.decode(entry.data)
+    return tuple(names.voters if isinstance(names, Names) else names)
+
+
+def learners_of(entry: Entry) -> tuple[str, ...]:
+    """The learners that an entry says."""
+    names = _members.decode(entry.data)
+    return tuple(names.learners) if isinstance(names, Names) else ()
--- a/tealwing/replica/raft/__init__.py
+++ b/tealwing/replica/raft/__init__.py
@@ -15,7 +15,7 @@
 docs/replication.md has the argument, and benchmarks/consensus.py the model check.
 
 The class is built in layers, each on the one before it; read them in this order: records, log, quorum, following,
-sending, commit, leading, election, core.
+sending, commit, membership, leading, election, core.
 """
 
 from __future__ import annotations
--- a/tealwing/replica/raft/commit.py
+++ b/tealwing/replica/raft/commit.py
@@ -26,7 +26,7 @@
             return
         left = []
         for number, round_ in self._reads:
-            answered = [name for name, progress in self.progress.items() if progress.round >= round_]
+            answered = [name for name, progress in self._voting() if progress.round >= round_]
             if round_ and self.enough([self.me, *answered]):
                 self._done_reads.append((number, self.commit))
             else:
@@ -42,11 +42,11 @@
 
     def _advance_commit(self, now: float) -> None:
         """What a quorum has on disk is committed, if it is of our own term: with it all that comes before."""
-        marks = sorted({p.match for p in self.progress.values()} | {self.stable}, reverse=True)
+        marks = sorted({p.match for _, p in self._voting()} | {self.stable}, reverse=True)
         for mark in marks:
             if mark <= self.commit or not self._may_commit(mark):
                 continue
-            if self.enough(self._have(mark)):
+            if self._is_held(mark):
                 self.commit = mark
                 self._committed(now)
                 return
@@ -54,9 +54,10 @@
     def _may_commit(self, index: int) -> bool:
         return self.term_at(index) == self.term
 
-    def _have(self, index: int) -> list[str]:
-        there = [name for name, progress in self.progress.items() if progress.match >= index]
-        return [self.me, *there] if self.stable >= index else there
+    def _is_held(self, index: int) -> bool:
+        """Whether a quorum has an entry on disk."""
+        there = [name for name, progress in self._voting() if progress.match >= index]
+        return self.enough([self.me, *there] if self.stable >= index else there)
 
     def _committed(self, now: float) -> None:
         if self.commit >= self.settled:
@@ -81,7 +82,7 @@
         if progress.match < self.commit:
             return
         if self.granted.get(name) != progress.start:
-            since = [other for other, p in self.progress.items() if other != name and p.round > progress.known_round]
+            since = [other for other, p in self._voting() if other != name and p.round > progress.known_round]
             if not self.enough([self.me, *since]):
                 return
         self._send(name, Sure(self.term, progress.start))
--- a/tealwing/replica/raft/election.py
+++ b/tealwing/replica/raft/election.py
@@ -4,11 +4,11 @@
 
 from tealwing.replica.messages import Hand, Kind, VoteAsk, VoteReply
 from tealwing.replica.raft.leading import Leading
-from tealwing.replica.raft.records import Progress, Role
+from tealwing.replica.raft.records import Role
 
 
 class Electing(Leading):
-    """How a member comes to lead."""
+    """How a member comes to lead; a learner does not (see Changing)."""
 
     def campaign(self, now: float) -> None:
         """Ask for votes: first whether they would be given, where pre-votes are on."""
@@ -63,11 +63,12 @@
         self.granted = {name: start for name, (granted, start, _) in self.votes.items() if granted}
         votes = self.votes
         self.role, self.leader = Role.LEADER, self.me
-        self.progress = {name: Progress(self.last_index + 1, heard=now) for name in self.members if name != self.me}
+        self.progress = {}
+        self._append(Kind.NOOP, b"")
+        self._keep_progress(now)
         for name, (_, start, unsure) in votes.items():
             if name in self.progress:
                 self.progress[name].start, self.progress[name].unsure = start, unsure
-        self._append(Kind.NOOP, b"")
         self.settled = self.last_index
         self._begin_round(now)
 
--- a/tealwing/replica/raft/following.py
+++ b/tealwing/replica/raft/following.py
@@ -53,7 +53,7 @@
                 self._cut(entry.index)
             self.log += entries[place:]
             if any(later.kind is Kind.MEMBERS for later in entries[place:]):
-                self.members = self._members_now()
+                self._look_for_members()
             break
         self.commit = max(self.commit, min(append.commit, last))
         self._send(source, self._reply(True, last, append.round))
@@ -98,7 +98,7 @@
         self._take_snapshot(meta)
         self.commit, self.applied = max(self.commit, meta.index), max(self.applied, meta.index)
         self.stable = meta.index  # what is kept after it is written again, behind the word of the snapshot
-        self.members = self._members_now()
+        self._look_for_members()
 
     def not_installed(self) -> None:
         """The received snapshot was no good: it has to come anew."""
--- a/tealwing/replica/raft/leading.py
+++ b/tealwing/replica/raft/leading.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from tealwing.replica.messages import AppendReply, Kind, SnapReply, members_data
-from tealwing.replica.raft.commit import Committing
+from tealwing.replica.messages import AppendReply, Kind, SnapReply
+from tealwing.replica.raft.membership import Changing
 from tealwing.replica.raft.records import Busy, Mode, NotLeader, Progress, Role
 
 
-class Leading(Committing):
+class Leading(Changing):
     """What a leader does."""
 
     def propose(self, now: float, data: bytes) -> tuple[int, int]:
@@ -20,27 +20,9 @@
         self._replicate(now)
         return entry.index, entry.term
 
-    def change_members(self, now: float, members: tuple[str, ...]) -> tuple[int, int]:
-        """Other members, one more or one fewer. NotLeader, Busy, or ValueError."""
-        if self.role is not Role.LEADER:
-            raise NotLeader(self.leader)
-        if len(set(members) ^ set(self.members)) != 1 or not members:
-            raise ValueError("one member more or one fewer at a time, and one at least")
-        pending = any(entry.kind is Kind.MEMBERS for entry in self.entries(self.commit + 1, self.last_index))
-        if pending or self.commit < self.settled:  # else two changes may each find a majority of their own
-            raise Busy("another change of members, or the leader's first entry, is not committed yet")
-        entry = self._append(Kind.MEMBERS, members_data(members))
-        for name in self.members:
-            if name != self.me and name not in self.progress:
-                self.progress[name] = Progress(self.last_index, heard=now)
-        for name in [name for name in self.progress if name not in self.members]:
-            del self.progress[name]
-        self._begin_round(now)
-        return entry.index, entry.term
-
     def _lead(self, now: float) -> None:
         if self.options.check_quorum:
-            recent = [name for name, p in self.progress.items() if now - p.heard < self.options.election]
+            recent = [name for name, p in self._voting() if now - p.heard < self.options.election]
             if not self.enough([self.me, *recent]):
                 self._follow(now, self.term, "")  # another may lead already: ours is no word to act on
                 return
@@ -54,7 +36,7 @@
         progress.heard = now
         if start != progress.start:  # it has begun anew, and may have forgotten: no earlier word of it counts
             if progress.start:
-                progress.match, progress.offset = 0, 0
+                progress.match, progress.offset, progress.told = 0, 0, 0
                 progress.inflight.clear()
                 progress.sent, progress.mode = 0.0, Mode.PROBE
                 progress.next = min(progress.next, self.last_index + 1)  # a guess: it says where it is
--- a/tealwing/replica/raft/log.py
+++ b/tealwing/replica/raft/log.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 
 from tealwing import log
-from tealwing.replica.messages import Entry, Kind, Message, Snap, members_of
+from tealwing.replica.messages import Entry, Kind, Message, Snap, learners_of, members_of
 from tealwing.replica.raft.records import Meta, Options, Progress, Role
 
 
@@ -27,10 +27,12 @@
         log: Iterable[Entry] = (),
         incoming: tuple[int, int, int] = (0, 0, 0),
         commit: int = 0,
+        learners: tuple[str, ...] = (),
     ) -> None:
         """From what the disk has. start is a number that no earlier start of this member had.
 
-        members holds where neither snapshot nor log says who they are; none: this one joins a fleet that has it added.
+        members (who vote) and learners hold where neither snapshot nor log says who they are; none: this one joins a
+        fleet that has it added.
         incoming is index, term and size so far of a snapshot that was being received.
         """
         self.me, self.options, self.start = me, options, start
@@ -38,12 +40,12 @@
         self.term, self.vote = term, vote
         self.snapshot = snapshot
         self.base = (snapshot.index, snapshot.term)  # of what comes before the log: the snapshot's, or older
-        self.first_members = members
+        self.first_members, self.first_learners = members, learners
         self.log = list(log)  # after the base
-        self.members = self._members_now()
+        self.members, self.learners = self.members_at(self.last_index)  # who vote, and who only follow
         self.applied = snapshot.index
         self.commit = max(snapshot.index, min(commit, self.last_index))
-        self.unsure = options.stale > 0 and len(self.members) > 1
+        self.unsure = options.stale > 0 and self.members != (me,)  # a learner too: it may have voted, or come to
         self.role, self.leader = Role.FOLLOWER, ""
         self.heard = now - 2 * options.election  # when a leader was heard
         self.deadline = 0.0
@@ -52,6 +54,7 @@
         self.progress: dict[str, Progress] = {}
         self.round = 0
         self.beaten = 0.0  # when the last round began
+        self.told = 0  # what was committed then
         self.settled = 0  # index of our first entry as leader
         self.stable = self.last_index  # written to disk up to here
         self._hard = False  # term or vote is not on disk
@@ -85,11 +88,18 @@
         begin = self.base[0] + 1
         return self.log[max(first - begin, 0) : max(last - begin + 1, 0)]
 
-    def _members_now(self) -> tuple[str, ...]:
-        for entry in reversed(self.log):
+    def members_at(self, index: int) -> tuple[tuple[str, ...], tuple[str, ...]]:
+        """Voters and learners as of an index, which is not before the snapshot's."""
+        for entry in reversed(self.entries(self.base[0] + 1, index)):
             if entry.kind is Kind.MEMBERS:
-                return members_of(entry)
-        return self.snapshot.members or self.first_members
+                return members_of(entry), learners_of(entry)
+        if self.snapshot.members:
+            return self.snapshot.members, self.snapshot.learners
+        return self.first_members, self.first_learners
+
+    def _look_for_members(self) -> None:
+        """The log has changed: the members are those of its last word on them, committed or not."""
+        self.members, self.learners = self.members_at(self.last_index)
 
     def _members_index(self) -> int:
         for entry in reversed(self.log):
@@ -101,7 +111,7 @@
         entry = Entry(self.last_index + 1, self.term, kind, data)
         self.log.append(entry)
         if kind is Kind.MEMBERS:
-            self.members = self._members_now()
+            self._look_for_members()
         return entry
 
     def _cut(self, index: int) -> None:
@@ -109,7 +119,7 @@
         log.must_hold(index > self.commit, "what is committed is never cut")
         del self.log[index - self.base[0] - 1 :]
         self.stable = min(self.stable, index - 1)
-        self.members = self._members_now()
+        self._look_for_members()
 
     def compacted(self, meta: Meta, trail: int = 0) -> None:
         """A snapshot of our own state is on disk: the log up to it can go, but for so many entries.
--- a/tealwing/replica/raft/quorum.py
+++ b/tealwing/replica/raft/quorum.py
@@ -5,11 +5,15 @@
 from collections.abc import Iterable
 
 from tealwing.replica.raft.log import Log
-from tealwing.replica.raft.records import Role
+from tealwing.replica.raft.records import Progress, Role
 
 
 class Quorums(Log):
-    """Who counts."""
+    """Who counts: voters only. A learner is in no quorum, whatever it has or says."""
+
+    def _voting(self) -> list[tuple[str, Progress]]:
+        """The followers that vote, as their leader knows them."""
+        return [(name, self.progress[name]) for name in self.members if name in self.progress]
 
     def enough(self, names: Iterable[str]) -> bool:
         """Whether these are a quorum: more than half, and as many more as may have forgotten (see the module)."""
--- a/tealwing/replica/raft/records.py
+++ b/tealwing/replica/raft/records.py
@@ -31,6 +31,7 @@
     """Seconds, bytes and counts; the same at all members but for mutations of the model check."""
 
     beat: float = 0.1  # s between two rounds of a leader that has nothing else to say
+    learner_beat: float = 0.5  # s between two words to a learner that has nothing new to hear: see Sending
     election: float = 0.6  # s without a leader after which a member asks for votes, at least; up to twice that
     resend: float = 0.5  # s without an answer after which what is under way to a follower counts as lost
     batch: int = 64 * 1024  # bytes of entries in one message, but one entry at least
@@ -52,17 +53,18 @@
 
 
 class Busy(RuntimeError):
-    """Not now: too much is under way, or another change of members is."""
+    """Not now: too much is under way, or another change of members is, or a learner can't vote yet."""
 
 
 @dataclass(frozen=True, slots=True)
 class Meta:
-    """A snapshot: the state up to an index, its term, the members then, its size in bytes."""
+    """A snapshot: the state up to an index, its term, the voters then, its size in bytes, the learners then."""
 
     index: int = 0
     term: int = 0
     members: tuple[str, ...] = ()
     size: int = 0
+    learners: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
@@ -80,12 +82,14 @@
     unsure: bool = False
     known_round: int = 0  # our round when we heard of that start first
     offset: int = 0  # of the snapshot that it has
+    due: float = 0.0  # when the next beat to a learner is
+    told: int = 0  # the commit that it was told, if nothing was lost
 
     def clone(self) -> Progress:
         """One like this."""
         return Progress(
             self.next, self.match, self.mode, deque(self.inflight), self.sent, self.heard, self.round, self.start,
-            self.unsure, self.known_round, self.offset,
+            self.unsure, self.known_round, self.offset, self.due, self.told,
         )  # fmt: skip
 
 
--- a/tealwing/replica/raft/sending.py
+++ b/tealwing/replica/raft/sending.py
@@ -5,18 +5,48 @@
 from tealwing import log
 from tealwing.replica.messages import Append, Entry, Snap
 from tealwing.replica.raft.following import Following
-from tealwing.replica.raft.records import Mode, Progress
+from tealwing.replica.raft.records import Mode, Progress, Role
 
 
 class Sending(Following):
-    """What a leader says."""
+    """What a leader says.
+
+    Learners may be many, so a leader that has nothing new to say costs little for them: each has a beat of its own,
+    `learner_beat` apart and spread evenly, so that of n learners n * beat / learner_beat hear something in a round (40
+    of 200). What is new does not wait for that: entries go out at once, as to any follower, and how far all is
+    committed with the next round (that of `hurry`, where it must be now), once for each time that it moved. A learner
+    that was not heard for two of its beats gets no entries and no pieces of a snapshot, only its beat, until it is
+    heard again: else those that are gone would take the places of those that wait for a snapshot.
+    """
 
     def _begin_round(self, now: float) -> None:
         """One message to everyone, numbered: its answers show who still follows us."""
         self.round += 1
-        self.beaten = now
+        self.beaten, self.told = now, self.commit
         for name, progress in self.progress.items():
-            self._send_to(now, name, progress, beat=True)
+            self._send_to(now, name, progress, beat=name in self.members or self._beat_due(now, progress))
+
+    def hurry(self, now: float) -> bool:
+        """Begin a round at once, so that all learn now how far the log is committed; whether one was begun.
+
+        None is where nothing was committed since the last one began, or where we don't lead.
+        """
+        if self.role is not Role.LEADER or self.told >= self.commit:
+            return False
+        self._begin_round(now)
+        return True
+
+    def _beat_due(self, now: float, progress: Progress) -> bool:
+        """Whether a learner is to hear something in this round though there are no entries for it."""
+        if now < progress.due:
+            return progress.told < self.commit
+        late = now - progress.due >= self.options.learner_beat
+        progress.due = (now if late else progress.due) + self.options.learner_beat
+        return True
+
+    def _is_lost(self, now: float, name: str, progress: Progress) -> bool:
+        silent = max(self.options.election, 2 * self.options.learner_beat)
+        return now - progress.heard >= silent and name not in self.members
 
     def _replicate(self, now: float) -> None:
         for name, progress in self.progress.items():
@@ -24,6 +54,10 @@
 
     def _send_to(self, now: float, name: str, progress: Progress, beat: bool = False) -> None:
         """What a follower needs next, as far as it may be under way; a beat at least, where one is due."""
+        if self._is_lost(now, name, progress):
+            if beat:
+                self._send_life(name, progress)
+            return
         if progress.next <= self.base[0]:
             self._send_snap(now, name, progress, beat)
             return
@@ -48,9 +82,15 @@
             log.must_hold(False, "what a follower needs is in the log, or in the snapshot")
             return
         self._send(name, Append(self.term, prev, term, tuple(entries), self.commit, self.round))
+        progress.told = max(progress.told, min(self.commit, prev + len(entries)))
         if entries and not progress.sent:
             progress.sent = now
 
+    def _send_life(self, name: str, progress: Progress) -> None:
+        """A sign of life: it may well be refused, and its answer says that the member hears us."""
+        progress.told = self.commit
+        self._send(name, Append(self.term, self.last_index, self.last_term, (), self.commit, self.round))
+
     def _batch(self, first: int) -> list[Entry]:
         found: list[Entry] = []
         size = 0
@@ -68,8 +108,8 @@
             progress.mode, progress.offset = Mode.SNAPSHOT, 0
             progress.inflight.clear()
         if progress.inflight or taking >= self.options.sending:
-            if beat:  # a sign of life: it is refused, and its answer says that the member hears us
-                self._send(name, Append(self.term, self.last_index, self.last_term, (), self.commit, self.round))
+            if beat:
+                self._send_life(name, progress)
             return
         meta = self.snapshot
         progress.inflight.append(meta.index)
--- a/tealwing/replica/storage.py
+++ b/tealwing/replica/storage.py
@@ -66,6 +66,7 @@
     index: int
     term: int
     members: list[str]
+    learners: list[str] = []  # noqa: RUF012 - msgspec copies it; files without it have none
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -245,14 +246,17 @@
 
     # Snapshots
 
-    def write_snapshot(self, index: int, term: int, members: tuple[str, ...], body: Iterable[bytes]) -> Meta:
+    def write_snapshot(
+        self, index: int, term: int, members: tuple[str, ...], body: Iterable[bytes], learners: tuple[str, ...] = ()
+    ) -> Meta:
         """Write a snapshot of our own; the body in pieces, so that it is never whole in memory. OSError if it fails.
 
         May run on another thread than the rest; `adopt` then makes it the newest.
         """
         path = self._path(index, term)
         part = path.with_suffix(".tmp")
-        described = _encode(Described(index, term, list(members)))
+        names = (list(members), list(learners)) if learners else (list(members),)  # none: as it always was
+        described = _encode((index, term, *names))
         digest, size = xxhash.xxh3_64(described), 0
         try:
             with part.open("wb") as file:
@@ -270,7 +274,7 @@
             with contextlib.suppress(OSError):
                 part.unlink()
             raise
-        return Meta(index, term, members, path.stat().st_size)
+        return Meta(index, term, members, path.stat().st_size, learners)
 
     def adopt(self, meta: Meta) -> None:
         """A snapshot is the newest: drop older ones, and log files that hold nothing after it."""
@@ -366,7 +370,7 @@
         what = msgspec.msgpack.decode(described, type=Described)
     except msgspec.DecodeError:
         return None
-    return Meta(what.index, what.term, tuple(what.members), path.stat().st_size)
+    return Meta(what.index, what.term, tuple(what.members), path.stat().st_size, tuple(what.learners))
 
 
 def verify(folder: Path) -> list[str]:
--- /dev/null
+++ b/tests/test_learners.py
@@ -0,0 +1,247 @@
+"""Members that replicate and do not vote: what they may, who may come to vote, and who takes a lost voter's place."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tealwing.lab.models.consensus import Budget, Consensus
+from tealwing.lab.models.explore import explore, wander
+from tealwing.lab.models.starts import led, likely
+from tealwing.replica.messages import Append, Entry, Kind, learners_of, members_data, members_of
+from tealwing.replica.raft import Busy, Meta, Raft, Role
+from tealwing.replica.roster import next_change
+from tealwing.replica.storage import Storage
+from tests.test_replica import Fleet
+
+ABC = ("a", "b", "c")
+
+
+class Learning(Fleet):
+    """A fleet of voters that has learners from the first."""
+
+    def __init__(self, names: str, learners: tuple[str, ...], **options: Any) -> None:
+        super().__init__(names, **options)
+        for name in [*names, *learners]:
+            self.members[name] = Raft(name, tuple(names), self.now, ord(name[-1]), 1, self.options, learners=learners)
+            self.applied[name], self.reads[name] = [], []
+
+    def change(self, leader: Raft, voters: tuple[str, ...], learners: tuple[str, ...] | None) -> None:
+        leader.change_members(self.now, voters, learners)
+        self.settle(leader.me)
+        self.pass_on()
+
+
+def test_an_old_list_of_names_is_all_voters_and_is_still_written_so(tmp_path: Path) -> None:
+    assert members_data(ABC) == b"\x93\xa1a\xa1b\xa1c"
+    both = Entry(1, 1, Kind.MEMBERS, members_data(ABC, ("d",)))
+    old = Entry(1, 1, Kind.MEMBERS, b"\x93\xa1a\xa1b\xa1c")
+    assert [(members_of(e), learners_of(e)) for e in (both, old)] == [(ABC, ("d",)), (ABC, ())]
+    storage = Storage(tmp_path)
+    storage.open()
+    plain = storage.write_snapshot(4, 2, ABC, [b"x"])
+    assert b"\x93\x04\x02\x93\xa1a\xa1b\xa1c" in (storage.read_chunk(plain, 0) or b"")  # the header as it always was
+    meta = storage.write_snapshot(5, 2, ABC, [b"x"], ("d",))
+    found = Storage(tmp_path).open().snapshot
+    assert found == meta and found.learners == ("d",)
+    core = Raft("d", (), 0.0, snapshot=meta)
+    assert (core.members, core.learners) == (ABC, ("d",))
+
+
+def test_a_learner_has_all_and_counts_for_nothing() -> None:
+    fleet = Learning("abc", ("d", "e"), check_quorum=False)
+    leader = fleet.leader()
+    fleet.propose(leader, b"before")
+    fleet.run(0.2)
+    assert fleet.applied["d"] == fleet.applied["e"] == [(2, b"before")]
+    others = [name for name in "abc" if name != leader.me]
+    fleet.cut = {(a, b) for n in others for m in fleet.members for a, b in ((n, m), (m, n))}
+    before = leader.commit
+    fleet.propose(leader, b"held by three disks of five, and one voter")
+    leader.read(fleet.now, 7)
+    fleet.run(3.0)
+    assert leader.progress["d"].match == leader.last_index and leader.commit == before and not fleet.reads[leader.me]
+    fleet.isolate(leader.me)
+    fleet.members["d"].campaign(fleet.now)
+    assert fleet.members["d"].role is Role.FOLLOWER and not fleet.members["d"].has_ready()
+    fleet.cut = set()
+    again = fleet.leader()
+    assert again.hand_over(fleet.now) in ABC
+
+
+def test_changes_of_members_are_one_at_a_time_and_a_learner_that_is_behind_waits() -> None:
+    fleet = Learning("abc", ("d", "e"))
+    leader = fleet.leader()
+    for voters, learners in (
+        (ABC, ("d", "e")), (ABC, ()), (("a", "b", "c", "d", "e"), ()), (("a", "b", "c", "d"), ("d", "e")),
+        (("a", "b"), ("d", "e")), (("a", "b", "c", "x"), ("d", "e")), (("a", "b", "d"), ("c", "e")), ((), ("d", "e")),
+    ):  # fmt: skip
+        with pytest.raises(ValueError, match=r"one change at a time|named once"):
+            leader.change_members(fleet.now, voters, learners)
+    fleet.isolate("d")
+    fleet.propose(leader, b"missed")
+    with pytest.raises(Busy, match=r"d is behind"):
+        leader.change_members(fleet.now, (*ABC, "d"), ("e",))
+    fleet.cut = set()
+    fleet.run(1.5)
+    fleet.isolate("d")
+    fleet.run(0.7)
+    with pytest.raises(Busy, match=r"d was not heard for 0\.\d s"):
+        leader.change_members(fleet.now, (*ABC, "d"), ("e",))
+    fleet.cut = set()
+    fleet.run(1.0)
+    fleet.change(leader, (*ABC, "d"), ("e",))
+    fleet.run(0.2)
+    assert {m.members for m in fleet.members.values()} == {(*ABC, "d")}
+    fleet.change(leader, tuple(n for n in (*ABC, "d") if n != leader.me), tuple(sorted((leader.me, "e"))))
+    new = fleet.leader()  # it demoted itself, and the others go on
+    assert leader.role is Role.FOLLOWER and new.me != leader.me and leader.me in new.learners
+    fleet.propose(new, b"after")
+    fleet.run(0.3)
+    assert fleet.applied[leader.me][-1][1] == b"after"
+    fleet.change(new, new.members, tuple(n for n in new.learners if n != "e"))
+    assert "e" not in new.progress
+
+
+def test_a_learner_is_unsure_until_the_leader_says_so_and_does_not_vote_before() -> None:
+    # guards acknowledged entries: it may have voted once, and its disk may be older since
+    fleet = Learning("abc", ("d",), stale=1)
+    for member in fleet.members.values():
+        member.unsure = False
+    leader = fleet.leader()
+    fleet.propose(leader, b"x")
+    fleet.members["d"] = Raft("d", (), fleet.now, 9, 2, fleet.options)  # with no disk at all, that knows no members
+    assert fleet.members["d"].unsure
+    fleet.run(0.06)
+    fleet.cut = {(a, b) for a in fleet.members for b in fleet.members if a in ABC and b in ABC}
+    leader._begin_round(fleet.now)
+    leader.progress["d"].due = 0.0
+    leader._begin_round(fleet.now)
+    fleet.settle(leader.me)
+    fleet.pass_on()  # it has all now, and no voter has confirmed since that we lead
+    assert leader.progress["d"].match == leader.commit and fleet.members["d"].unsure
+    with pytest.raises(Busy, match=r"d has started anew"):
+        leader.change_members(fleet.now, (*ABC, "d"), ())
+    fleet.cut = set()
+    fleet.run(1.5)
+    assert not fleet.members["d"].unsure
+    with pytest.raises(ValueError, match="3 voters left"):  # of two none could have forgotten
+        leader.change_members(fleet.now, ("a", "b"), ("c", "d"))
+    fleet.change(leader, (*ABC, "d"), ())
+    fleet.members["d"] = Raft("d", ABC, fleet.now, 9, 3, fleet.options, leader.term)  # it forgot that it votes
+    leader.step(fleet.now, "d", fleet.members["d"]._reply(False, 0, 0))
+    assert not leader.enough([leader.me, "d", *[n for n in ABC if n != leader.me][:1]])  # three of four, one unsure
+    assert leader.enough(["a", "b", "c"])
+
+
+def test_many_learners_cost_a_leader_little_and_hear_what_is_new_at_once() -> None:
+    learners = tuple(f"l{number:03}" for number in range(200))
+    fleet = Learning("abc", learners)
+    leader = fleet.leader()
+    fleet.run(3.0)
+    counts = []
+    for _ in range(20):
+        fleet.now += 0.1
+        leader.tick(fleet.now)
+        out = leader.ready().messages
+        counts.append(sum(1 for name, _ in out if name in learners))
+        fleet.sent += [(leader.me, name, message) for name, message in out]
+        fleet.pass_on()
+    assert max(counts) <= 60 and min(counts) >= 20 and 780 <= sum(counts) <= 820  # 40 a round, and not 200
+    fleet.propose(leader, b"new")
+    assert all(fleet.members[name].last_index == leader.last_index for name in learners)
+    assert leader.commit == leader.last_index
+    assert {fleet.members[name].commit for name in learners} == {leader.commit - 1}
+    assert leader.hurry(fleet.now)
+    fleet.settle(leader.me)
+    fleet.pass_on()
+    assert {fleet.members[name].commit for name in (*ABC, *learners)} == {leader.commit}
+    assert not leader.hurry(fleet.now) and not leader.has_ready()  # nothing was committed since: no second round
+    assert not fleet.members["l000"].hurry(fleet.now)
+
+
+def test_learners_that_are_gone_do_not_take_the_places_of_those_that_wait_for_a_snapshot() -> None:
+    fleet = Learning("abc", ("d", "e", "f", "g"))
+    leader = fleet.leader()
+    fleet.cut = {(a, b) for a in fleet.members for b in fleet.members if a not in ABC or b not in ABC}
+    fleet.propose(leader, b"x")
+    fleet.run(2.0)
+    fleet.snapshots[leader.me] = bytes(range(100))
+    leader.compacted(Meta(leader.commit, leader.term, ABC, 100, leader.learners))
+    fleet.cut = {(a, b) for a in fleet.members for b in fleet.members if a in ("d", "e") or b in ("d", "e")}
+    fleet.run(3.0)
+    assert leader.progress["g"].match == leader.commit and leader.progress["d"].match < leader.commit
+    leader.progress["d"].due = fleet.now
+    leader._begin_round(fleet.now)
+    sent = [message for name, message in leader.ready().messages if name == "d"]
+    assert len(sent) == 1 and isinstance(sent[0], Append) and not sent[0].entries
+
+
+# Who votes
+
+
+def test_a_lost_voter_is_replaced_by_a_live_learner_that_has_caught_up_one_change_at_a_time() -> None:
+    heard = {"a": 100.0, "b": 99.0, "c": 10.0, "d": 99.5, "e": 99.5}
+    first = next_change(ABC, ("e", "d"), heard, ("d", "e"), 100.0, 60.0, 3)
+    assert first is not None and (first.voters, first.learners) == (("a", "b", "c", "d"), ("e",))
+    second = next_change(first.voters, first.learners, heard, ("e",), 101.0, 60.0, 3)
+    assert second is not None and "c" in second.why
+    assert (second.voters, second.learners) == (("a", "b", "d"), ("c", "e"))
+    assert next_change(second.voters, second.learners, heard, ("e",), 102.0, 60.0, 3) is None
+    assert next_change(ABC, ("d", "e"), heard, (), 100.0, 60.0, 3) is None  # nobody has caught up
+    assert next_change(ABC, ("d", "e"), heard | {"b": 1.0}, ("d", "e"), 100.0, 60.0, 3) is None  # no majority to say so
+
+
+NAMES = st.lists(st.sampled_from("abcdefghij"), unique=True, min_size=1, max_size=10)
+
+
+@given(
+    names=NAMES, split=st.integers(1, 5), silent=st.sets(st.sampled_from("abcdefghij")),
+    able=st.sets(st.sampled_from("abcdefghij")), wanted=st.integers(1, 5), order=st.randoms(),
+)  # fmt: skip
+def test_each_change_keeps_a_live_majority_and_they_end(
+    names: list[str], split: int, silent: set[str], able: set[str], wanted: int, order: Any
+) -> None:
+    voters, learners = tuple(names[:split]), tuple(names[split:])
+    heard = {name: 0.0 if name in silent else 99.0 for name in names}
+    begun = len(set(voters) - silent)
+    for _ in range(12):
+        change = next_change(voters, learners, heard, able, 100.0, 50.0, wanted)
+        mixed = order.sample(voters, len(voters)), order.sample(learners, len(learners))
+        assert next_change(*mixed, heard, able, 100.0, 50.0, wanted) == change
+        if change is None:
+            break
+        moved = set(change.voters) ^ set(voters)
+        assert len(moved) == 1 and moved == set(change.learners) ^ set(learners)
+        assert len(set(change.voters) - silent) >= max(begun, len(change.voters) // 2 + 1)
+        assert moved <= silent or moved <= able - silent
+        voters, learners = change.voters, change.learners
+    else:
+        raise AssertionError("changes without end")
+
+
+# The model check
+
+
+def test_learners_and_their_promotion_hold_in_all_interleavings_of_a_few_steps() -> None:
+    found = explore(Consensus(Budget(2, 1, 1, 1, 0, 0), learners="d"), 5)
+    assert found.whole and found.broken == ""
+    promoted = Budget(1, 0, 0, 1, 0, 0, promotions=1)
+    found = explore(Consensus(promoted, begin=led, learners="d"), 6)
+    assert found.whole and found.broken == "" and found.states > 1_000
+
+
+def test_an_acknowledgement_of_a_learner_that_counts_is_found() -> None:
+    found = explore(Consensus(Budget(2, 0, 0, 0, 0, 0), "count-learners", learners="d"), 8)
+    assert "without the entry 1 that is committed" in found.broken and len(found.trace) == 8
+
+
+@pytest.mark.parametrize("stale", [0, 1])
+def test_long_walks_with_promotions_and_demotions_break_nothing(stale: int) -> None:
+    budget = Budget(12, 30, 8, 3, 6 * stale, 5, 3, promotions=6, demotions=6)
+    found = wander(Consensus(budget, stale=stale, learners="de"), 100, 160, 1, likely)
+    assert found.broken == "" and found.steps > 10_000
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -12,8 +12,9 @@
 from hypothesis import strategies as st
 
 from tealwing.lab.judges import copies, register
-from tealwing.lab.models.consensus import Budget, Consensus, figure_eight, likely
+from tealwing.lab.models.consensus import Budget, Consensus
 from tealwing.lab.models.explore import explore, wander
+from tealwing.lab.models.starts import figure_eight, likely
 from tealwing.replica import commands as c
 from tealwing.replica.disk import Disk
 from tealwing.replica.messages import Append, AppendReply, Entry, Kind, Message, Snap
