--- a/tealwing/lab/client.py
+++ b/tealwing/lab/client.py
@@ -17,11 +17,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """How a query ended: served, refused or failed, the rows that came, and what an error said."""
+    """How a query ended: served, refused or failed, the rows that came, and what an error said.
+
+    site is the first column of the first row: where engines have sites, which of them answered.
+    """
 
     word: str
     rows: int
     text: str = ""
+    site: str = ""
 
     @property
     def pushback(self) -> float:
@@ -58,12 +62,14 @@
             return Answer("served", 0)
         while not _eof(self._next()):
             pass  # the columns
-        rows = 0
+        rows, site = 0, ""
         while not _eof(payload := self._next()):
             if payload[:1] == b"\xff":
                 return Answer("failed", rows, payload[9:].decode("utf-8", "replace"))
+            if rows == 0 and payload[0] <= len(payload) - 1:  # a short string; a longer one is no site's name
+                site = payload[1 : 1 + payload[0]].decode("utf-8", "replace")
             rows += 1
-        return Answer("served", rows)
+        return Answer("served", rows, site=site)
 
     def close(self) -> None:
         """End it."""
--- a/tealwing/lab/standins/engine.py
+++ b/tealwing/lab/standins/engine.py
@@ -1,6 +1,7 @@
 """An engine on a real socket: the platform's RESP dialect, with the laboratory's model behind it.
 
 What a query costs and returns follows from its id and a seed alone, so whoever knows both can check every answer.
+Where an engine has a site, its rows name that in their first column.
 """
 
 from __future__ import annotations
@@ -10,7 +11,7 @@
 import socket
 import threading
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 import numpy as np
@@ -39,13 +40,15 @@
     pages: tuple[bytes, ...]
 
 
-def truth(seed: int, call: bytes, cls: int, mix: Sequence[arrivals.Mix] = arrivals.BRIEF) -> Truth:
-    """The truth of the query with that id."""
+def truth(
+    seed: int, call: bytes, cls: int, mix: Sequence[arrivals.Mix] = arrivals.BRIEF, site: bytes = b""
+) -> Truth:
+    """The truth of the query with that id; its rows begin with the site, or with the id where that is empty."""
     rng = np.random.default_rng(int.from_bytes(hashlib.blake2b(call, digest_size=8).digest(), "big") ^ seed)
     kind = mix[cls]
     work = float(arrivals.lognormal(rng, kind.work, kind.spread, 1)[0])
     need = float(arrivals.lognormal(rng, kind.memory * arrivals.MEMORY_UNIT, 0.5, 1)[0])
-    rows = [b"%b\t%d\trow %d\n" % (call, i, i * i) for i in range(int(rng.integers(*ROWS)))]
+    rows = [b"%b\t%d\trow %d\n" % (site or call, i, i * i) for i in range(int(rng.integers(*ROWS)))]
     pages, page = list[bytes](), b""
     for row in rows:
         if len(page) + len(row) > PAGE:
@@ -119,8 +122,11 @@
         started: float = 0.0,
         address: tuple[str, int] = ("127.0.0.1", 0),
         mix: Sequence[arrivals.Mix] = arrivals.BRIEF,
+        site: str = "",
+        seen: Callable[[str, str], object] | None = None,
     ) -> None:
-        self._mix = mix
+        """seen is told the id of each query that comes, and the site; it must not wait."""
+        self._mix, self._site, self._seen = mix, site.encode(), seen
         self._settings, self._draw, self._clock, self._keys, self._seed = settings, draw, clock, keys, seed
         self._names = [cls.name.encode() for cls in settings.classes]
         self._rng = np.random.default_rng((seed, 77))
@@ -199,11 +205,13 @@
     def _want(self, sock: socket.socket, call: bytes, fields: dict[str, str], statement: bytes) -> None:
         lane, now = fields.get("lane", "").encode(), self._clock.now
         self.book.wants.append((now, call, lane))
+        if self._seen is not None:
+            self._seen(call.decode("ascii", "replace"), self._site.decode())
         if lane not in self._names or not statement or call in self._open[sock]:
             self._end(sock, call, b"500")
             return
         cls = self._names.index(lane)
-        what, kind = truth(self._seed, call, cls, self._mix), self._settings.classes[cls]
+        what, kind = truth(self._seed, call, cls, self._mix, self._site), self._settings.classes[cls]
         self.model.pressure(what.work)
         if not self.model.up:
             self._clock.at(now, self.crash)
