Load rules: operators change versions under traffic, with judges of their order and agreement

Each version sends groups of tables to another site, so clients and engines show which version decided. Judges on the history: order in real time, immutability and agreement; each is seen to find its fault in tests/test_rules_judges.py.

--- a/benchmarks/replica_state.py
+++ b/benchmarks/replica_state.py
@@ -13,7 +13,8 @@
 import msgspec
 
 from tealwing.lab.faults import scenario
-from tealwing.lab.rig import runs
+from tealwing.lab.rig import layouts
+from tealwing.lab.rig.configuration import Layout
 from tealwing.lab.rig.trial import Trial
 from tealwing.replica import commands
 
@@ -31,7 +32,7 @@
 def main() -> None:
     """Fill the state, have a snapshot written, and let a member come back with nothing."""
     megabytes = int(sys.argv[1]) if len(sys.argv) > 1 else 100
-    with Trial(scenario.load("stale-disk"), 3, 5.0, 1, sections=runs.REPLICA) as trial:
+    with Trial(scenario.load("stale-disk"), 3, 5.0, 1, layout=Layout(layouts.REPLICA)) as trial:
         trial.start()
         leader = trial.leader()
         other = next(name for name in trial.names if name != leader)
--- a/tealwing/commands/fleet.py
+++ b/tealwing/commands/fleet.py
@@ -42,9 +42,21 @@
 @click.option("--seed", type=click.IntRange(0, 10**9), default=1, show_default=True)
 @click.option("--out", type=click.Path(file_okay=False), help="Folder for history, logs and report; must be new.")
 @click.option("--sabotage", default="", help="Break something on purpose, to see a judge find it; `help` lists.")
+@click.option("--lost-touch", type=click.Choice(["serve", "hold"]), default="serve", show_default=True,
+              help="Load rules: what gateways that are cut off do.")  # fmt: skip
+@click.option("--sites", type=click.IntRange(0, 16), default=0, show_default=True,
+              help="Load rules: of a federation, among which the processes are shared out; 0: none.")  # fmt: skip
 @click.option("--json", "as_json", is_flag=True, help="The figures as one line of JSON.")
 def attempt(
-    name: str, procs: int, seconds: float, seed: int, out: str | None, sabotage: str, as_json: bool
+    name: str,
+    procs: int,
+    seconds: float,
+    seed: int,
+    out: str | None,
+    sabotage: str,
+    lost_touch: str,
+    sites: int,
+    as_json: bool,
 ) -> None:
     """Run SCENARIO, a name of `tealwing fleet list` or a .toml file, on real processes over loopback.
 
@@ -66,7 +78,7 @@
     if folder is not None and folder.exists() and any(folder.iterdir()):
         raise click.UsageError(f"--out: {out} is there and not empty; allowed: a new folder")
     try:
-        found = runs.attempt(scenario.load(name), procs, seconds, seed, folder, sabotage)
+        found = runs.attempt(scenario.load(name), procs, seconds, seed, folder, sabotage, lost_touch, sites)
     except (scenario.ScenarioError, ValueError, RuntimeError, OSError) as error:
         raise Finding(str(error)) from None
     for violation in found.violations[:20]:
--- a/tealwing/lab/faults/scenario.py
+++ b/tealwing/lab/faults/scenario.py
@@ -1,7 +1,8 @@
 """Scenarios: which faults come when, in a file of TOML; pure. What is wrong in a file is told with its key.
 
 Times are shares of the trial's length, so that one file serves runs of any length. Who is meant may be said by name
-(`n2`) or by what it is at that moment (`leader`, `holder`, `follower`, `random`); the rig finds out who that is.
+(`n2`) or by what it is at that moment (`leader`, `holder`, `follower`, `random`; of a federation `delegate`, who leads
+some site's log, and `site:NAME` or `site:any`, all of a site); the rig finds out who that is.
 """
 
 from __future__ import annotations
@@ -21,6 +22,9 @@
     "partition", "isolate", "cut", "link", "heal", "kill", "start", "stop", "cont", "restart", "clock", "disk",
     "save-disk", "power-loss",
 ]  # fmt: skip
+When = Literal[
+    "leader", "settled", "phase:proposed", "phase:checked", "phase:preparing", "phase:agreed", "phase:active"
+]  # fmt: skip
 NEEDS: dict[str, tuple[str, ...]] = {
     "partition": ("groups",),
     "isolate": ("who",),
@@ -47,7 +51,7 @@
     do: What
     at: Share | None = None  # of the trial's length; else after the step before
     after: Seconds = 0.0  # s after `at`, or after the step before
-    when: Literal["leader", "settled"] | None = None  # wait for that too, for `within` seconds at most
+    when: When | None = None  # wait for that too, for `within` seconds at most; phase: of a change of the rules
     within: Seconds = 5.0
     who: str = ""
     source: str = ""
@@ -70,6 +74,7 @@
     drop_on_return: Share = 0.0  # of frames on one link in four while they come back
     times: Times = 1  # so often, each so long after the one before
     every: Seconds = 1.0
+    lost_touch: Literal["serve", "hold"] | None = None  # only where gateways that are cut off do that
 
 
 class Scenario(msgspec.Struct, frozen=True, forbid_unknown_fields=True, rename="kebab"):
@@ -77,9 +82,10 @@
 
     title: Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
     about: str
-    workload: Literal["echo", "register", "lease", "power"]
+    workload: Literal["echo", "register", "lease", "power", "rules"]
     step: Annotated[list[Step], msgspec.Meta(min_length=1, max_length=200)]
     least_procs: Annotated[int, msgspec.Meta(ge=2, le=64)] = 3
+    least_sites: Annotated[int, msgspec.Meta(ge=0, le=16)] = 0  # of a federation; 0: it needs none
 
 
 def parse(text: str, name: str) -> Scenario:
@@ -97,9 +103,10 @@
         for key in NEEDS.get(step.do, ()):
             if not getattr(step, key):
                 raise ScenarioError(f"{name}: step[{number}].{key}: missing; `{step.do}` needs it")
-        if isinstance(step.groups, str) and step.groups not in ("", "halves", "leader-minority"):
+        if isinstance(step.groups, str) and step.groups not in ("", "halves", "leader-minority", "sites"):
             raise ScenarioError(
-                f"{name}: step[{number}].groups: {step.groups!r}; allowed: halves, leader-minority, or lists of names"
+                f"{name}: step[{number}].groups: {step.groups!r}; allowed: halves, leader-minority, sites, or lists of"
+                " names"
             )
         if step.at is not None and step.at < last:
             raise ScenarioError(f"{name}: step[{number}].at: {step.at:g} comes before the step above, at {last:g}")
--- a/tealwing/lab/judges/copies.py
+++ b/tealwing/lab/judges/copies.py
@@ -13,32 +13,38 @@
     found = []
     digests = [event for event in events if event["kind"] == "digest"]
     for one in digests[1:]:
-        first = next(each for each in digests if each["applied"] == one["applied"])
+        first = next(each for each in digests if _same(each, one) and each["applied"] == one["applied"])
         if one["digest"] != first["digest"]:
             found.append(
                 Violation("divergent", one["t"], f"{one['process']} holds {one['digest']} at {one['applied']},"
                           f" {first['process']} {first['digest']} at {first['applied']}")
             )  # fmt: skip
-    led: dict[str, tuple[str, str]] = {}
+    led: dict[str, tuple[str, str]] = {}  # by log and term
     applied: dict[tuple[str, int], int] = {}
     for sample in events:
         if sample["kind"] not in ("sample", "terms"):
             continue
+        log = sample.get("log", "")
         if sample.get("role") == "leader":
-            _lead(led, str(sample["term"]), sample["process"], sample["process"], sample["t"], found)
+            _lead(led, f"{log} {sample['term']}".strip(), sample["process"], sample["process"], sample["t"], found)
         for term, leader in sample.get("leaders", {}).items():
-            _lead(led, term, leader, sample["process"], sample["t"], found)
+            _lead(led, f"{log} {term}".strip(), leader, sample["process"], sample["t"], found)
         if "applied" in sample:
             start = sample["process"], sample["boot"]
             if sample["applied"] < applied.get(start, 0):
                 found.append(Violation("applied-back", sample["t"], f"{start[0]} had applied {applied[start]} entries,"
                                        f" and then {sample['applied']}"))  # fmt: skip
             applied[start] = sample["applied"]
-    if not digests:
+    if not digests or any(event["kind"] == "copies-differ" for event in events):
         found.append(Violation("divergent", end, "the copies never had applied the same in the end"))
     return found
 
 
+def _same(one: Event, other: Event) -> bool:
+    """Whether both are of one log: a federation's sites have one each."""
+    return bool(one.get("log") == other.get("log"))
+
+
 def _lead(led: dict[str, tuple[str, str]], term: str, leader: str, by: str, at: float, found: list[Violation]) -> None:
     known = led.setdefault(term, (leader, by))
     if known[0] != leader:
--- a/tealwing/lab/rig/configuration.py
+++ b/tealwing/lab/rig/configuration.py
@@ -2,19 +2,54 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
 from typing import Any
 
 from tealwing.lab import demo
 from tealwing.peers.plan import Address
 
+LEAST_ATTEMPTS = 2  # that the tightest process is allowed
 
-def platform(names: Sequence[str], number: int, seed: int, coordinator: str, known: Any) -> dict[str, Any]:
+
+@dataclass(frozen=True, slots=True)
+class Layout:
+    """Where engines and processes stand, and what the processes' files have beside the section `peers`."""
+
+    sections: str = ""  # of each process's operators' file; DATA, NAME, STALE and SABOTAGE in it are filled in
+    engines: int = 0  # stand-ins for clients' queries; without them clients are refused
+    zones: tuple[str, ...] = ()  # the engines' sites, in turn; rows name them. None: one place, which they don't name
+    sites: Mapping[str, tuple[str, ...]] = field(default_factory=dict)  # of a federation: a site's processes
+    lost_touch: str = "serve"  # what gateways of the load `rules` do when they are cut off
+    stale: int = 1  # members that may come back with an older disk
+    tight: str = ""  # a process whose platform allows fewer attempts than others'
+    sabotage: str = ""  # a line of the section rules, for those who are told
+    saboteurs: frozenset[str] = frozenset()
+
+    def site_of(self, name: str) -> str:
+        """The site of a process; empty where there are none."""
+        return next((site for site, members in self.sites.items() if name in members), "")
+
+    def text(self, name: str, data: str) -> str:
+        """The further sections of a process."""
+        word = f"    sabotage {self.sabotage}\n" if self.sabotage and name in self.saboteurs else ""
+        filled = self.sections.replace("SABOTAGE\n", word).replace("DATA", data).replace("NAME", name)
+        return filled.replace("STALE", str(self.stale))
+
+
+def platform(
+    names: Sequence[str], number: int, seed: int, coordinator: str, known: Any, layout: Layout
+) -> dict[str, Any]:
     """The platform's file of the process with that number."""
-    settings = demo.facts(len(names), number)
+    settings, name = demo.facts(len(names), number), names[number]
     settings["Allowed"] = settings["Allowed"] | {"Peers": True}
+    if layout.zones:
+        site = layout.site_of(name)
+        settings |= {"Zones": list(layout.zones), "Zone": layout.zones.index(site) if site else 0}
+    if name == layout.tight:
+        settings["Allowed"] = settings["Allowed"] | {"MaxAttempts": LEAST_ATTEMPTS}
     return {
-        "name": names[number], "listen": "127.0.0.1:0", "admin": "127.0.0.1:0",
+        "name": name, "listen": "127.0.0.1:0", "admin": "127.0.0.1:0",
         "seed": f"{seed * 64 + number + 1:x}", "coordinator": coordinator,
         "known": known, "limits": {"sockets": 512, "cores": 1.0}, "settings": settings,
     }  # fmt: skip
@@ -28,11 +63,6 @@
     return "\n".join(lines) + "\n" + sections
 
 
-def filled(sections: str, data: str, name: str, stale: int) -> str:
-    """Further sections with DATA, NAME and STALE filled in."""
-    return sections.replace("DATA", data).replace("NAME", name).replace("STALE", str(stale))
-
-
 def dials(name: str, names: Sequence[str], own: Address, proxied: Callable[[str, str], Address]) -> dict[str, Address]:
     """Where a process listens, and the proxy's listener for each other."""
     return {other: own if other == name else proxied(name, other) for other in names}
--- a/tealwing/lab/rig/director.py
+++ b/tealwing/lab/rig/director.py
@@ -3,29 +3,33 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from tealwing.lab.faults.scenario import Step
+from tealwing.lab.rig import phases
+from tealwing.lab.rig.whom import Whom
 
 if TYPE_CHECKING:
     from tealwing.lab.rig.trial import Trial
 
-ASIDE = "same"  # in a scenario: whoever the step before was about
-
 
 class Director:
     """The steps of one trial's scenario."""
 
     def __init__(self, trial: Trial) -> None:
         self._trial = trial
-        self._last = ""
+        self._whom = Whom(trial)
 
     def play(self) -> None:
         """The scenario's steps, each when it is due."""
         trial = self._trial
         due = trial.begun
         for step in trial.scenario.step:
+            if step.lost_touch not in (None, trial.layout.lost_touch):
+                continue
             due = (trial.begun + step.at * trial.seconds if step.at is not None else due) + step.after
             for turn in range(step.times):
                 if turn:
@@ -33,50 +37,66 @@
                 while (left := due - time.monotonic()) > 0:
                     if trial.stopping.wait(left):
                         return
-                if step.when == "leader" and trial.samples.replicated:
-                    trial.wait(lambda: bool(trial.leader()), step.within)
-                elif step.when == "settled":
-                    trial.wait(trial.in_touch, step.within)
-                self._apply(step)
+                self._apply(self._awaited(step))
                 due = max(due, time.monotonic())
 
-    def _who(self, word: str) -> str:
-        trial = self._trial
-        if word in trial.names:
-            return word
-        running = [name for name, process in trial.processes.items() if process.running and not process.stopped]
-        leader = trial.leader()
-        if word == ASIDE and self._last:
-            return self._last
-        if word == "leader" and leader:
-            return leader
-        if word == "holder" and trial.holder:
-            return trial.holder
-        followers = [name for name in running if name != leader] or running or trial.names
-        return trial.random.choice(followers if word == "follower" else running or trial.names)
+    def _awaited(self, step: Step) -> Step:
+        """The step, once what it waits for holds or its time for that is over; whom a phase is watched at is fixed."""
+        trial, when = self._trial, step.when or ""
+        if when == "leader" and trial.samples.replicated:
+            trial.wait(lambda: bool(trial.leader()), step.within)
+        elif when == "settled":
+            trial.wait(trial.in_touch, step.within)
+        elif when.startswith("phase:"):
+            watched: Sequence[str] = trial.names
+            if step.target and step.target != "all":
+                watched = self._whom.names(step.target)
+                step = msgspec.structs.replace(step, target=watched[0]) if len(watched) == 1 else step
+            elif step.who and step.who != "all":
+                watched = self._whom.names(step.who)
+                step = msgspec.structs.replace(step, who=watched[0]) if len(watched) == 1 else step
+            if not phases.wait(trial, when.removeprefix("phase:"), watched, step.within):
+                trial.history.add("phase-missed", phase=when, watched=list(watched))
+        return step
 
     def _apply(self, step: Step) -> None:
         trial, acts, ledger = self._trial, self._trial.acts, self._trial.ledger
-        name = ""
-        if step.who and step.who != "all":
-            name = self._last = self._who(step.who)
+        names = self._whom.names(step.who) if step.who else []
         match step.do:
             case "partition":
-                groups = self._groups(step)
+                groups = self._whom.groups(step)
                 self._change(lambda: trial.weather.partition(groups))
                 self._cut("partition", groups=groups)
             case "isolate":
-                self._change(lambda: trial.weather.isolate(name))
-                self._cut("isolate", who=name)
+                rest = [name for name in trial.names if name not in names]
+                pairs = [(a, b) for a in names for b in rest]
+                self._change(lambda: trial.weather.change_all([*pairs, *((b, a) for a, b in pairs)], cut=True))
+                self._cut("isolate", who=names[0] if len(names) == 1 else names)
             case "cut":
-                source, target = self._pair(step)
-                self._change(lambda: trial.weather.change(source, target, cut=True))
+                source, target, pairs = self._whom.directions(step)
+                self._change(lambda: trial.weather.change_all(pairs, cut=True))
                 self._cut("cut", source=source, target=target)
             case "link":
                 self._link(step)
             case "heal":
                 self._change(trial.weather.heal)
                 ledger.links_over()
+            case "power-loss":
+                acts.power_loss(step)
+            case "restart":
+                for name in names:
+                    acts.kill(name, step.gently)
+                trial.stopping.wait(step.pause)
+                for name in names:
+                    acts.start(name, step.disk)
+            case _:
+                for name in names:
+                    self._one(step, name)
+
+    def _one(self, step: Step, name: str) -> None:
+        """What is done to one process."""
+        acts = self._trial.acts
+        match step.do:
             case "kill":
                 acts.kill(name)
             case "start":
@@ -85,20 +105,13 @@
                 acts.stop(name)
             case "cont":
                 acts.cont(name)
-            case "restart":
-                acts.kill(name, step.gently)
-                trial.stopping.wait(step.pause)
-                acts.start(name, step.disk)
             case "clock":
                 acts.tell(name, "fault.clock", step_s=step.step_s, rate=step.rate)
             case "disk":
                 acts.tell(name, "fault.disk", fault=step.fault, count=step.count)
             case "save-disk":
-                for one in trial.names if step.who == "all" else [name]:
-                    trial.processes[one].save_disk()
-                    trial.history.add("disk-saved", who=one)
-            case "power-loss":
-                acts.power_loss(step)
+                self._trial.processes[name].save_disk()
+                self._trial.history.add("disk-saved", who=name)
 
     def _change(self, how: Callable[[], None]) -> None:
         with self._trial.proxy.lock:
@@ -110,29 +123,8 @@
         self._trial.ledger.span("cut", what, **fields, cuts=sorted(self._trial.weather.cuts()))
 
     def _link(self, step: Step) -> None:
-        names = self._trial.names
-        source, target = self._pair(step)
+        source, target, pairs = self._whom.directions(step)
         fields = {"drop": step.drop, "delay": step.delay_ms / 1e3, "jitter": step.jitter_ms / 1e3,
                   "duplicate": step.duplicate, "reorder": step.reorder}  # fmt: skip
-        pairs = [(a, b) for a in names for b in names if a != b and source in (a, "all") and target in (b, "all")]
         self._change(lambda: self._trial.weather.change_all(pairs, **fields))
         self._trial.ledger.span(("link", source, target), "link", source=source, target=target, **fields)
-
-    def _pair(self, step: Step) -> tuple[str, str]:
-        source = step.source if step.source == "all" else self._who(step.source)
-        target = step.target if step.target == "all" else self._who(step.target)
-        if source == target and source != "all":
-            target = next(name for name in self._trial.names if name != source)
-        return source, target
-
-    def _groups(self, step: Step) -> list[list[str]]:
-        if isinstance(step.groups, list):
-            return step.groups
-        names = list(self._trial.names)
-        self._trial.random.shuffle(names)
-        half = len(names) // 2
-        if step.groups == "leader-minority" and (leader := self._trial.leader()):
-            names.remove(leader)
-            names.insert(0, leader)
-            return [sorted(names[: max(1, half)]), sorted(names[max(1, half) :])]
-        return [sorted(names[:half]), sorted(names[half:])]
--- a/tealwing/lab/rig/history.py
+++ b/tealwing/lab/rig/history.py
@@ -24,6 +24,7 @@
     def __init__(self, path: Path | None = None) -> None:
         self._lock = threading.Lock()
         self._begun = time.monotonic()
+        self.wall = time.time()  # when it began, s of the Unix clock: the processes' logs have that
         self._ids = itertools.count(1)
         self._file = path.open("wb") if path is not None else None
         self.events: list[Event] = []
--- a/tealwing/lab/rig/loads/register.py
+++ b/tealwing/lab/rig/loads/register.py
@@ -96,7 +96,7 @@
         }
 
 
-def digests(trial: Trial, lines: Sequence[Line]) -> None:
+def digests(trial: Trial, lines: Sequence[Line], **marks: Any) -> None:
     """The hashes of all copies at one index, which all must have applied at some moment; else that they never had."""
     end = trial.history.now() + QUIET
     while trial.history.now() < end:
@@ -106,7 +106,7 @@
             continue
         if len({each["applied"] for each in told.values()}) == 1:
             for name, each in told.items():
-                trial.history.add("digest", process=name, applied=each["applied"], digest=each["digest"])
+                trial.history.add("digest", process=name, applied=each["applied"], digest=each["digest"], **marks)
             return
         trial.stopping.wait(0.05)
     trial.history.add("copies-differ", after=QUIET)
--- /dev/null
+++ b/tealwing/lab/rig/loads/rules/figures.py
@@ -0,0 +1,82 @@
+"""What came of a trial's changes; pure, on the history alone."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Sequence
+from typing import Any
+
+from tealwing.lab.judges import rules_agreement, rules_order, rules_versions
+from tealwing.lab.judges.versions import shown
+from tealwing.lab.rig.history import Event, Operation, operations, spans
+from tealwing.lab.rig.loads.figures import percentile
+
+
+def gaps_ms(events: Sequence[Event]) -> list[float]:
+    """For each change at each process: ms from when it closed until it opened again, as its log tells, sorted."""
+    found, open_ = [], dict[str, tuple[int, float]]()
+    for event in sorted((e for e in events if e["kind"] == "gate"), key=lambda e: e["at"]):
+        name = event["process"]
+        if event["what"] == "closed":
+            open_[name] = event["number"], event["at"]
+        elif event["what"] == "started":  # what a process that ended had closed is no gap
+            open_.pop(name, None)
+        elif event["what"] == "opened" and name in open_:
+            number, at = open_.pop(name)
+            if event["number"] in (number, 0):
+                found.append((event["at"] - at) * 1e3)
+    return sorted(found)
+
+
+def undisturbed(events: Sequence[Event], queries: Sequence[Operation]) -> list[Operation]:
+    """The queries whose gateway neither was down nor stood still meanwhile, and that had an end."""
+    down: dict[str, list[tuple[float, float]]] = {}
+    for what, fields, begin, end in spans(events, float("inf")):
+        if what in ("kill", "stop"):
+            down.setdefault(fields["who"], []).append((begin, end))
+    return [
+        query for query in queries if "t" in query.result
+        and all(end < query.begin or begin > query.result["t"] for begin, end in down.get(query.process, ()))
+    ]  # fmt: skip
+
+
+def served(query: Operation) -> bool:
+    """Whether the client has its rows."""
+    return query.word == "ok" and bool(query.result["word"] == "served")
+
+
+def told(events: Sequence[Event]) -> dict[str, Any]:
+    """The figures of the load `rules`."""
+    queries, changes = operations(events, "query"), operations(events, "change")
+    broken = Counter(
+        violation.rule for judge in (rules_order.judge, rules_versions.judge, rules_agreement.judge)
+        for violation in judge(events, 0.0)
+    )  # fmt: skip
+    last = Counter[str]()
+    for version in shown(events).values():
+        last["activated"] += version.in_force
+        for phase in ("aborted", "rejected", "withdrawn"):
+            last[phase] += phase in version.phases
+    others = [query for query in undisturbed(events, queries) if not query.fields["moves"]]
+    gaps = gaps_ms(events)
+    decided = sorted((op.end - op.begin) * 1e3 for op in changes if op.word == "ok")
+    return {
+        "operations": len(queries) + len(changes),
+        "changes": len(changes),
+        **{word: last[word] for word in ("activated", "aborted", "rejected", "withdrawn")},
+        "refused_changes": sum(1 for op in changes if op.word == "fail"),
+        "undecided_at_end": broken["undecided"],
+        "late_old": broken["late-old"],
+        "early_site": broken["early-site"] + broken["unagreed"],
+        "divergent": broken["divergent"] + broken["changed"],
+        "lost": broken["lost"],
+        "served": sum(1 for query in queries if served(query)),
+        "refused_held": sum(1 for q in queries if q.word == "ok" and q.result["word"] == "refused"),
+        "unserved_moving": sum(1 for q in undisturbed(events, queries) if q.fields["moves"] and not served(q)),
+        "availability_untouched": round(sum(map(served, others)) / len(others), 5) if others else None,
+        "gaps": len(gaps),
+        "gap_ms_p50": percentile(gaps, 0.5),
+        "gap_ms_p99": percentile(gaps, 0.99),
+        "decide_ms_p50": percentile(decided, 0.5),
+        "decide_ms_max": percentile(decided, 1.0),
+    }
--- /dev/null
+++ b/tealwing/lab/rig/loads/rules/traffic.py
@@ -0,0 +1,64 @@
+"""Clients whose queries show by which version they were decided."""
+
+from __future__ import annotations
+
+import itertools
+import random
+import threading
+from typing import TYPE_CHECKING
+
+from tealwing.lab.client import Session
+from tealwing.lab.rig.loads.rules.bundles import GROUPS, MOVED
+
+if TYPE_CHECKING:
+    from tealwing.lab.rig.trial import Trial
+
+PAUSE = 0.03  # s between two queries of one client
+AGAIN = 0.1  # s until a client whose gateway does not listen looks again
+LIMIT = 4.0  # s that a client waits, past the deadline
+TTL_MS = 3000  # a lookup's deadline
+
+
+class Traffic:
+    """The clients of all gateways of one trial, until they are stopped."""
+
+    def __init__(self, trial: Trial, stopped: threading.Event) -> None:
+        self._trial, self._stopped = trial, stopped
+        self._calls = itertools.count(1)
+
+    def run(self, name: str, place: int, moves: bool) -> None:
+        """One client of a gateway, whose queries are of groups that changes move, or of others."""
+        rng = random.Random(f"{self._trial.seed}/{name}/{place}")
+        session: Session | None = None
+        session_of, pause = 0, PAUSE
+        while not self._stopped.wait(pause * rng.uniform(0.5, 1.5)):
+            process = self._trial.processes[name]
+            address, start, pause = process.address("listen"), process.starts, AGAIN
+            if address is None or process.stopped:
+                continue
+            try:
+                if session is None or session_of != start:
+                    session, session_of = Session(address), start
+            except OSError:  # nobody was asked
+                session = None
+                continue
+            pause = PAUSE
+            if not self._ask(session, name, start, rng.randrange(MOVED) if moves else rng.randrange(MOVED, GROUPS)):
+                session.close()
+                session = None
+        if session is not None:
+            session.close()
+
+    def _ask(self, session: Session, name: str, start: int, group: int) -> bool:
+        """One query into the history; whether the session can go on."""
+        history, process = self._trial.history, self._trial.processes[name]
+        call = f"{self._trial.seed & 0xFFFF:04x}{next(self._calls):012x}"
+        head = f"/* op=lookup,call={call},ttl={TTL_MS},org=graan-koop,work=2.0,heap_mb=4 */"
+        number = history.invoke("query", name, call=call, group=group, moves=group < MOVED, start=start)
+        try:
+            answer = session.ask(f"{head} SELECT a FROM sales_{group}.t".encode(), LIMIT)
+        except OSError as error:
+            history.complete(number, "unknown", why=str(error), lives=process.running)
+            return False
+        history.complete(number, "ok", word=answer.word, site=answer.site, text=answer.text)
+        return True
--- /dev/null
+++ b/tealwing/lab/rig/phases.py
@@ -0,0 +1,47 @@
+"""Waits for a change of the rules to be at some point of its way, so that a fault can meet it there."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Sequence
+from typing import TYPE_CHECKING
+
+from tealwing.peers.control import Caller, Turned
+
+if TYPE_CHECKING:
+    from tealwing.lab.rig.trial import Trial
+
+LOOK = 0.001  # s between two looks: a phase lasts some ms where links are quick
+LIMIT = 0.25  # s that a look waits for its answer
+
+
+def wait(trial: Trial, phase: str, names: Sequence[str], within: float) -> bool:
+    """Wait until one of the processes says that a change is in that phase; whether one did in time.
+
+    `active` waits for a version that was not in force as the wait began.
+    """
+    callers: dict[str, Caller] = {}
+    before: int | None = None
+    end = time.monotonic() + within
+    try:
+        while time.monotonic() < end and not trial.stopping.is_set():
+            for name in names:
+                if not trial.processes[name].running or trial.processes[name].stopped:
+                    continue
+                try:
+                    if name not in callers:
+                        callers[name] = trial.caller(name, LIMIT)
+                    found = callers[name].ask("rules.status", LIMIT)
+                except (OSError, Turned):
+                    if (old := callers.pop(name, None)) is not None:
+                        old.close()
+                    continue
+                before = found["active"] if before is None else before
+                flight = found["in_flight"]
+                if (flight and flight["phase"] == phase) or (phase == "active" and found["active"] > before):
+                    return True
+            time.sleep(LOOK)
+        return False
+    finally:
+        for caller in callers.values():
+            caller.close()
--- a/tealwing/lab/rig/runs.py
+++ b/tealwing/lab/rig/runs.py
@@ -9,13 +9,14 @@
 
 from tealwing.lab.faults.scenario import Scenario
 from tealwing.lab.judges.verdict import Violation
-from tealwing.lab.rig import report
+from tealwing.lab.rig import layouts, report
 from tealwing.lab.rig.history import Event
 from tealwing.lab.rig.loads.base import Load
 from tealwing.lab.rig.loads.echo import EchoLoad
 from tealwing.lab.rig.loads.lease import LeaseLoad
 from tealwing.lab.rig.loads.power import PowerLoad
 from tealwing.lab.rig.loads.register import RegisterLoad
+from tealwing.lab.rig.loads.rules.load import RulesLoad
 from tealwing.lab.rig.trial import Trial, write_json
 
 LOADS: dict[str, Callable[[], Load]] = {
@@ -23,22 +24,15 @@
     "register": RegisterLoad,
     "lease": LeaseLoad,
     "power": PowerLoad,
+    "rules": RulesLoad,
 }
-REPLICA = """replica
-    folder DATA/replica
-    stale STALE
-    snapshot-entries 500
-"""
-# of the operators' file, what a load's processes need beside `peers`
-SECTIONS: dict[str, str] = {"echo": "", "register": REPLICA, "lease": REPLICA + "    leases on\n"}
-SECTIONS["power"] = SECTIONS["lease"]
-ENGINES = {"power": 3}  # stand-ins for a load's queries
 # Broken on purpose, so that a judge can be seen to find it: what is done to the trial before its load begins
 SABOTAGES = {
     "leaky-cut": "the proxy lets frames pass a cut",
     "lying-echo": "one process says another text than it was asked to",
     "careless": "tasks go on when their lease is lost: the resource has to refuse them",
     "no-fence": "the same, and the resource takes whatever comes",
+    **layouts.RULES_SABOTAGES,
 }
 
 
@@ -50,20 +44,29 @@
 
 
 def attempt(
-    scenario: Scenario, procs: int, seconds: float, seed: int, out: Path | None = None, sabotage: str = ""
+    scenario: Scenario,
+    procs: int,
+    seconds: float,
+    seed: int,
+    out: Path | None = None,
+    sabotage: str = "",
+    lost_touch: str = "serve",
+    sites: int = 0,
 ) -> Found:
-    """Run the trial; out is a folder for history, logs and report (none is kept if None)."""
-    if procs < scenario.least_procs:
-        raise ValueError(f"--procs: {procs}; this scenario needs {scenario.least_procs} or more")
+    """Run the trial; out is a folder for history, logs and report (none is kept if None).
+
+    lost_touch: what gateways of the load `rules` do when they are cut off. sites: of a federation; 0: none.
+    """
+    _check(scenario, procs, sites, sabotage)
     begun = time.monotonic()
-    if sabotage and sabotage not in SABOTAGES:
-        raise ValueError(f"--sabotage: {sabotage!r}; allowed: {', '.join(sorted(SABOTAGES))}")
     load = LOADS[scenario.workload]()
     if isinstance(load, LeaseLoad):
         load.careless, load.fenced = sabotage in ("careless", "no-fence"), sabotage != "no-fence"
-    stale = max(1, (procs - 1) // 2 // 2) if procs >= 3 else 0
-    engines = ENGINES.get(scenario.workload, 0)
-    with Trial(scenario, procs, seconds, seed, out, SECTIONS[scenario.workload], stale=stale, engines=engines) as trial:
+    elif isinstance(load, RulesLoad):
+        load = RulesLoad(lost_touch, layouts.FEDERATION_LIMIT if sites else layouts.RULES_LIMIT)
+    names = [f"n{number}" for number in range(procs)]
+    layout = layouts.layout(scenario.workload, names, lost_touch, sites, sabotage)
+    with Trial(scenario, procs, seconds, seed, out, layout) as trial:
         trial.start()
         _break(trial, sabotage)
         trial.run(load)
@@ -88,6 +91,20 @@
         return Found(figures, violations, events)
 
 
+def _check(scenario: Scenario, procs: int, sites: int, sabotage: str) -> None:
+    if procs < scenario.least_procs:
+        raise ValueError(f"--procs: {procs}; this scenario needs {scenario.least_procs} or more")
+    if sites and (scenario.workload != "rules" or not 3 <= sites <= len(layouts.ZONES) or procs < 3 * sites):
+        raise ValueError(f"--sites: {sites}; allowed: 3 to {len(layouts.ZONES)}, each with three processes or more,"
+                         " of a scenario with the load rules; 0 for none")  # fmt: skip
+    if sites < scenario.least_sites:
+        raise ValueError(f"--sites: {sites}; this scenario needs {scenario.least_sites} or more")
+    if sabotage and sabotage not in SABOTAGES:
+        raise ValueError(f"--sabotage: {sabotage!r}; allowed: {', '.join(sorted(SABOTAGES))}")
+    if sabotage in layouts.RULES_SABOTAGES and scenario.workload != "rules":
+        raise ValueError(f"--sabotage: {sabotage} needs a scenario with the load rules")
+
+
 def _break(trial: Trial, sabotage: str) -> None:
     if sabotage == "leaky-cut":
         trial.proxy.leaky = True
--- a/tealwing/lab/rig/samples.py
+++ b/tealwing/lab/rig/samples.py
@@ -18,9 +18,11 @@
 class Samples:
     """The last look at each process that runs; all looks are in the history."""
 
-    def __init__(self, processes: Mapping[str, Process], history: History, caller: Callable[[str], Caller]) -> None:
+    def __init__(self, processes: Mapping[str, Process], history: History, caller: Callable[[str], Caller],
+                 site_of: Callable[[str], str]) -> None:  # fmt: skip
+        """site_of gives a process's site in a federation, where each site has a log of its own; else empty."""
         self.last: dict[str, dict[str, Any]] = {}
-        self._processes, self._history, self._caller = processes, history, caller
+        self._processes, self._history, self._caller, self._site_of = processes, history, caller, site_of
 
     def run(self, stopping: threading.Event) -> None:
         """Look until the trial stops."""
@@ -51,6 +53,8 @@
             "peers": {peer["name"]: peer["state"] for peer in found["peers"]},
             **{key: found[key] for key in KEPT if key in found},
         }  # fmt: skip
+        if site := self._site_of(name):
+            sample["log"] = site
         self.last[name] = sample
         self._history.add("sample", **sample)
 
@@ -71,6 +75,10 @@
         led = [(s.get("term", 0), name) for name, s in list(self.last.items()) if s.get("role") == "leader"]
         return max(led)[1] if led else ""
 
+    def leaders(self) -> list[str]:
+        """All that say they lead: of a federation, those of the sites' logs."""
+        return [name for name, sample in list(self.last.items()) if sample.get("role") == "leader"]
+
     @property
     def replicated(self) -> bool:
         """Whether any process says that it keeps the replicated state."""
--- a/tealwing/lab/rig/trial.py
+++ b/tealwing/lab/rig/trial.py
@@ -17,6 +17,7 @@
 from tealwing.lab.faults.weather import Weather
 from tealwing.lab.rig import configuration
 from tealwing.lab.rig.acts import Acts
+from tealwing.lab.rig.configuration import Layout
 from tealwing.lab.rig.director import Director
 from tealwing.lab.rig.engines import Engines
 from tealwing.lab.rig.history import History
@@ -42,15 +43,11 @@
         seconds: float,
         seed: int,
         folder: Path | None = None,
-        sections: str = "",
+        layout: Layout = Layout(),  # noqa: B008 - frozen
         beat_ms: int = 200,
-        stale: int = 1,
-        engines: int = 0,
     ) -> None:
-        """engines: stand-ins for clients' queries, of so many; without them clients are refused.
-
-        sections: further sections of every process's operators' file; DATA, NAME and STALE in it are filled in.
-        """
+        """Without a folder it has one of its own, which goes with it."""
+        self.layout = layout
         self.scenario, self.seconds, self.seed = scenario, seconds, seed
         self._own = tempfile.TemporaryDirectory(prefix="tealwing-fleet-") if folder is None else None
         self.folder: Path = Path(self._own.name) if folder is None else folder  # type: ignore[union-attr]
@@ -60,13 +57,13 @@
         self.names = [f"n{number}" for number in range(procs)]
         self.weather = Weather(self.names, seed)
         self.proxy = Proxy(self.weather, free_port)
-        self.engines = Engines(engines, procs, seed)
+        self.engines = Engines(layout.engines, procs, seed, layout.zones, self._reached)
         self.coordinator = Coordinator(self.engines.members())
         self.processes: dict[str, Process] = {}
         self.stopping = threading.Event()
-        self.samples = Samples(self.processes, self.history, self.caller)
+        self.samples = Samples(self.processes, self.history, self.caller, layout.site_of)
         self.ledger = Ledger(self.history, self.leader)
-        self.acts = Acts(self, stale)
+        self.acts = Acts(self, layout.stale)
         self.holder = ""  # who held the lease, as the load last saw it
         self._threads: list[threading.Thread] = []
         self.begun = self.ended = 0.0
@@ -76,12 +73,17 @@
         for number, name in enumerate(self.names):
             control: Address = ("127.0.0.1", free_port())
             known = self.coordinator.known
-            told = configuration.platform(self.names, number, seed, self.coordinator.address, known)
+            told = configuration.platform(self.names, number, seed, self.coordinator.address, known, layout)
             dial = configuration.dials(name, self.names, self.proxy.target(name), self.proxy.address)
-            more = configuration.filled(sections, str(self.folder / name / "data"), name, stale)
+            more = layout.text(name, str(self.folder / name / "data"))
             conf = configuration.operators(name, dial, control, beat_ms, more)
             self.processes[name] = Process(name, self.folder / name, told, conf, control)
 
+    def _reached(self, call: str, site: str) -> None:
+        """A query came to an engine; kept where engines have sites, as there it shows who decided."""
+        if site:
+            self.history.add("seen", call=call, site=site)
+
     def peer_address(self, name: str) -> Address:
         """Where a process's peer link really listens."""
         return self.proxy.target(name)
--- /dev/null
+++ b/tealwing/lab/rig/whom.py
@@ -0,0 +1,85 @@
+"""Finds out whom a step of a scenario means at that moment."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from tealwing.lab.faults.scenario import Step
+
+if TYPE_CHECKING:
+    from tealwing.lab.rig.trial import Trial
+
+ASIDE = "same"  # whoever the step before was about
+SITE, SITES = "site:", "sites"  # all of a site, by name or `any`; all links between sites
+Pairs = list[tuple[str, str]]
+
+
+class Whom:
+    """The processes behind a scenario's words; remembers those of the last step."""
+
+    def __init__(self, trial: Trial) -> None:
+        self._trial = trial
+        self._last: list[str] = []
+
+    def names(self, word: str) -> list[str]:
+        """The processes that a word means, at least one."""
+        if word == "all":
+            return list(self._trial.names)
+        if word == ASIDE and self._last:
+            return self._last
+        if word.startswith(SITE):
+            self._last = self._site(word.removeprefix(SITE))
+        else:
+            self._last = [self._one(word)]
+        return self._last
+
+    def _site(self, name: str) -> list[str]:
+        sites = self._trial.layout.sites
+        if name not in sites:
+            name = self._trial.random.choice(sorted(sites)) if sites else ""
+        return list(sites.get(name) or [self._one("random")])
+
+    def _one(self, word: str) -> str:
+        trial = self._trial
+        if word in trial.names:
+            return word
+        running = [name for name, process in trial.processes.items() if process.running and not process.stopped]
+        leader = trial.leader()
+        if word == "leader" and leader:
+            return leader
+        if word == "holder" and trial.holder:
+            return trial.holder
+        if word == "delegate" and (leaders := trial.samples.leaders()):
+            return trial.random.choice(leaders)
+        followers = [name for name in running if name != leader] or running or trial.names
+        return trial.random.choice(followers if word == "follower" else running or trial.names)
+
+    def directions(self, step: Step) -> tuple[str, str, Pairs]:
+        """A step's source and target as they are told, and all directions from the one to the other."""
+        trial = self._trial
+        if SITES in (step.source, step.target):
+            site_of = trial.layout.site_of
+            return SITES, SITES, [(a, b) for a in trial.names for b in trial.names if site_of(a) != site_of(b)]
+        sources, targets = self.names(step.source), self.names(step.target)
+        if sources == targets and len(sources) == 1:
+            targets = [next(name for name in trial.names if name != sources[0])]
+        pairs = [(a, b) for a in sources for b in targets if a != b]
+        source, target = (names[0] if len(names) == 1 else word
+                          for names, word in ((sources, step.source), (targets, step.target)))  # fmt: skip
+        return source, target, pairs
+
+    def groups(self, step: Step) -> list[list[str]]:
+        """The groups of a partition."""
+        trial = self._trial
+        if isinstance(step.groups, list):
+            return step.groups
+        if step.groups == SITES:
+            return [sorted(members) for members in trial.layout.sites.values()]
+        names = list(trial.names)
+        trial.random.shuffle(names)
+        half = len(names) // 2
+        if step.groups == "leader-minority" and (leader := trial.leader()):
+            names.remove(leader)
+            names.insert(0, leader)
+            return [sorted(names[: max(1, half)]), sorted(names[max(1, half) :])]
+        return [sorted(names[:half]), sorted(names[half:])]
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -10,7 +10,8 @@
 from tealwing import interface as api
 from tealwing.lab.faults import scenario
 from tealwing.lab.judges import clients
-from tealwing.lab.rig import runs
+from tealwing.lab.rig import layouts, runs
+from tealwing.lab.rig.configuration import Layout
 from tealwing.lab.rig.trial import Trial
 from tealwing.peers.bounds import USUAL
 from tealwing.replica import commands as c
@@ -157,7 +158,7 @@
     from tealwing.lab.rig.loads.queries import readiness
     from tests.test_peers import until
 
-    with Trial(scenario.load("power-loss"), 3, 5.0, 1, sections=runs.SECTIONS["power"], engines=2) as trial:
+    with Trial(scenario.load("power-loss"), 3, 5.0, 1, layout=Layout(layouts.SECTIONS["power"], 2)) as trial:
         trial.start()
         one = trial.processes["n0"]
         engine = trial.engines.members()[1] | {"phase": "draining"}
--- /dev/null
+++ b/tests/test_rules_judges.py
@@ -0,0 +1,150 @@
+"""The judges of changes of the rules: each finds its fault in a history made by hand, and nothing in a good one."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from tealwing.lab.judges import copies, rules_agreement, rules_order, rules_versions
+from tealwing.lab.rig.history import Event
+from tealwing.lab.rig.loads.rules import bundles, figures
+
+SITES = {1: "x", 2: "y", 3: "z", 4: "x"}  # versions: where they send the groups that move; sites come again
+
+
+def version(number: int, phase: str, process: str = "a", at: float = 0.5, **more: Any) -> Event:
+    plain = {"site": SITES[number], "mark": f"m{number}", "digest": f"d{number}", "number": number}
+    return {"t": at, "kind": "version", "process": process, "phase": phase, **plain} | more
+
+
+def change(number: int, begin: float, end: float = 9.0, phase: str = "active") -> list[Event]:
+    asked = {"t": begin, "kind": "invoke", "id": 1000 + number, "op": "change", "process": "a", "mark": f"m{number}"}
+    return [asked, {"t": end, "kind": "ok", "id": 1000 + number, "version": number, "phase": phase}]
+
+
+def query(number: int, begin: float, end: float, site: str, process: str = "a", moves: bool = True) -> list[Event]:
+    asked = {"t": begin, "kind": "invoke", "id": number, "op": "query", "process": process, "moves": moves}
+    word = {"word": "served", "site": site} if site else {"word": "refused", "site": ""}
+    return [asked | {"call": f"{number:x}"}, {"t": end, "kind": "ok", "id": number, **word}]
+
+
+def seen(number: int, at: float, site: str) -> Event:
+    return {"t": at, "kind": "seen", "call": f"{number:x}", "site": site}
+
+
+RULES: Event = {"t": 0.0, "kind": "rules", "lost_touch": "serve"}
+CHAIN = [RULES, *change(1, 0.0), *change(2, 1.0), *change(3, 3.0)]
+CHAIN += [version(1, "superseded"), version(2, "superseded"), version(3, "active")]
+GOOD = [*CHAIN, *query(1, 0.5, 0.6, "x"), *query(2, 1.5, 2.0, "y"), *query(3, 1.9, 2.5, "x"), *query(4, 2.1, 2.3, "y")]
+ORDER, AGREED = rules_order.judge, rules_agreement.judge
+
+
+def rules(found: list[Any]) -> list[str]:
+    return [violation.rule for violation in found]
+
+
+def test_what_was_begun_before_a_newer_answer_may_still_be_decided_by_the_older_version() -> None:
+    assert ORDER(GOOD, 9.0) == [] and AGREED(GOOD, 9.0) == []  # the third began at 1.9 s, and y answered at 2.0 s
+
+
+@pytest.mark.parametrize("late", [query(5, 2.05, 2.6, "x"), query(5, 2.05, 2.6, "x", process="b")])
+def test_an_older_version_that_decides_after_a_newer_one_had_answered_is_found(late: list[Event]) -> None:
+    found = ORDER([*GOOD, *late], 9.0)
+    assert rules(found) == ["late-old"] and "version 1 says; version 2 had answered" in found[0].what
+
+
+def test_an_older_version_is_found_by_the_engine_that_a_query_reached_though_no_client_was_answered() -> None:
+    refused = query(5, 2.05, 2.6, "")
+    assert ORDER([*GOOD, *refused, seen(5, 2.1, "y")], 9.0) == []
+    assert rules(ORDER([*GOOD, *refused, seen(5, 2.1, "x")], 9.0)) == ["late-old"]
+    unanswered = [refused[0], seen(5, 2.1, "x")]
+    assert rules(ORDER([*GOOD, *unanswered], 9.0)) == ["late-old"]
+
+
+def test_a_site_that_comes_again_is_taken_for_the_newer_version_only_once_that_was_proposed() -> None:
+    fourth = [*change(4, 4.0), version(4, "active")]
+    assert ORDER([*GOOD, *fourth, *query(5, 4.1, 4.5, "x")], 9.0) == []
+    assert rules(ORDER([*GOOD, *fourth, *query(5, 3.1, 3.9, "x")], 9.0)) == ["late-old"]
+
+
+def test_queries_of_groups_that_no_change_moves_show_no_version() -> None:
+    assert ORDER([*GOOD, *query(5, 2.05, 2.6, "x", moves=False)], 9.0) == []
+
+
+@pytest.mark.parametrize("phase", ["aborted", "rejected", "withdrawn", "preparing"])
+def test_a_version_that_never_was_in_force_must_decide_nothing(phase: str) -> None:
+    events = [*CHAIN[:-1], version(3, phase), *query(1, 0.5, 0.6, "x"), *query(2, 3.5, 3.6, "z")]
+    assert rules(AGREED(events, 9.0)) == ["unagreed"]
+    assert AGREED(events[:-2], 9.0) == []
+
+
+def gate(process: str, what: str, number: int, at: float) -> Event:
+    return {"t": 8.0, "kind": "gate", "process": process, "what": what, "number": number, "at": at}
+
+
+def test_an_answer_under_a_version_before_all_have_closed_for_it_is_found() -> None:
+    closed = [gate("a", "closed", 2, 1.2), gate("b", "closed", 2, 1.9)]
+    assert AGREED([*GOOD, *closed], 9.0) == []
+    late = [gate("a", "closed", 2, 1.2), gate("b", "closed", 2, 2.1), gate("b", "closed", 2, 4.0)]
+    assert rules(AGREED([*GOOD, *late], 9.0)) == ["early-site"]
+    hold = [event | {"lost_touch": "hold"} if event is RULES else event for event in [*GOOD, *late]]
+    assert AGREED(hold, 9.0) == []  # there one that is lost need not close
+
+
+def last(process: str, **more: Any) -> Event:
+    plain = {"active": 3, "in_force": 3, "in_flight": 0, "digests": {"2": "d2", "3": "d3"}}
+    return {"t": 9.0, "kind": "rules-end", "process": process} | plain | more
+
+
+ENDED = [*GOOD, last("a"), last("b")]
+
+
+def test_versions_that_are_the_same_everywhere_and_decided_are_good() -> None:
+    assert rules_versions.judge(ENDED, 9.0) == []
+    assert rules(rules_versions.judge(GOOD, 9.0)) == ["divergent", "lost", "lost", "lost"]  # nobody told its end
+
+
+@pytest.mark.parametrize(
+    ("more", "rule"),
+    [
+        ([version(2, "superseded", "b", digest="other")], "changed"),
+        ([version(2, "aborted", "b")], "divergent"),
+        ([last("c", active=2, in_force=2)], "divergent"),
+        ([last("c", in_force=2)], "divergent"),
+        ([last("c", digests={"3": "other"})], "divergent"),
+        ([last("c", in_flight=4)], "undecided"),
+        ([*change(4, 5.0), version(4, "aborted")], "lost"),
+        ([version(3, "active", mark="other")], "lost"),
+    ],
+)
+def test_versions_that_change_differ_are_lost_or_left_open_are_found(more: list[Event], rule: str) -> None:
+    assert rule in rules(rules_versions.judge([*ENDED, *more], 9.0))
+
+
+def test_a_change_that_was_acknowledged_and_is_gone_is_lost() -> None:
+    back = [*GOOD, last("a", active=2, in_force=2), last("b", active=2, in_force=2)]
+    assert rules(rules_versions.judge(back, 9.0)) == ["lost"]
+
+
+def test_copies_of_different_sites_logs_are_not_compared() -> None:
+    two = [{"t": 1.0, "kind": "digest", "process": p, "applied": 7, "digest": p, "log": p} for p in "ab"]
+    assert copies.judge(two, 2.0) == []
+    assert rules(copies.judge([*two, two[1] | {"log": "a"}], 2.0)) == ["divergent"]
+    assert rules(copies.judge([*two, {"t": 1.5, "kind": "copies-differ"}], 2.0)) == ["divergent"]
+
+
+def test_the_figures_count_what_the_judges_find_and_how_long_gates_were_closed() -> None:
+    gates = [gate("a", "closed", 2, 1.2), gate("a", "opened", 2, 1.25), gate("b", "closed", 2, 1.2)]
+    gates += [gate("b", "started", 0, 1.5), gate("b", "opened", 2, 1.6)]  # ended while it was closed
+    others = [*query(6, 2.0, 2.1, "x", moves=False), *query(7, 2.0, 2.1, "", moves=False)]
+    found = figures.told([*ENDED, *gates, *others, *query(5, 2.05, 2.6, "x")])
+    assert (found["changes"], found["activated"], found["late_old"], found["undecided_at_end"]) == (3, 3, 1, 0)
+    assert found["availability_untouched"] == 0.5 and found["gaps"] == 1
+    assert found["gap_ms_p50"] == pytest.approx(50.0)
+
+
+def test_a_trials_bundle_tells_its_mark_and_its_site() -> None:
+    text = bundles.bundle("first 1-7", "upington", "bloemfontein", 3, bad=True)
+    assert bundles.read(text.decode()) == ("first 1-7", "upington")
+    assert bundles.read("# nothing") == bundles.read("[") == ("", "")
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -9,7 +9,8 @@
 import pytest
 
 from tealwing.lab.faults import scenario
-from tealwing.lab.rig import runs
+from tealwing.lab.rig import layouts, runs
+from tealwing.lab.rig.configuration import Layout
 from tealwing.lab.rig.loads.echo import EchoLoad
 from tealwing.lab.rig.trial import Trial
 from tests.peers import LIMIT
@@ -75,7 +76,7 @@
 
 
 def test_operators_see_and_change_the_members_of_running_processes() -> None:
-    with Trial(scenario.load("stale-disk"), 4, 5.0, 1, sections=runs.SECTIONS["lease"]) as trial:
+    with Trial(scenario.load("stale-disk"), 4, 5.0, 1, layout=Layout(layouts.SECTIONS["lease"])) as trial:
         trial.start()
         host, port = trial.processes["n0"].control
         control = ("--control", f"{host}:{port}")
