--- /dev/null
+++ b/tests/test_rules_trials.py
@@ -0,0 +1,51 @@
+"""Changes of the rules on real processes, with faults between them: none is decided by an older version too late."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from tealwing.lab.faults import scenario
+from tealwing.lab.rig import runs
+
+pytestmark = pytest.mark.trial
+NONE = ("late_old", "early_site", "divergent", "lost", "undecided_at_end")  # figures that must be 0
+
+
+def attempt(name: str, procs: int, seconds: float, mode: str, **more: Any) -> runs.Found:
+    return runs.attempt(scenario.load(name), procs, seconds, 1, lost_touch=mode, **more)
+
+
+@pytest.mark.parametrize(
+    ("name", "procs", "seconds", "mode"),
+    [
+        ("rules-change", 5, 16.0, "serve"),
+        ("rules-change", 5, 16.0, "hold"),
+        ("rules-member-down", 4, 14.0, "serve"),
+        ("rules-member-down", 4, 14.0, "hold"),
+        ("rules-power-loss", 3, 20.0, "serve"),
+        ("rules-power-loss", 3, 20.0, "hold"),
+    ],
+)
+def test_no_older_version_decides_once_a_newer_one_has_answered(
+    name: str, procs: int, seconds: float, mode: str
+) -> None:
+    found = attempt(name, procs, seconds, mode)
+    assert [str(violation) for violation in found.violations] == []
+    assert {key: found.figures[key] for key in NONE} == dict.fromkeys(NONE, 0)
+    assert found.figures["activated"] >= 3 and found.figures["served"] > 100 and found.figures["faults"] >= 4
+
+
+@pytest.mark.parametrize(
+    ("word", "name", "mode", "rules"),
+    [
+        ("early-open", "rules-change", "serve", {"unagreed", "early-site", "late-old"}),
+        ("guess-after-close", "rules-change", "serve", {"late-old"}),
+        ("no-permit", "rules-change", "hold", {"late-old"}),
+        ("start-from-disk", "rules-member-down", "hold", {"late-old"}),
+    ],
+)
+def test_a_gateway_that_is_broken_on_purpose_is_found(word: str, name: str, mode: str, rules: set[str]) -> None:
+    found = attempt(name, 4, 12.0, mode, sabotage=word)
+    assert rules & {violation.rule for violation in found.violations}
