--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -9,7 +11,9 @@
 from tealwing.lab.faults import scenario
 from tealwing.lab.faults.weather import Weather
 from tealwing.lab.judges import echo, views
+from tealwing.lab.rig import layouts
 from tealwing.lab.rig.history import Event, operations
+from tealwing.lab.rig.whom import Whom
 
 NAMES = ("a", "b", "c")
 
@@ -61,6 +65,7 @@
         (HEAD + '[[step]]\ndo = "heal"\nat = 0.5\n[[step]]\ndo = "heal"\nat = 0.1', r"step\[1\].at: 0.1 comes before"),
         (HEAD + '[[step]]\ndo = "partition"\ngroups = "thirds"', r"step\[0\].groups: 'thirds'"),
         (HEAD + '[[step]]\ndo = "heal"\nspeed = 1', "speed"),
+        (HEAD + '[[step]]\ndo = "heal"\nwhen = "phase:lost"', r"\$.step\[0\].when"),
         ("title = ", "not TOML"),
     ],
 )
@@ -71,6 +76,26 @@
         scenario.load("nowhere")
 
 
+def test_words_of_a_scenario_mean_whole_sites_of_a_federation() -> None:
+    names = [f"n{number}" for number in range(9)]
+    layout = layouts.layout("rules", names, "hold", 3, "site-early")
+    assert layout.sites["upington"] == ("n1", "n4", "n7") and layout.site_of("n5") == "kimberley"
+    text = layout.text("n4", "/data")
+    assert "    site upington n1 n4 n7\n" in text and "    sabotage site-early\n" in text and "    stale 1\n" in text
+    fair = layouts.layout("rules", names).text("n4", "/data")
+    assert "sabotage" not in fair.lower() and "    lost-touch serve\n" in fair and "    stale 0\n" in fair
+    samples = SimpleNamespace(leaders=lambda: ["n3"])
+    whom = Whom(SimpleNamespace(names=names, layout=layout, random=random.Random(1), processes={}, leader=lambda: "n0",
+                                samples=samples, holder=""))  # type: ignore[arg-type] # fmt: skip
+    assert whom.names("site:kimberley") == whom.names("same") == ["n2", "n5", "n8"]
+    assert tuple(whom.names("site:any")) in layout.sites.values() and whom.names("delegate") == ["n3"]
+    between = scenario.Step("link", source="sites", target="sites")
+    assert len(whom.directions(between)[2]) == 54 and ("n0", "n3") not in whom.directions(between)[2]
+    out = scenario.Step("cut", source="site:upington", target="all")
+    assert len(whom.directions(out)[2]) == 24
+    assert whom.groups(scenario.Step("partition", groups="sites"))[0] == ["n0", "n3", "n6"]
+
+
 def ping(number: int, begin: float, end: float, by: str = "b", text: str = "x") -> list[Event]:
     asked = {"t": begin, "kind": "invoke", "id": number, "op": "ping", "process": "a", "to": "b", "text": "x"}
     return [asked, {"t": end, "kind": "ok", "id": number, "by": by, "text": text, "took_ms": 1.0}]
