--- a/tealwing/replica/__init__.py
+++ b/tealwing/replica/__init__.py
@@ -1,1 +1,4 @@
-"""State that all gateways share, in a replicated log: read raft.py, state.py, storage.py, then member.py and node.py."""
+"""State that gateways share, in a replicated log.
+
+In this order: messages, raft/, commands, state, storage, then member and node.
+"""
--- a/tealwing/replica/commands.py
+++ b/tealwing/replica/commands.py
@@ -11,7 +11,8 @@
 
 import msgspec
 
-from tealwing.replica.messages import Big, Record
+from tealwing.record import Big, Record
+from tealwing.record import Result as Result
 from tealwing.rules import records
 
 Word = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
@@ -120,15 +121,6 @@
     fence: Fence | None = None
 
 
-class Result(Record, frozen=True):
-    """What came of a command: the index at which it was applied, or why the state refused it."""
-
-    ok: bool
-    index: Big
-    version: Big = 0  # of the value, the settings, or the lease's token
-    why: str = ""
-
-
 class NewerEntry(ValueError):
     """Something in the log that a newer build wrote; the text says what, and what to do.
 
--- a/tealwing/replica/messages.py
+++ b/tealwing/replica/messages.py
@@ -7,13 +7,11 @@
 
 import msgspec
 
+from tealwing.record import Big as Big
+from tealwing.record import Record as Record
+
 CHANNEL = 2  # of the peer link
 CHUNK = 256 * 1024  # bytes of a snapshot in one message
-Big = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
-
-
-class Record(msgspec.Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
-    """The base of all that is sent and stored."""
 
 
 class Kind(IntEnum):
--- a/tealwing/rules/closing.py
+++ b/tealwing/rules/closing.py
@@ -4,7 +4,7 @@
 
 from msgspec.structs import replace
 
-from tealwing.replica.commands import Result
+from tealwing.record import Result
 from tealwing.rules import kept
 from tealwing.rules.cover import settle, witnesses_needed
 from tealwing.rules.kept import Tables, no, yes
--- a/tealwing/rules/deciding.py
+++ b/tealwing/rules/deciding.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from tealwing.log import must_hold
-from tealwing.replica.commands import Result
+from tealwing.record import Result
 from tealwing.rules import history, kept
 from tealwing.rules.cover import uncovered
 from tealwing.rules.kept import Tables, no, yes
--- a/tealwing/rules/kept.py
+++ b/tealwing/rules/kept.py
@@ -7,7 +7,7 @@
 
 from msgspec.structs import replace
 
-from tealwing.replica.commands import Result
+from tealwing.record import Result
 from tealwing.rules.records import IN_FLIGHT, NOW, Facts, Member, Phase, Version
 
 Tables = dict[str, dict[str, Any]]
--- a/tealwing/rules/records.py
+++ b/tealwing/rules/records.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from tealwing.replica.messages import Big, Record
+from tealwing.record import Big, Record
 
 Word = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 Text = Annotated[str, msgspec.Meta(max_length=2000)]
--- a/tealwing/rules/registry.py
+++ b/tealwing/rules/registry.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from tealwing.replica.commands import Result
+from tealwing.record import Result
 from tealwing.rules import closing, deciding, members, proposing, records
 from tealwing.rules.cover import covered, uncovered
 from tealwing.rules.kept import Tables, active, facts, in_flight
