--- a/tealwing/peers/book.py
+++ b/tealwing/peers/book.py
@@ -67,6 +67,11 @@
         for name in wanted - set(self._peers):
             self._peers[name] = Peer(name, since=now)
 
+    def forget(self, name: str, now: float) -> None:
+        """One that is spoken to no more: what was heard of it says nothing of whether it lives."""
+        if name in self._peers:
+            self._peers[name] = Peer(name, since=now)
+
     def greet(self, name: str, boot: int, now: float) -> tuple[bool, Change | None]:
         """A connection says that it is the peer's. Whether it may speak: only members do.
 
--- /dev/null
+++ b/tealwing/peers/inbound.py
@@ -0,0 +1,57 @@
+"""A connection on which a peer speaks, read by the link's reader."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import time
+from typing import TYPE_CHECKING
+
+from tealwing.peers import frames, messages
+from tealwing.peers.plan import Times
+
+if TYPE_CHECKING:
+    from tealwing.peers.link import Link
+
+
+class Inbound:
+    """A connection on which a peer speaks."""
+
+    def __init__(self, link: Link, sock: socket.socket, times: Times) -> None:
+        self._link, self._sock, self._times = link, sock, times
+        self._parser = frames.Parser()
+        self.name, self.boot = "", 0
+        self.limit = time.monotonic() + times.hello
+
+    def fileno(self) -> int:
+        """The descriptor."""
+        return self._sock.fileno()
+
+    def read(self, buffer: memoryview) -> float | None:
+        """Hand on what has come; until when the next whole frame must have come."""
+        try:
+            size = self._sock.recv_into(buffer, 0, socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return self.limit
+        if not size:
+            raise EOFError
+        for payload in self._parser.feed(buffer[:size]):
+            self._link.heard(self, messages.decode(payload))
+            self.limit = time.monotonic() + self._times.silent
+        return self.limit
+
+    def ended(self, why: Exception | None) -> None:
+        """It is read no more."""
+        self.close()
+        self._link.lost(self, why)
+
+    def close(self) -> None:
+        """End it."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+        self._sock.close()
+
+    def shut(self) -> None:
+        """Have the reader end it."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
--- a/tealwing/peers/link.py
+++ b/tealwing/peers/link.py
@@ -2,6 +2,9 @@
 
 Each connection carries one direction. Whoever has something to say dials, says who it is (`Hello`), and sends frames;
 the other end only reads. Sends never block the caller: they go into the peer's bounded outbox.
+
+Where the plan has learners, one of those speaks only to who votes, and to whom a replicated log needs besides
+(`reach`): links grow with members times voters, not with their square. It hears every member that dials it.
 """
 
 from __future__ import annotations
@@ -11,23 +14,18 @@
 import socket
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any
 
 from tealwing import log, threads
-from tealwing.coordinator.backoff import Backoff
 from tealwing.gossip.members import State
 from tealwing.peers import frames, messages
 from tealwing.peers.book import Book, Change
-from tealwing.peers.outbox import Outbox
-from tealwing.peers.plan import Address, Plan, Times
+from tealwing.peers.inbound import Inbound
+from tealwing.peers.outbound import Outbound
+from tealwing.peers.plan import Address, Plan
 from tealwing.reader import Reader
-from tealwing.sockets import set_limit
 
-RETRY = (0.05, 1.0)  # s between two dials, least and most, jittered: a healed cut is noticed within the most
-CONNECT_LIMIT = 1.0  # s
-WRITE_LIMIT = 1.0  # s that a peer may take nothing before the connection is given up
-BATCH = 256 * 1024  # bytes written at once
 BACKLOG = 64
 ACCEPT_PAUSE = 0.05  # s before a failed accept is tried again
 SPARE_INBOUND = 8  # connections beside one of each peer's: of a peer that starts anew, or of a stranger for `hello`
@@ -40,114 +38,6 @@
     """The link can't begin; the text says why."""
 
 
-class Inbound:
-    """A connection on which a peer speaks."""
-
-    def __init__(self, link: Link, sock: socket.socket, times: Times) -> None:
-        self._link, self._sock, self._times = link, sock, times
-        self._parser = frames.Parser()
-        self.name, self.boot = "", 0
-        self.limit = time.monotonic() + times.hello
-
-    def fileno(self) -> int:
-        """The descriptor."""
-        return self._sock.fileno()
-
-    def read(self, buffer: memoryview) -> float | None:
-        """Hand on what has come; until when the next whole frame must have come."""
-        try:
-            size = self._sock.recv_into(buffer, 0, socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return self.limit
-        if not size:
-            raise EOFError
-        for payload in self._parser.feed(buffer[:size]):
-            self._link.heard(self, messages.decode(payload))
-            self.limit = time.monotonic() + self._times.silent
-        return self.limit
-
-    def ended(self, why: Exception | None) -> None:
-        """It is read no more."""
-        self.close()
-        self._link.lost(self, why)
-
-    def close(self) -> None:
-        """End it."""
-        with contextlib.suppress(OSError):
-            self._sock.shutdown(socket.SHUT_RDWR)
-        self._sock.close()
-
-    def shut(self) -> None:
-        """Have the reader end it."""
-        with contextlib.suppress(OSError):
-            self._sock.shutdown(socket.SHUT_RDWR)
-
-
-class Outbound:
-    """The sender to one peer: its outbox and its thread."""
-
-    def __init__(self, link: Link, name: str, address: Address) -> None:
-        self._link, self.name, self.address = link, name, address
-        plan = link.plan
-        self.outbox = Outbox(plan.queue, plan.queue_bytes)
-        self._backoff = Backoff(*RETRY)
-        self._stopped = threading.Event()
-        self._beats = itertools.count(1)
-        self.connected = False
-        self.dials = self.sent = 0
-
-    def start(self) -> None:
-        """Dial, and send from now on."""
-        threads.start(self._run, f"peer-{self.name}")
-
-    def stop(self) -> None:
-        """Send no more."""
-        self._stopped.set()
-        self.outbox.close()
-
-    def _run(self) -> None:
-        while not self._stopped.is_set():
-            try:
-                self.dials += 1
-                with socket.create_connection(self.address, CONNECT_LIMIT) as sock:
-                    sock.settimeout(None)
-                    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                    set_limit(sock, socket.SO_SNDTIMEO, WRITE_LIMIT)
-                    self._speak(sock)
-            except OSError:
-                pass  # as good as silence: the other end's book tells who is heard
-            finally:
-                self.connected = False
-            # what was meant for a peer that can't be reached is stale by the time that it can
-            if self._stopped.wait(self._backoff.next()):
-                return
-            self.outbox.clear()
-
-    def _speak(self, sock: socket.socket) -> None:
-        plan = self._link.plan
-        sock.sendall(frames.encode(messages.encode(self._link.hello(self.name))))
-        self.connected = True
-        began = time.monotonic()
-        while (found := self.outbox.get(plan.times.beat, BATCH)) is not None:
-            payloads = found or [messages.encode(messages.Beat(next(self._beats)))]
-            sock.sendall(b"".join(map(frames.encode, payloads)))
-            self.sent += len(payloads)
-            if time.monotonic() - began > plan.times.doubt:  # it holds: the next trouble begins with short waits
-                self._backoff.heard()
-            if gone(sock):
-                return
-
-
-def gone(sock: socket.socket) -> bool:
-    """Whether the other end, which never speaks on this connection, has closed it."""
-    try:
-        return sock.recv(1, socket.MSG_DONTWAIT | socket.MSG_PEEK) == b""
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-
-
 class Link:
     """One gateway among its peers."""
 
@@ -162,13 +52,16 @@
         except OSError as error:
             raise LinkFault(f"peers: member {plan.name} {listen[0]}:{listen[1]}: {error.strerror}") from None
         self.lock = threading.Lock()  # round the book, the connections and the senders
-        others = [name for name, _ in plan.members if name != plan.name]
-        self._book = Book(others, plan.times, time.monotonic())
-        self._out = {name: Outbound(self, name, address) for name, address in plan.members if name != plan.name}
+        self._members = {name: address for name, address in plan.members if name != plan.name}
+        self._needed: dict[str, frozenset[str]] = {}  # by who needs them: members to speak to, beside the plan's
+        self._book = Book(self._members, plan.times, time.monotonic())
+        spoken = plan.spoken_to()
+        self._out = {name: Outbound(self, name, to) for name, to in self._members.items() if name in spoken}
         self._inbound: set[Inbound] = set()
         self._channels: dict[int, Hear] = {}
         self._watchers: list[Watch] = []
-        self._sequences = {name: itertools.count(1) for name in others}
+        self._sequences = {name: itertools.count(1) for name in self._out}
+        self._started = False
         self._stopped = threading.Event()
         self._reader = Reader("peer-reader", limited=True)
         self._complaints = 0
@@ -192,7 +85,10 @@
         self._reader.start()
         threads.start(self._accept, "peer-accept")
         threads.start(self._look, "peer-looks")
-        for outbound in self._out.values():
+        with self.lock:
+            self._started = True
+            outbounds = list(self._out.values())
+        for outbound in outbounds:
             outbound.start()
         log.event("peers_started", name=self.plan.name, address=self.address, peers=self._book.names())
 
@@ -210,7 +106,7 @@
             connection.shut()
 
     def send(self, name: str, channel: int, body: bytes) -> bool:
-        """Send to a peer, as far as it is reached; False where it is none of the members. Never blocks."""
+        """Send to a peer, as far as it is reached; False where it is none that we speak to. Never blocks."""
         with self.lock:
             outbound = self._out.get(name)
             if outbound is None:
@@ -227,22 +123,38 @@
     def change(self, members: dict[str, Address]) -> None:
         """Other members: the senders and all that is kept of those that go, go with them."""
         with self.lock:
-            wanted = {name: address for name, address in members.items() if name != self.plan.name}
-            gone_ = [out for name, out in self._out.items() if wanted.get(name) != out.address]
-            for outbound in gone_:
+            self._members = {name: address for name, address in members.items() if name != self.plan.name}
+            self._book.set_names(self._members, time.monotonic())
+            strangers = [connection for connection in self._inbound if connection.name not in ("", *self._members)]
+        self._set_senders()
+        for connection in strangers:
+            connection.shut()
+
+    def reach(self, who: str, names: Collection[str]) -> None:
+        """Speak to these members too, as that one needs them, until it says otherwise. Any thread; never blocks."""
+        with self.lock:
+            self._needed[who] = frozenset(names)
+        self._set_senders()
+
+    def _set_senders(self) -> None:
+        """Have a sender to each member that is to be spoken to, and to no other."""
+        with self.lock:
+            spoken = self.plan.spoken_to().union(*self._needed.values()) if self.plan.learners else self._members
+            wanted = {name: address for name, address in self._members.items() if name in spoken}
+            gone = [out for name, out in self._out.items() if wanted.get(name) != out.address]
+            for outbound in gone:
                 del self._out[outbound.name]
                 del self._sequences[outbound.name]
+                if outbound.name not in wanted:
+                    self._book.forget(outbound.name, time.monotonic())
             fresh = [Outbound(self, name, wanted[name]) for name in wanted if name not in self._out]
             for outbound in fresh:
                 self._out[outbound.name] = outbound
                 self._sequences[outbound.name] = itertools.count(1)
-            self._book.set_names(wanted, time.monotonic())
-            strangers = [connection for connection in self._inbound if connection.name not in ("", *wanted)]
-        for outbound in gone_:
+            started = self._started and not self._stopped.is_set()
+        for outbound in gone:
             outbound.stop()
-        for connection in strangers:
-            connection.shut()
-        for outbound in fresh:
+        for outbound in fresh if started else ():
             try:
                 outbound.start()
             except threads.NoThread:  # logged there; without a sender it is as good as unreachable
@@ -254,23 +166,24 @@
         found = []
         with self.lock:
             for name in self._book.names():
-                peer, out = self._book.get(name), self._out[name]
+                peer, out = self._book.get(name), self._out.get(name)
                 assert peer is not None
+                unlinked = out is None and peer.state is not State.ALIVE  # nothing says whether it lives
                 silence = peer.silence(now)
                 found.append(
                     {
                         "name": name,
-                        "state": peer.state.name.lower(),
+                        "state": "unlinked" if unlinked else peer.state.name.lower(),
                         "for_s": round(now - peer.since, 3),
                         "silence_s": None if silence is None else round(silence, 3),
                         "boot": peer.boot,
                         "received": peer.received,
                         "repeated": peer.repeated,
-                        "connected": out.connected,
-                        "dials": out.dials,
-                        "sent": out.sent,
-                        "waiting": len(out.outbox),
-                        "dropped": out.outbox.dropped,
+                        "connected": out is not None and out.connected,
+                        "dials": out.dials if out is not None else 0,
+                        "sent": out.sent if out is not None else 0,
+                        "waiting": len(out.outbox) if out is not None else 0,
+                        "dropped": out.outbox.dropped if out is not None else 0,
                     }
                 )
         return found
--- /dev/null
+++ b/tealwing/peers/outbound.py
@@ -0,0 +1,89 @@
+"""The sender to one peer: it dials, says who we are, and sends what waits; a thread of its own."""
+
+from __future__ import annotations
+
+import itertools
+import socket
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from tealwing import threads
+from tealwing.coordinator.backoff import Backoff
+from tealwing.peers import frames, messages
+from tealwing.peers.outbox import Outbox
+from tealwing.peers.plan import Address
+from tealwing.sockets import set_limit
+
+if TYPE_CHECKING:
+    from tealwing.peers.link import Link
+
+RETRY = (0.05, 1.0)  # s between two dials, least and most, jittered: a healed cut is noticed within the most
+CONNECT_LIMIT = 1.0  # s
+WRITE_LIMIT = 1.0  # s that a peer may take nothing before the connection is given up
+BATCH = 256 * 1024  # bytes written at once
+
+
+class Outbound:
+    """The sender to one peer: its outbox and its thread."""
+
+    def __init__(self, link: Link, name: str, address: Address) -> None:
+        self._link, self.name, self.address = link, name, address
+        plan = link.plan
+        self.outbox = Outbox(plan.queue, plan.room())
+        self._backoff = Backoff(*RETRY)
+        self._stopped = threading.Event()
+        self._beats = itertools.count(1)
+        self.connected = False
+        self.dials = self.sent = 0
+
+    def start(self) -> None:
+        """Dial, and send from now on."""
+        threads.start(self._run, f"peer-{self.name}")
+
+    def stop(self) -> None:
+        """Send no more."""
+        self._stopped.set()
+        self.outbox.close()
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            try:
+                self.dials += 1
+                with socket.create_connection(self.address, CONNECT_LIMIT) as sock:
+                    sock.settimeout(None)
+                    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                    set_limit(sock, socket.SO_SNDTIMEO, WRITE_LIMIT)
+                    self._speak(sock)
+            except OSError:
+                pass  # as good as silence: the other end's book tells who is heard
+            finally:
+                self.connected = False
+            # what was meant for a peer that can't be reached is stale by the time that it can
+            if self._stopped.wait(self._backoff.next()):
+                return
+            self.outbox.clear()
+
+    def _speak(self, sock: socket.socket) -> None:
+        plan = self._link.plan
+        sock.sendall(frames.encode(messages.encode(self._link.hello(self.name))))
+        self.connected = True
+        began = time.monotonic()
+        while (found := self.outbox.get(plan.times.beat, BATCH)) is not None:
+            payloads = found or [messages.encode(messages.Beat(next(self._beats)))]
+            sock.sendall(b"".join(map(frames.encode, payloads)))
+            self.sent += len(payloads)
+            if time.monotonic() - began > plan.times.doubt:  # it holds: the next trouble begins with short waits
+                self._backoff.heard()
+            if gone(sock):
+                return
+
+
+def gone(sock: socket.socket) -> bool:
+    """Whether the other end, which never speaks on this connection, has closed it."""
+    try:
+        return sock.recv(1, socket.MSG_DONTWAIT | socket.MSG_PEEK) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
--- a/tealwing/peers/plan.py
+++ b/tealwing/peers/plan.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 
 Address = tuple[str, int]
+MANY = 64  # members up to which each peer's queue is as large as the section says
+MOST_QUEUED = 512 << 20  # bytes that wait for all peers together, where there are more
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,7 +32,19 @@
     queue: int = 1024  # frames that wait for one peer
     queue_bytes: int = 8 << 20
     faults: bool = False  # whether the control address takes the laboratory's faults
+    learners: tuple[str, ...] = ()  # members that follow the replicated log without a vote
 
     def address(self, name: str) -> Address | None:
         """Where a member listens."""
         return dict(self.members).get(name)
+
+    def spoken_to(self) -> set[str]:
+        """The members that we speak to: all; a learner speaks to those that vote."""
+        names = {name for name, _ in self.members if name != self.name}
+        return names - set(self.learners) if self.name in self.learners else names
+
+    def room(self) -> int:
+        """Bytes that may wait for one peer."""
+        if len(self.members) <= MANY:
+            return self.queue_bytes
+        return min(self.queue_bytes, MOST_QUEUED // len(self.members))
--- a/tealwing/peers/section.py
+++ b/tealwing/peers/section.py
@@ -6,20 +6,26 @@
 from tealwing.conf.schema import Block, Entry, Report, Section, Spec
 from tealwing.peers.plan import Address, Plan, Times
 
-MOST_MEMBERS = 64  # each has a thread and a queue here
+# Members that link to all: each pair of them has two connections, and each sends a sign of life to everyone each beat.
+MOST_VOTERS = 64
+# Members in all. One that votes has a thread (of a small stack) and two descriptors for each: 512, half of the 1,024
+# that a process usually may open, so that clients and engines have the other half. A learner has them for voters only.
+MOST_MEMBERS = 256
+LEARNER = "learner"
 
 
-def _member(words: values.Words) -> tuple[str, Address]:
-    if len(words) != 2:
-        raise values.Unfit("a name and its address, as n0 10.0.0.4:7950")
-    return values.instance(words[:1]), values.address(words[1:])
+def _member(words: values.Words) -> tuple[str, Address, bool]:
+    if len(words) not in (2, 3) or words[2:] not in ((), (LEARNER,)):
+        raise values.Unfit("a name and its address, as n0 10.0.0.4:7950, and `learner` where it has no vote")
+    return values.instance(words[:1]), values.address(words[1:2]), len(words) == 3
 
 
 SPECS = (
     Spec("name", "NAME", "This gateway's name among the members.", values.instance, needed=True),
     Spec("fleet", "NAME", "The fleet's name: a peer of another is not heard.", values.instance, "fleet"),
-    Spec("member", "NAME HOST:PORT", "A gateway and the TCP address, IPv4, of its peer link; this one too.",
-         _member, many=True, needed=True),
+    Spec("member", "NAME HOST:PORT [learner]", "A gateway and the TCP address, IPv4, of its peer link; this one too."
+         " A learner follows the replicated log without a vote, and links to those that vote only.", _member, many=True,
+         needed=True),
     Spec("control", "HOST:PORT", "TCP address, loopback or the operators' own, at which `tealwing peers`, `replica` and"
          " `lease` ask; absent: none.", values.address),
     Spec("beat", "DURATION", "Between two signs of life on a link that carries nothing else.",
@@ -45,7 +51,7 @@
     seen: dict[str, Entry] = {}
     addresses: dict[Address, str] = {}
     for entry in members:
-        name, address = entry.value
+        name, address, _ = entry.value
         if name in seen:
             report.add(entry.place, "member", f"a second member {name}", f"one, and {seen[name].place} has it")
         seen[name] = entry
@@ -54,6 +60,12 @@
         addresses[address] = name
     if len(members) > MOST_MEMBERS:
         report.add(members[MOST_MEMBERS].place, "member", f"{len(members)} members", f"at most {MOST_MEMBERS}")
+    voters = [entry for entry in members if not entry.value[2]]
+    if len(voters) > MOST_VOTERS:
+        report.add(voters[MOST_VOTERS].place, "member", f"{len(voters)} members without the word {LEARNER}",
+                   f"at most {MOST_VOTERS}; more can be learners")  # fmt: skip
+    if not voters:
+        report.add(first, "member", f"only members with the word {LEARNER}", "one member at least that votes")
     name = block.one("name")
     if name not in seen:
         report.add(block.place("name", first), "name", name, "a name that a member line has, with its address")
@@ -67,12 +79,13 @@
     return Plan(
         block.one("fleet"),
         name,
-        tuple(entry.value for entry in members),
+        tuple(entry.value[:2] for entry in members),
         times,
         block.one("control"),
         block.one("queue"),
         block.one("queue-bytes"),
         block.one("faults"),
+        tuple(entry.value[0] for entry in members if entry.value[2]),
     )
 
 
--- a/tealwing/replica/__init__.py
+++ b/tealwing/replica/__init__.py
@@ -1,1 +1,1 @@
-"""State that all gateways share, in a replicated log: read raft.py, state.py, storage.py, then member.py and node.py."""
+"""State that all gateways share, in a replicated log: read raft, state, storage, member, node."""
--- a/tealwing/replica/asking.py
+++ b/tealwing/replica/asking.py
@@ -99,7 +99,7 @@
 
     def _try(self, leader: str, ask: Ask, wait: float, again: bool) -> Told | None:
         number, pending = next(self._numbers), Pending()
-        ask = Ask(number, ask.command, ask.members)
+        ask = Ask(number, ask.command, ask.members, ask.learners)
         if leader == self._me:
             self._queue.put(("ask", ask, pending.set))
             self._await(pending, leader, wait, again)
--- a/tealwing/replica/member.py
+++ b/tealwing/replica/member.py
@@ -14,10 +14,12 @@
 from tealwing.peers.link import Link
 from tealwing.replica import commands, messages, opening
 from tealwing.replica.disk import Disk
+from tealwing.replica.group import SITE, Group
 from tealwing.replica.listeners import Listeners
 from tealwing.replica.messages import Kind, Message, Snap, SnapReply
 from tealwing.replica.plan import Plan
 from tealwing.replica.raft import Ready
+from tealwing.replica.reading import Reading
 from tealwing.replica.recovery import Return, beliefs
 from tealwing.replica.snapshots import Snapshots
 from tealwing.replica.state import State
@@ -30,10 +32,10 @@
 class Member(Listeners):
     """The core, its disk and its state. Its thread's own, but for what is read under the lock."""
 
-    def __init__(self, plan: Plan, link: Link, clock: Clock, disk: Disk | None = None) -> None:
+    def __init__(self, plan: Plan, link: Link, clock: Clock, disk: Disk | None = None, group: Group = SITE) -> None:
         """Read the disk. storage.StorageError where it can't be trusted."""
         super().__init__()
-        self.plan, self._link, self.clock = plan, link, clock
+        self.plan, self._link, self.clock, self.group = plan, link, clock, group
         self.disk = disk or Disk()
         self.storage = Storage(Path(plan.folder), self.disk)
         self.back = Return(time.monotonic())
@@ -41,13 +43,13 @@
         self.found = self.storage.open()
         self.state = opening.read_state(self.storage, self.found)  # the thread's own; others read under the lock
         self.start_number = random.SystemRandom().randrange(1, 2**53)
-        self.core = opening.make_core(plan, link.plan, self.found, clock.now(), self.start_number)
+        self.core = opening.make_core(plan, link.plan, group, self.found, clock.now(), self.start_number)
         self._queue: SimpleQueue[tuple[Any, ...]] = SimpleQueue()
-        self.snapshots = Snapshots(plan, self.storage, self.core, self._queue, self._replace)
+        self.snapshots = Snapshots(plan, self.storage, self.core, self._queue, self._replace, group)
         opening.catch_up(self.core, self.state)
         self.beliefs = beliefs(self.state, self.core.last_index, int(time.time() * 1e3))
         self.back.disk_read(time.monotonic())
-        self._waiting = Waiting()
+        self._waiting, self._reading = Waiting(), Reading(self.core)
         self.broken = ""
         self.terms: dict[int, str] = {}  # leader by term, as far as seen here
         self._committed_at = 0.0  # monotonic, when the disk last heard how far all is committed
@@ -70,7 +72,7 @@
         took = time.monotonic() - begun
         self.slowest_save = max(self.slowest_save, took)
         if took >= self.plan.election / 2:  # while it lasts we answer nobody: a leader may be missed for it
-            log.event("replica_disk_slow", took=round(took, 3), entries=len(ready.entries))
+            log.event("replica_disk_slow", took=round(took, 3), entries=len(ready.entries), **self.group.mark)
         if ready.entries:
             self.core.saved(self.clock.now(), ready.entries[-1].index, ready.entries[-1].term)
         for name, message in ready.messages:
@@ -80,9 +82,9 @@
         if ready.committed:
             self._waiting.reached(self.state.applied)
         for number in ready.failed_reads:
-            self._waiting.read_failed(number)
+            self._reading.failed(number)
         for number, index in ready.reads:
-            self._waiting.read_done(number, index)
+            self._reading.done(number, index)
 
     def _send(self, name: str, message: Message) -> None:
         if isinstance(message, Snap):  # the core says which piece
@@ -90,7 +92,7 @@
             if filled is None:
                 return  # it is no more: the newer one goes out with the next beat
             message = filled
-        self._link.send(name, messages.CHANNEL, messages.encode(message))
+        self._link.send(name, self.group.channel, messages.encode(message))
 
     def _apply(self, entry: messages.Entry) -> None:
         command = result = None
--- a/tealwing/replica/node.py
+++ b/tealwing/replica/node.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import itertools
 import threading
 import time
 import traceback
@@ -17,19 +16,19 @@
 from tealwing import log, threads
 from tealwing.peers.clock import Clock
 from tealwing.peers.link import Link
-from tealwing.replica import commands, messages, outcomes, views
+from tealwing.replica import commands, messages, outcomes, roles, views
 from tealwing.replica.asking import Asking
 from tealwing.replica.commands import Command, Result
 from tealwing.replica.disk import Disk
+from tealwing.replica.group import SITE, Group
 from tealwing.replica.member import Member
 from tealwing.replica.outcomes import Answering, Ask, Told, Unavailable, Unknown
 from tealwing.replica.plan import Plan
 from tealwing.replica.raft import Busy, NotLeader, Role
 from tealwing.replica.recovery import Seen
 
-__all__ = ["FORWARD", "Replica", "Unavailable", "Unknown"]
+__all__ = ["Replica", "Unavailable", "Unknown"]
 
-FORWARD = 3  # channel of the peer link: what followers pass on to the leader
 LONGEST_TICK = 0.05  # s between two looks at the clock, whatever the deadlines: it may have been stepped
 MOST_AT_ONCE = 256  # items of the queue before the disk is written
 HAND_OVER, HAND_OVER_LOOK = 0.5, 0.01  # s that a leader's end may wait for another to lead, and between two looks
@@ -38,24 +37,25 @@
 class Replica(Member):
     """One member of a replicated log, on its thread."""
 
-    def __init__(self, plan: Plan, link: Link, clock: Clock, disk: Disk | None = None) -> None:
+    def __init__(self, plan: Plan, link: Link, clock: Clock, disk: Disk | None = None, group: Group = SITE) -> None:
         """Read the disk. storage.StorageError where it can't be trusted."""
-        super().__init__(plan, link, clock, disk)
-        self._numbers = itertools.count(1)  # of reads
+        super().__init__(plan, link, clock, disk, group)
         self._stopped = threading.Event()
         self._leading = False
+        self._reached: set[str] = set()  # whom the link speaks to for us
         self._asking = Asking(
-            link.plan.name, self._queue, lambda name, body: self._link.send(name, FORWARD, body),
+            link.plan.name, self._queue, lambda name, body: self._link.send(name, group.forward, body),
             lambda: self.core.leader, lambda: self.broken,
         )  # fmt: skip
-        link.on(messages.CHANNEL, self._hear)
-        link.on(FORWARD, self._hear_forwarded)
+        link.on(group.channel, self._hear)
+        link.on(group.forward, self._hear_forwarded)
+        self._reach()
 
     # Start and end
 
     def start(self) -> None:
         """Take part from now on."""
-        threads.start(self._run, "replica")
+        threads.start(self._run, self.group.thread("replica"))
         views.tell_start(self)
 
     def stop(self) -> None:
@@ -80,9 +80,9 @@
         told = self._asking.at_leader(Ask(0, data), wait, again=bool(command.sequence))
         return commands.decode_result(told.result)
 
-    def change_members(self, names: list[str], wait: float) -> int:
-        """Other members; the index of the entry that says so."""
-        return self._asking.at_leader(Ask(0, b"", names), wait, again=False).index
+    def change_members(self, voters: list[str], wait: float, learners: list[str] | None = None) -> int:
+        """Other members, learners None: as they are; the index of the entry that says so. Unknown or Unavailable."""
+        return self._asking.at_leader(Ask(0, b"", voters, learners), wait, again=False).index
 
     def read_index(self, wait: float) -> int:
         """Wait until the state here has all that was committed when this was called. Unavailable where it can't."""
@@ -92,6 +92,14 @@
         """Propose a command if this member leads; nobody hears what comes of it."""
         self._queue.put(("ask", Ask(0, data), lambda told: None))
 
+    def change_here(self, voters: list[str], learners: list[str], told: Callable[[Told], None]) -> None:
+        """Propose other members if this member leads; told hears what comes of it, on the member's thread."""
+        self._queue.put(("ask", Ask(0, b"", voters, learners), told))
+
+    def hurry(self) -> None:
+        """If this member leads: say at once how far all is committed, not with the next beat."""
+        self._queue.put(("hurry",))
+
     def snapshot(self) -> None:
         """Write a snapshot soon, whatever has come since the last."""
         self.snapshots.want()
@@ -126,7 +134,8 @@
         if isinstance(word, Told):
             self._asking.hear(word)
         elif not self.broken and not self._stopped.is_set():
-            self._queue.put(("ask", word, lambda told: self._link.send(name, FORWARD, outcomes.encode(told))))
+            channel = self.group.forward
+            self._queue.put(("ask", word, lambda told: self._link.send(name, channel, outcomes.encode(told))))
 
     # Our thread
 
@@ -139,14 +148,16 @@
             log.must_hold(False, f"the replica goes on: {self.broken}")
         finally:
             self._waiting.fail_all()
+            self._reading.fail_all()
             if self._leading:
                 self._lead(False)
             self.storage.close()
             if self.broken:
-                log.event("replica_broken", why=self.broken)
+                log.event("replica_broken", why=self.broken, **self.group.mark)
 
     def _turn(self) -> None:
-        wait = min(LONGEST_TICK, max(0.0, self.core.next_deadline() - self.clock.now()))
+        due = min(self.core.next_deadline(), self._reading.due())
+        wait = min(LONGEST_TICK, max(0.0, due - self.clock.now()))
         try:
             item = self._queue.get(timeout=self.clock.real(wait)) if wait > 0 else self._queue.get_nowait()
             for _ in range(MOST_AT_ONCE):
@@ -155,6 +166,7 @@
         except Empty:
             pass
         self.core.tick(self.clock.now())
+        self._reading.begin(self.clock.now())
         while self.core.has_ready() and not self.broken:
             self._do(self.core.ready())
         leads = self.core.role is Role.LEADER and self.core.commit >= self.core.settled
@@ -164,6 +176,7 @@
             for ticked in self._ticked:
                 ticked(self.clock.now())
         self._look()
+        self._reach()
         views.note_leader(self)
         if not self.broken:
             self.snapshots.maybe_write(self.state)
@@ -173,7 +186,15 @@
         before = self.back.phase
         seen = self.seen()
         if self.back.look(time.monotonic(), seen) is not before:
-            log.event("recovery", phase=self.back.phase.value, why=self.back.reason(seen))
+            log.event("recovery", phase=self.back.phase.value, why=self.back.reason(seen), **self.group.mark)
+
+    def _reach(self) -> None:
+        """Have the link speak to those that the log needs: what the file says of them may be old."""
+        core, learners = self.core, roles.learners(self.core)
+        names = {*core.members, *learners} if core.me in core.members else {*core.members, core.leader}
+        if names != self._reached:
+            self._reached = names
+            self._link.reach(self.group.name, names)
 
     def _lead(self, leads: bool) -> None:
         self._leading = leads
@@ -191,22 +212,25 @@
                 self._waiting.at(item[1], item[2])
                 self._waiting.reached(self.state.applied)
             case "leave":
-                log.event("replica_handed_over", to=self.core.hand_over(now) or None, term=self.core.term)
+                to = self.core.hand_over(now) or None
+                log.event("replica_handed_over", to=to, term=self.core.term, **self.group.mark)
+            case "hurry":
+                roles.hurry(self.core, now)
             case "written":
                 self.snapshots.written(item[1])
 
     def _asked_here(self, now: float, ask: Ask, answer: Callable[[Told], None]) -> None:
         """Somebody wants something of the leader."""
-        if self._waiting.full:
+        if len(self._waiting) + len(self._reading) >= outcomes.MOST_PENDING:
             answer(Told(ask.number, "busy", b"", 0))
             return
         try:
             if ask.members is not None:
-                index, term = self.core.change_members(now, tuple(sorted(ask.members)))
+                index, term = roles.change(self.core, now, ask.members, ask.learners)
             elif ask.command:
                 index, term = self.core.propose(now, ask.command)
             else:
-                self._read(now, Answering(ask.number, answer))
+                self._reading.ask(Answering(ask.number, answer))
                 return
         except NotLeader:
             answer(Told(ask.number, "not-leader", b"", 0))
@@ -217,11 +241,3 @@
         else:
             self._waiting.propose(index, term, Answering(ask.number, answer))
 
-    def _read(self, now: float, pending: Answering) -> None:
-        number = next(self._numbers)
-        self._waiting.read(number, pending)
-        try:
-            self.core.read(now, number)
-        except NotLeader:
-            self._waiting.forget(number)
-            raise
--- a/tealwing/replica/opening.py
+++ b/tealwing/replica/opening.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from tealwing.peers.plan import Plan as PeersPlan
+from tealwing.replica.group import Group
 from tealwing.replica.messages import Kind
 from tealwing.replica.plan import Plan
 from tealwing.replica.raft import Options, Raft
@@ -18,12 +21,13 @@
     return state
 
 
-def make_core(plan: Plan, peers: PeersPlan, found: Found, now: float, start: int) -> Raft:
+def make_core(plan: Plan, peers: PeersPlan, group: Group, found: Found, now: float, start: int) -> Raft:
     """The core as the disk has it; start is a number that no earlier start of this member had."""
-    names = tuple(sorted(name for name, _ in peers.members))
+    voters, learners = group.first(peers)
+    also: dict[str, Any] = {"learners": learners} if learners and not plan.join else {}
     return Raft(
         peers.name,
-        () if plan.join else names,
+        () if plan.join else voters,
         now,
         seed=start,
         start=start,
@@ -34,6 +38,7 @@
         log=found.log,
         incoming=found.incoming,
         commit=found.commit,
+        **also,
     )
 
 
--- a/tealwing/replica/outcomes.py
+++ b/tealwing/replica/outcomes.py
@@ -43,7 +43,8 @@
 
     number: int
     command: bytes
-    members: list[str] | None = None
+    members: list[str] | None = None  # voters
+    learners: list[str] | None = None  # None: as they are
 
 
 class Told(msgspec.Struct, array_like=True, frozen=True, tag=2):
--- a/tealwing/replica/plan.py
+++ b/tealwing/replica/plan.py
@@ -16,3 +16,4 @@
     snapshot_entries: int = 10_000
     leases: bool = False  # whether the fleet-wide tasks run here
     join: bool = False  # empty and waiting to be added, instead of one of the first members
+    replace_after: float = 0.0  # s of a voter's silence after which a learner takes its place; 0: never
--- a/tealwing/replica/section.py
+++ b/tealwing/replica/section.py
@@ -20,6 +20,8 @@
          values.wholes(100, 10_000_000), "10000"),
     Spec("leases", "on|off", "Whether this gateway may do the fleet-wide tasks, each under a lease: see"
          " docs/operating/leases.md.", values.switch, "off"),
+    Spec("replace-after", "DURATION", "Silence after which a voter is lost for good and a learner votes in its place;"
+         " five times election or more. Absent: never.", values.durations(1.0, 7 * 86400.0)),
     Spec("join", "on|off", "Whether this is a new member that waits to be added (`tealwing replica add`).",
          values.switch, "off"),
 )  # fmt: skip
@@ -30,13 +32,19 @@
     beat, election = block.one("beat"), block.one("election")
     plan = Plan(
         block.one("folder"), beat, election, block.one("stale"), block.one("snapshot-entries"),
-        block.one("leases"), block.one("join"),
+        block.one("leases"), block.one("join"), block.one("replace-after") or 0.0,
     )
     if election < 3 * beat:
         report.add(
             block.place("election", block.place("folder", block.entries["folder"][0].place)), "election",
             values.written_duration(election), f"three beats or more, {values.written_duration(3 * beat)}",
         )  # fmt: skip
+    if plan.replace_after and plan.replace_after < 5 * election:
+        report.add(
+            block.place("replace-after", block.entries["folder"][0].place), "replace-after",
+            values.written_duration(plan.replace_after),
+            f"five times election or more, {values.written_duration(5 * election)}: before that another may yet lead",
+        )  # fmt: skip
     return plan
 
 
--- a/tealwing/replica/service.py
+++ b/tealwing/replica/service.py
@@ -10,6 +10,7 @@
 from tealwing import wire
 from tealwing.peers.control import Control, Denied, Fields, field, wait_of
 from tealwing.replica import commands as c
+from tealwing.replica import roles
 from tealwing.replica.node import Replica, Unavailable, Unknown
 from tealwing.replica.storage import verify
 
@@ -19,21 +20,22 @@
 class Service:
     """Answers for one member."""
 
-    def __init__(self, replica: Replica, control: Control) -> None:
+    def __init__(self, replica: Replica, control: Control, prefix: str = "replica") -> None:
+        """prefix: of the names of the calls, so that a process can have those of two groups."""
         self._replica = replica
         calls: dict[str, Callable[[Fields], Fields]] = {
-            "replica.status": lambda _: replica.status(),
-            "replica.digest": self._digest,
-            "replica.verify": self._verify,
-            "replica.snapshot": self._snapshot,
-            "replica.members": self._members,
-            "replica.recovery": lambda _: replica.back.told(replica.seen(), replica.beliefs),
-            "replica.settings": self._settings,
-            "replica.do": self._do,
-            "replica.get": self._get,
+            "status": lambda _: replica.status(),
+            "digest": self._digest,
+            "verify": self._verify,
+            "snapshot": self._snapshot,
+            "members": self._members,
+            "recovery": lambda _: replica.back.told(replica.seen(), replica.beliefs),
+            "settings": self._settings,
+            "do": self._do,
+            "get": self._get,
         }
         for name, call in calls.items():
-            control.serve(name, call)
+            control.serve(f"{prefix}.{name}", call)
 
     def _digest(self, _: Fields) -> Fields:
         applied, digest = self._replica.digest()
@@ -48,18 +50,23 @@
         return {"applied": self._replica.state.applied}
 
     def _members(self, fields: Fields) -> Fields:
-        """Add or remove one member."""
+        """One member more that votes (`add`, also of a learner) or only follows (`learn`), or one fewer (`remove`)."""
         change, name = field(fields, "change", str), field(fields, "name", str)
-        members = set(self._replica.core.members)
-        if change not in ("add", "remove"):
-            raise Denied(f"change: {change!r}; allowed: add or remove")
-        if (name in members) == (change == "add"):
-            raise Denied(f"name: {name} is {'a member already' if change == 'add' else 'no member'}")
-        if change == "add" and self._replica.plan_address(name) is None:
+        voters, learners = set(self._replica.core.members), set(roles.learners(self._replica.core))
+        if change not in ("add", "learn", "remove"):
+            raise Denied(f"change: {change!r}; allowed: add, learn or remove")
+        where = {"add": voters, "learn": learners, "remove": voters | learners}[change]
+        if (name in where) == (change != "remove"):
+            raise Denied(f"name: {name} is {'no member' if change == 'remove' else 'a member already'}")
+        if change != "remove" and self._replica.plan_address(name) is None:
             raise Denied(f"name: {name} has no member line in the section peers here")
-        wanted = members | {name} if change == "add" else members - {name}
-        told = self._outcome(lambda wait: {"index": self._replica.change_members(sorted(wanted), wait)}, fields)
-        return told | {"members": sorted(wanted)}
+        voting, following = voters - {name}, learners - {name}
+        {"add": voting, "learn": following}.get(change, set()).add(name)
+        told_learners = sorted(following) if following or learners else None  # none ever: the plain change of old
+        told = self._outcome(
+            lambda wait: {"index": self._replica.change_members(sorted(voting), wait, told_learners)}, fields
+        )
+        return told | {"members": sorted(voting), "learners": sorted(following)}
 
     def _settings(self, fields: Fields) -> Fields:
         """Propose the next version of the settings: checked here first, and only where this gateway has caught up."""
--- a/tealwing/replica/snapshots.py
+++ b/tealwing/replica/snapshots.py
@@ -10,8 +10,9 @@
 import msgspec
 
 from tealwing import log, threads
-from tealwing.replica import messages
-from tealwing.replica.messages import Kind, Snap
+from tealwing.replica import roles
+from tealwing.replica.group import Group
+from tealwing.replica.messages import Snap
 from tealwing.replica.plan import Plan
 from tealwing.replica.raft import Meta, Raft
 from tealwing.replica.state import State
@@ -27,9 +28,10 @@
 
     def __init__(
         self, plan: Plan, storage: Storage, core: Raft, queue: SimpleQueue[tuple[Any, ...]],
-        replace: Callable[[State], None],
+        replace: Callable[[State], None], group: Group,
     ) -> None:  # fmt: skip
         """replace takes the state that another's snapshot makes."""
+        self._group = group
         self._plan, self._storage, self._core, self._queue, self._replace = plan, storage, core, queue, replace
         self._writing = self._wanted = False  # one, on a thread of its own; asked for
         self._due = plan_due(plan)  # entries after which the next snapshot is written
@@ -54,12 +56,12 @@
         meta = self._storage.install(chunk.index, chunk.index_term)
         if meta is None:
             self._core.not_installed()
-            log.event("replica_snapshot_refused", index=chunk.index)
+            log.event("replica_snapshot_refused", index=chunk.index, **self._group.mark)
             return False
         fresh = State()
         fresh.load(meta.index, self._storage.body(meta))
         self._core.installed(meta)
-        log.event("replica_snapshot_installed", index=meta.index, size=meta.size)
+        log.event("replica_snapshot_installed", index=meta.index, size=meta.size, **self._group.mark)
         self._replace(fresh)
         return True
 
@@ -73,29 +75,24 @@
         term = self._core.term_at(index)
         if index <= self._core.snapshot.index or term is None:
             return
-        twin, members = state.copy(), self._members_at(index)
+        twin, (voters, learners) = state.copy(), roles.members_at(self._core, index)
+        save: Any = self._storage.write_snapshot
+        also = (learners,) if learners else ()
         self._writing, self.bytes, self._due = True, 0, plan_due(self._plan)
 
         def write() -> None:
             try:
-                meta: Meta | None = self._storage.write_snapshot(index, term, members, twin.dump())
+                meta: Meta | None = save(index, term, voters, twin.dump(), *also)
             except OSError as error:
-                log.event("replica_snapshot_not_written", index=index, error=str(error))
+                log.event("replica_snapshot_not_written", index=index, error=str(error), **self._group.mark)
                 meta = None
             self._queue.put(("written", meta))
 
         try:
-            threads.start(write, "replica-snapshot")
+            threads.start(write, self._group.thread("replica-snapshot"))
         except threads.NoThread:
             self._writing = False
 
-    def _members_at(self, index: int) -> tuple[str, ...]:
-        """Who the members are as of an index that is applied."""
-        for entry in reversed(self._core.entries(self._core.base[0] + 1, index)):
-            if entry.kind is Kind.MEMBERS:
-                return messages.members_of(entry)
-        return self._core.snapshot.members or self._core.first_members
-
     def written(self, meta: Meta | None) -> None:
         """The thread that wrote one is done; None: it could not."""
         self._writing = False
@@ -110,7 +107,7 @@
             trail += 1
         self._core.compacted(meta, trail)
         self.count += 1
-        log.event("replica_snapshot", index=meta.index, size=meta.size)
+        log.event("replica_snapshot", index=meta.index, size=meta.size, **self._group.mark)
 
 
 def plan_due(plan: Plan) -> float:
--- a/tealwing/replica/views.py
+++ b/tealwing/replica/views.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from tealwing import log
+from tealwing.replica import roles
 from tealwing.replica.recovery import Seen
 
 if TYPE_CHECKING:
@@ -20,9 +21,9 @@
         counts, digest_at = replica.state.counts(), replica.state.applied
     return {
         "role": core.role.value, "term": core.term, "leader": core.leader, "members": list(core.members),
-        "commit": core.commit, "applied": digest_at, "last": core.last_index, "stable": core.stable,
-        "snapshot": core.snapshot.index, "unsure": core.unsure, "broken": replica.broken, "held": counts,
-        "snapshots": replica.snapshots.count, "kept": replica.storage.commit,
+        "learners": list(roles.learners(core)), "commit": core.commit, "applied": digest_at, "last": core.last_index,
+        "stable": core.stable, "snapshot": core.snapshot.index, "unsure": core.unsure, "broken": replica.broken,
+        "held": counts, "snapshots": replica.snapshots.count, "kept": replica.storage.commit,
         "save_ms_max": round(replica.slowest_save * 1e3, 1), "refused_stale": replica.state.refused_stale,
         "phase": replica.back.phase.value, "leaders": {str(term): name for term, name in list(replica.terms.items())},
     }  # fmt: skip
@@ -45,7 +46,7 @@
     terms[core.term] = core.leader
     if len(terms) > RECENT_TERMS:
         del terms[min(terms)]
-    log.event("replica_led", term=core.term, leader=core.leader)
+    log.event("replica_led", term=core.term, leader=core.leader, **replica.group.mark)
 
 
 def tell_start(replica: Replica) -> None:
@@ -54,9 +55,10 @@
     log.event(
         "replica_started", term=found.term, snapshot=found.snapshot.index, last=core.last_index,
         cut_bytes=found.cut, fresh=found.fresh, members=list(core.members), unsure=core.unsure,
+        **replica.group.mark,
     )  # fmt: skip
     for belief in replica.beliefs:
         log.event(
             "recovery_belief", what=belief.what, key=belief.key, trust=belief.trust.value, why=belief.why,
-            until_ms=belief.until_ms,
+            until_ms=belief.until_ms, **replica.group.mark,
         )  # fmt: skip
--- a/tealwing/replica/waiting.py
+++ b/tealwing/replica/waiting.py
@@ -1,10 +1,10 @@
-"""What waits at a member: proposals for their entry, reads for their round, calls for an index. Its thread's own."""
+"""What waits at a member: proposals for their entry, and calls for an index. Its thread's own."""
 
 from __future__ import annotations
 
 from tealwing.replica.commands import Result
 from tealwing.replica.messages import Entry
-from tealwing.replica.outcomes import MOST_PENDING, Answering, Pending
+from tealwing.replica.outcomes import Pending
 
 
 class Waiting:
@@ -12,13 +12,10 @@
 
     def __init__(self) -> None:
         self._proposed: dict[int, Pending] = {}  # by index
-        self._reads: dict[int, Pending] = {}
         self._at_index: list[tuple[int, Pending]] = []  # reads that wait for the state to be there
 
-    @property
-    def full(self) -> bool:
-        """Whether nothing more is taken for now."""
-        return len(self._proposed) + len(self._reads) >= MOST_PENDING
+    def __len__(self) -> int:
+        return len(self._proposed)
 
     def propose(self, index: int, term: int, pending: Pending) -> None:
         """It waits for the entry at an index, and only if that is of this term."""
@@ -34,22 +31,6 @@
             # another's entry at the index of ours: ours is lost, or was cut and may be proposed again
             pending.set((result or Result(True, entry.index), entry.index) if pending.term == entry.term else None)
 
-    def read(self, number: int, pending: Answering) -> None:
-        """It waits for the read of that number."""
-        self._reads[number] = pending
-
-    def forget(self, number: int) -> None:
-        """That read is not asked."""
-        del self._reads[number]
-
-    def read_done(self, number: int, index: int) -> None:
-        """A quorum has confirmed the index of a read."""
-        self._reads.pop(number).set((Result(True, index), index))
-
-    def read_failed(self, number: int) -> None:
-        """We lead no more: it has to be asked again."""
-        self._reads.pop(number).set(None)
-
     def at(self, index: int, pending: Pending) -> None:
         """It waits for the state to be at an index."""
         self._at_index.append((index, pending))
@@ -65,7 +46,6 @@
 
     def fail_all(self) -> None:
         """We take part no more."""
-        for pending in [*self._proposed.values(), *self._reads.values()]:
+        for pending in self._proposed.values():
             pending.set(None)
         self._proposed.clear()
-        self._reads.clear()
--- /dev/null
+++ b/tests/test_groups.py
@@ -0,0 +1,236 @@
+"""Two replicated logs over one link, reads that share a round, learners on the link, and who votes for the lost."""
+
+from __future__ import annotations
+
+import os
+import socket
+import threading
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any, cast
+
+import pytest
+
+from tealwing.lab.rig.ports import free_port
+from tealwing.peers.clock import Clock
+from tealwing.peers.link import Link
+from tealwing.peers.plan import MANY, Address, Times
+from tealwing.peers.plan import Plan as PeersPlan
+from tealwing.replica import commands as c
+from tealwing.replica import roles
+from tealwing.replica.group import FEDERATION, SITE, Group
+from tealwing.replica.node import Replica, Unavailable
+from tealwing.replica.outcomes import Answering, Told
+from tealwing.replica.plan import Plan
+from tealwing.replica.promotion import Change, NextChange, Promotion
+from tealwing.replica.raft import NotLeader, Raft, Role
+from tealwing.replica.reading import PACE, Reading
+from tests.peers import LIMIT
+from tests.test_peers import until
+from tests.test_replica import Fleet
+
+QUICK = Times(beat=0.1, doubt=1.0, lost=2.0)
+
+
+def put(key: str, value: bytes) -> c.Command:
+    return c.Command("t", 1, c.Put(key, value))
+
+
+class Process:
+    """What one process has: a link, and a member of each of its groups."""
+
+    def __init__(self, folder: Path, name: str, members: tuple[tuple[str, Address], ...], groups: list[Group]) -> None:
+        self.link = Link(PeersPlan("f", name, members, QUICK))
+        self.of = {}
+        for group in groups:
+            plan = Plan(str(folder / name / group.name), beat=0.05, election=0.4)
+            self.of[group.name] = Replica(plan, self.link, Clock(), group=group)
+        for replica in self.of.values():
+            replica.start()
+        self.link.start()
+
+    def stop(self) -> None:
+        for replica in self.of.values():
+            replica.core.role = type(replica.core.role).FOLLOWER  # no hand-over: nobody waits for another to lead
+            replica.stop()
+        self.link.stop()
+
+
+@pytest.fixture
+def three(tmp_path: Path) -> Iterator[list[Process]]:
+    """a and b are one site; b and c take part in the federation."""
+    members = tuple((name, ("127.0.0.1", free_port())) for name in "abc")
+    site, federation = Group(SITE.name, 2, 3, ("a", "b")), Group(FEDERATION.name, 4, 5, ("b", "c"))
+    groups = {"a": [site], "b": [site, federation], "c": [federation]}
+    found = [Process(tmp_path, name, members, groups[name]) for name in "abc"]
+    yield found
+    for process in found:
+        process.stop()
+
+
+def test_two_groups_over_one_link_elect_and_apply_each_by_itself(three: list[Process]) -> None:
+    a, b, other = three
+    assert a.of["site"].write(put("k", b"site"), LIMIT).ok
+    assert other.of["federation"].write(put("k", b"federation"), LIMIT).ok
+    for group, value in (("site", b"site"), ("federation", b"federation")):
+        b.of[group].read_index(LIMIT)
+        assert b.of[group].state.tables["values"]["k"].value == value
+        assert b.of[group].core.leader in b.of[group].core.members
+    assert b.of["site"].core.members == ("a", "b") and b.of["federation"].core.members == ("b", "c")
+    assert a.of["site"].core.progress.keys() | b.of["site"].core.progress.keys() <= {"a", "b"}
+    names = {thread.name for thread in threading.enumerate()}
+    assert {"replica", "replica-federation"} <= names
+    # the site loses its majority: the federation goes on, the site does not
+    a.stop()
+    assert other.of["federation"].write(put("l", b"on"), LIMIT).ok
+    until(lambda: not b.of["site"].core.leader)
+    with pytest.raises(Unavailable):
+        b.of["site"].read_index(0.3)
+
+
+def test_a_hurried_leader_tells_what_is_committed_before_its_next_beat() -> None:
+    fleet = Fleet()
+    leader = fleet.leader()
+    follower = next(m for m in fleet.members.values() if m is not leader)
+    fleet.propose(leader, b"decisive")
+    assert leader.commit > follower.commit  # no time has passed: it would learn it with the next beat
+    roles.hurry(follower, fleet.now)  # who does not lead has nothing to say
+    assert not follower.has_ready()
+    roles.hurry(leader, fleet.now)
+    fleet.settle(leader.me)
+    fleet.pass_on()
+    assert follower.commit == leader.commit and fleet.applied[follower.me][-1][1] == b"decisive"
+
+
+class Core:
+    """A core that counts the rounds that reads ask for."""
+
+    def __init__(self) -> None:
+        self.numbers: list[int] = []
+        self.role, self.leader = Raft("a", ("a",), 0.0).role, "b"
+        self.leads = True
+
+    def read(self, now: float, number: int) -> None:
+        if not self.leads:
+            raise NotLeader("b")
+        self.numbers.append(number)
+
+
+def test_reads_that_come_together_share_a_round_and_each_is_answered_by_a_later_one() -> None:
+    core: Any = Core()
+    reads = Reading(core)
+    told: list[Told] = []
+    with pytest.raises(NotLeader):
+        reads.ask(Answering(1, told.append))
+    core.role = Role.LEADER
+    for number in range(100):
+        reads.ask(Answering(number, told.append))
+    reads.begin(1.0)
+    assert core.numbers == [1] and reads.rounds == 1 and reads.asked == 100
+    reads.ask(Answering(100, told.append))  # asked after the round was begun: that one must not serve it
+    reads.done(1, 7)
+    assert [t.number for t in told] == list(range(100)) and {t.index for t in told} == {7}
+    reads.begin(1.0 + PACE / 2)
+    assert core.numbers == [1] and reads.due() == pytest.approx(1.0 + PACE)
+    reads.begin(1.0 + PACE)
+    assert core.numbers == [1, 2]
+    reads.failed(2)
+    reads.ask(Answering(101, told.append))
+    core.leads = False
+    reads.begin(0.5)  # the clock was stepped back: that holds nobody
+    assert [(t.number, t.word) for t in told[100:]] == [(100, "lost"), (101, "not-leader")] and len(reads) == 0
+
+
+def test_two_hundred_readers_at_once_cost_few_rounds(tmp_path: Path) -> None:
+    members = (("a", ("127.0.0.1", free_port())),)
+    process = Process(tmp_path, "a", members, [SITE])
+    replica = process.of["site"]
+    try:
+        assert replica.write(put("k", b"v"), LIMIT).ok
+        threads = [threading.Thread(target=replica.read_index, args=(LIMIT,)) for _ in range(200)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join(LIMIT)
+        assert replica._reading.asked >= 200 and replica._reading.rounds < 100
+    finally:
+        process.stop()
+
+
+# Learners on the link
+
+
+def fleet_of(count: int, voters: int, listener: Address) -> tuple[tuple[tuple[str, Address], ...], tuple[str, ...]]:
+    names = [f"n{number}" for number in range(count)]
+    return tuple((name, listener) for name in names), tuple(names[voters:])
+
+
+def descriptors() -> int:
+    return len(os.listdir("/proc/self/fd"))
+
+
+@pytest.mark.parametrize(("name", "linked"), [("n0", 199), ("n199", 5)])
+def test_a_learner_of_two_hundred_speaks_to_who_votes_and_a_voter_to_all(name: str, linked: int) -> None:
+    others = socket.create_server(("127.0.0.1", 0), backlog=256)  # stands in for all: it takes what fits its buffers
+    host, port = others.getsockname()
+    members, learners = fleet_of(200, 5, (host, port))
+    mine = ("127.0.0.1", free_port())
+    members = tuple((n, mine if n == name else address) for n, address in members)
+    link = Link(PeersPlan("f", name, members, QUICK, learners=learners))
+    before = descriptors()
+    link.start()
+    until(lambda: sum(peer["connected"] for peer in link.status()) == linked)
+    senders = [t for t in threading.enumerate() if t.name.startswith("peer-n")]
+    assert len(senders) == linked
+    assert descriptors() - before <= linked + 8
+    states = {peer["state"] for peer in link.status()}
+    assert states == ({"dead"} if linked == 199 else {"dead", "unlinked"})
+    link.reach("site", {"n0", "n100"})  # n100 leads: the file's word on it is old
+    assert len([p for p in link.status() if p["state"] == "unlinked"]) == 199 - linked - (linked == 5)
+    link.reach("site", {"n0"})
+    assert len([p for p in link.status() if p["state"] == "unlinked"]) == 199 - linked
+    link.stop()
+    others.close()
+    until(lambda: not [t for t in threading.enumerate() if t.name.startswith("peer-n")])
+
+
+def test_what_waits_for_all_peers_together_is_bounded() -> None:
+    few, many = (PeersPlan("f", "n0", fleet_of(n, 5, ("127.0.0.1", 1))[0]) for n in (MANY, 256))
+    assert few.room() == few.queue_bytes and many.room() > 1 << 20 and 256 * many.room() <= 512 << 20
+
+
+# Who votes for the lost
+
+
+class Said:
+    voters, learners, why = ("a", "n"), ("b",), "b was not heard"
+
+
+def test_one_change_at_a_time_is_proposed_and_asked_for_again_once_it_is_done() -> None:
+    class Stand:
+        group, me = FEDERATION, "a"
+        core = Raft("a", ("a", "b"), 0.0)
+        asked: list[tuple[list[str], list[str], Any]] = []  # noqa: RUF012
+
+        def on_tick(self, ticked: Any) -> None:
+            self.tick = ticked
+
+        def change_here(self, *asked: Any) -> None:
+            self.asked.append(asked)
+
+    stand: Any = Stand()
+    seen: list[tuple[Any, ...]] = []
+
+    def roster(*asked: Any, **more: Any) -> Change | None:
+        seen.append(asked)
+        return Said()
+
+    Promotion(stand, cast(NextChange, roster), 30.0, 3)
+    stand.tick(10.0)
+    stand.tick(20.0)
+    assert [(v, ln) for v, ln, _ in stand.asked] == [(["a", "n"], ["b"])]
+    assert seen[0] == (("a", "b"), (), {"a": 10.0}, [], 10.0, 30.0, 3)
+    stand.asked[0][2](Told(0, "busy", b"", 0))
+    stand.tick(20.1)
+    stand.tick(20.2)  # too early to look again
+    assert len(stand.asked) == 2
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -237,13 +237,19 @@
         (GOOD + "    doubt 3s\n", "lost: found 2s; allowed: more than doubt, 3s"),
         (GOOD + "    beat 500ms\n", "doubt: found 1s; allowed: more than three beats"),
         (GOOD + "    speed fast\n", "peers speed"),
+        (GOOD + "    member n2 127.0.0.1:7003 voter\n", "member: found n2 127.0.0.1:7003 voter"),
+        (GOOD.replace("7001", "7001 learner").replace("7002", "7002 learner"), "one member at least that votes"),
+        (GOOD + "".join(f"    member m{n} 127.0.0.1:{7003 + n}\n" for n in range(63)), "at most 64; more can be"),
     ],
 )
 def test_a_bad_section_names_its_key(tmp_path: Path, wrong: str, what: str) -> None:
     path = tmp_path / "x.conf"
     path.write_text(GOOD)
     plan = reader.read(str(path)).records["peers"]
-    assert plan.address("n1") == ("127.0.0.1", 7002) and not plan.faults
+    assert plan.address("n1") == ("127.0.0.1", 7002) and not plan.faults and plan.learners == ()
+    path.write_text(GOOD + "".join(f"    member m{n} 127.0.0.1:{7003 + n} learner\n" for n in range(254)))
+    many = reader.read(str(path)).records["peers"]
+    assert len(many.learners) == 254 and many.spoken_to() == {name for name, _ in many.members} - {"n0"}
     path.write_text(wrong)
     with pytest.raises(ConfError) as found:
         reader.read(str(path))
