Hold requests at a gate while rules change, and put a version in force in whole

A change of rules needs a gateway that stops deciding what the change touches and goes on under the new version. Requests pass a gate (open, closed for a touch, shut, and a permit that ends by itself); held ones are read anew with the time they have left, or refused with pushback. A version binds settings and routing table as one; a table alone builds no module, and open requests keep version and zones to their end. The module sends a request with zones nowhere else. SIGHUP no longer overrides what the fleet has agreed on.

--- a/tealwing/config.py
+++ b/tealwing/config.py
@@ -27,6 +27,14 @@
     """A configuration that can't be used; the message names the key."""
 
 
+class ConfigRejected(ConfigError):
+    """Settings of the configuration that what the fleet has agreed on goes before; says what an operator can do."""
+
+    def __init__(self, why: str, remedy: str) -> None:
+        super().__init__(f"{why}; {remedy}")
+        self.why, self.remedy = why, remedy
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """All that a gateway is told at its start."""
--- a/tealwing/exchange.py
+++ b/tealwing/exchange.py
@@ -11,6 +11,14 @@
     """A request that can't be taken; the text says why."""
 
 
+class Outdated(Unusable):
+    """The settings changed while the request was read; it may be read anew under `settings`."""
+
+    def __init__(self, settings: Any) -> None:
+        super().__init__("the settings changed while the request was read; send it again")
+        self.settings = settings
+
+
 @dataclass(frozen=True, slots=True)
 class Query:
     """A client's request; times are seconds, need is megabytes, cls and tenant are places in the settings."""
@@ -64,4 +72,26 @@
         """Give the request up, from any thread."""
 
 
+@dataclass(frozen=True, slots=True)
+class Entered:
+    """A request may be decided; held: the rules may have changed since it was read, and it must be read anew."""
+
+    held: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Turned:
+    """A request may not be decided now: it is refused harmlessly, to be tried again after pushback seconds."""
+
+    pushback: float
+    why: str
+
+
+class Gate(Protocol):
+    """What requests pass before they are opened; see `tealwing.rollout.gate`."""
+
+    def enter(self, cls: str | None, tenant: str, group: int, until: float) -> Entered | Turned:
+        """Let a request in, at once or when it may be, by the monotonic time `until` at the latest."""
+
+
 Open = Callable[[Query, Any], Exchange]  # a query and the settings it was read under; may raise Unusable
--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -5,30 +5,31 @@
 import re
 import threading
 from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from tealwing import interface as api
 from tealwing import log, wire
 from tealwing.admin.figures import Figures
-from tealwing.config import Config, ConfigError
+from tealwing.config import Config, ConfigError, ConfigRejected
 from tealwing.coordinator.follower import Follower
 from tealwing.coordinator.news import Update
-from tealwing.exchange import Query
+from tealwing.exchange import Outdated, Query
+from tealwing.gateway import standing
 from tealwing.gateway.decisions import Decisions
 from tealwing.gateway.life import Life, Word
-from tealwing.gateway.versions import Module
+from tealwing.gateway.versions import InForce
 from tealwing.gateway.vitals import Vitals
-from tealwing.policy import Gateway
 from tealwing.resp.fleet import Fleet
 
 if TYPE_CHECKING:  # what the operators' file does not switch on is not imported
-    from tealwing.gossip.observe import Evidence
     from tealwing.gossip.plan import Plan as GossipPlan
     from tealwing.gossip.transport import Link
     from tealwing.leases.peering import Peering
     from tealwing.levels.plan import Plan
     from tealwing.peers.plan import Plan as PeersPlan
     from tealwing.replica.plan import Plan as ReplicaPlan
+    from tealwing.routing.table import Table
 
 
 class Daemon:
@@ -41,6 +42,10 @@
         self._link: Link | None = None  # where gossip is on
         self._peering: Peering | None = None  # where the section `peers` is
         self._vitals: Vitals | None = None  # measured where service levels are on
+        self._levels_file: Plan | None = None  # of the operators' file, and of the rules: the second goes before
+        self._levels_rules: Plan | None = None
+        self._allowed: Callable[..., frozenset[int] | None] = lambda *_: None  # routing's, once there is a table
+        self._changing = threading.RLock()  # one change of settings or levels at a time, whoever brings it
         self._fleet = Fleet(config.settings.limits)
         self._decisions = Decisions(config.settings, config.seed, self._fleet)
         self.figures = Figures(cls.name for cls in config.settings.classes)
@@ -56,18 +61,26 @@
         self._follower.start()
 
     def open(self, query: Query, settings: api.Settings | None = None) -> Life:
-        """The life of a request that has come, read under the settings (the ones in force if None)."""
-        return Life(query, settings or self._settings, self._decisions, self._fleet, self._vitals, self.figures)
+        """The life of a request that has come, read under the settings (the ones in force if None).
+
+        Raises Unusable, and Outdated where settings and a routing table of different versions would bind it.
+        """
+        force, zones = self._decisions.force, None
+        if force.number and settings is not None and settings is not force.settings:
+            raise Outdated(force.settings)
+        if force.table is not None:
+            zones = self._allowed(force.table, query.tables, force.settings.zones, self._decisions.ready)
+        settings = settings or force.settings
+        return Life(query, settings, self._decisions, self._fleet, self._vitals, self.figures, zones)
 
     def _gauges(self) -> dict[str, int]:
         """Requests open, engines listed, those of them that the module does not send to now, and threads.
 
         Read without the module's lock: lengths of its tables are whole at any moment.
         """
-        module = self._decisions.module
-        gateway = module if isinstance(module, Gateway) else getattr(module, "gateway", None)
-        listed = len(gateway.engines) if isinstance(gateway, Gateway) else 0
-        ready = len(gateway.ready) if isinstance(gateway, Gateway) else 0
+        gateway = standing.behind(self._decisions.module)
+        listed = len(gateway.engines) if gateway is not None else 0
+        ready = len(gateway.ready) if gateway is not None else 0
         found = {
             "active": self._decisions.open,
             "pool_size": listed,
@@ -92,29 +105,76 @@
         if self._vitals is not None:
             self._vitals.waited(seconds)
 
+    @property
+    def agreed(self) -> int:
+        """Number of the version of the rules that the fleet agreed on and that is in force here; 0: none."""
+        return self._decisions.force.number
+
+    @property
+    def platform(self) -> api.Settings:
+        """What the configuration says, before any version of the rules."""
+        return self._from_file
+
+    def put_in_force(
+        self, settings: api.Settings | None, table: Table | None, levels: Plan | None, version: int
+    ) -> None:
+        """Put a version of the rules in force for new requests; what it leaves as it is, is not touched.
+
+        settings None are those in force; a table None lets any engine serve; levels None are the operators' file's.
+        Raises ValueError, with nothing changed, where the levels do not fit the settings.
+        """
+        with self._changing:
+            settings = self._settings if settings is None or settings == self._settings else settings
+            plan = levels if levels is not None else self._levels_file
+            if plan is not None:
+                plan.measures(settings)
+            if table is not None:
+                from tealwing.routing.serving import allowed  # only where a table is
+
+                self._allowed = allowed
+            self._levels_rules = levels
+            renewed = settings is not self._settings
+            wrap = None if plan is None else standing.wrapper(settings, plan, self._say)
+            number = self._decisions.put_in_force(InForce(settings, table, version), wrap)
+            if renewed:
+                self._tell_settings(settings, number)
+            self._levels_now(plan)
+        log.event("rules_in_force", version=version, settings=renewed, routes=len(table.routes) if table else 0)
+
     def reconfigure(self, config: Config) -> api.Settings:
         """Take what may change under load: the coordinator, and the settings. Its events' numbers go on.
 
         New settings bind new requests; open ones keep theirs. Gives the settings in force. Raises ConfigError,
-        with nothing changed, where the settings change and service levels or gossip are on.
+        with nothing changed, where the settings change and service levels or gossip are on; and ConfigRejected, with
+        the coordinator taken, where they change and the fleet has agreed on rules.
         """
-        changed = config.settings not in (self._settings, self._from_file)
-        if changed and (self._vitals is not None or self._link is not None):
-            raise ConfigError("settings: a change of settings needs a restart where levels or gossip are on")
-        self._follower.move(config.coordinator)
-        if changed:  # else the file says what it said, and the fleet's version may be in force
-            self._take(config.settings)
-            self._from_file = config.settings
+        with self._changing:
+            changed = config.settings not in (self._settings, self._from_file)
+            if changed and self.agreed:
+                self._follower.move(config.coordinator)
+                raise ConfigRejected(
+                    f"settings: version {self.agreed} of the rules is in force, as the fleet has agreed",
+                    "propose them: tealwing rules propose FILE --control HOST:PORT --why TEXT",
+                )
+            if changed and (self._vitals is not None or self._link is not None):
+                raise ConfigError("settings: a change of settings needs a restart where levels or gossip are on")
+            self._follower.move(config.coordinator)
+            if changed:  # else the file says what it said, and the fleet's version may be in force
+                self._take(config.settings)
+                self._from_file = config.settings
         log.event("reconfigured", coordinator=config.coordinator)
         return self._settings
 
     def _take(self, settings: api.Settings) -> None:
         """Put settings in force for new requests."""
-        version = self._decisions.renew(settings)
+        self._tell_settings(settings, self._decisions.renew(settings))
+
+    def _tell_settings(self, settings: api.Settings, version: int) -> None:
         self._settings = settings
         self.figures.keep(cls.name for cls in settings.classes)
         classes = {cls.name: cls.effect.name for cls in settings.classes}
         log.event("settings_changed", version=version, classes=classes)
+        self.on_settings(settings)
 
     def _fleet_settings(self, version: int, text: bytes) -> None:
         """A version of the replicated settings that is good, from the disk or as the fleet has agreed on it."""
@@ -123,13 +183,14 @@
         except (ValueError, wire.WireError) as error:  # checked by whoever proposed it, by another version of us
             log.event("fleet_settings_unusable", version=version, error=str(error))
             return
-        if self._vitals is not None or self._link is not None:
-            log.event("fleet_settings_unusable", version=version, error="levels or gossip are on: restart")
-            return
-        log.event("fleet_settings", version=version)
-        if settings != self._settings:
-            self._take(settings)
-            self.on_settings(settings)
+        with self._changing:
+            if self.agreed or self._vitals is not None or self._link is not None:
+                why = "rules are in force: propose it as rules" if self.agreed else "levels or gossip are on: restart"
+                log.event("fleet_settings_unusable", version=version, error=why)
+                return
+            log.event("fleet_settings", version=version)
+            if settings != self._settings:
+                self._take(settings)
 
     def operate(self, records: dict[str, Any]) -> None:
         """Take the operators' file in whole: its records by section. A ValueError leaves all as it is."""
@@ -138,7 +199,10 @@
             levels.measures(self._settings)  # may not fit; what comes after it can't fail on the levels
         self._gossip(records.get("gossip"))
         self._peers(records.get("peers"), records.get("replica"))
-        self._levels(levels)
+        with self._changing:
+            self._levels_file = levels
+            if self._levels_rules is None:  # else those of the rules go before it
+                self._levels_now(levels)
 
     def leave(self) -> None:
         """The gateway ends: the other instances need not find out."""
@@ -180,43 +244,18 @@
         if plan is not None and link is not None:
             link.change(plan)
         elif plan is not None:
-            self._link = Link(plan, self._evidence, self._decisions.submit)
+            self._link = Link(plan, partial(standing.evidence, self._decisions.change), self._decisions.submit)
             self._link.start()
         elif link is not None:
             self._link = None
             link.stop()
             self._decisions.submit(api.Beliefs({}))
 
-    def _evidence(self) -> Evidence:
-        """What the module shows of its engines, and how many are ready."""
-        from tealwing.gossip import observe
-
-        found: list[Evidence] = []
-
-        def look(module: Module, _: float) -> Module:
-            gateway = module if isinstance(module, Gateway) else getattr(module, "gateway", None)
-            assert isinstance(gateway, Gateway)
-            found.append((observe.words(gateway), len(gateway.ready)))
-            return module
-
-        self._decisions.change(look)
-        return found[0]
-
-    def _levels(self, plan: Plan | None) -> None:
+    def _levels_now(self, plan: Plan | None) -> None:
+        """Begin, change or end service levels."""
         if plan is None and self._vitals is None:
             return
-        from tealwing.levels.governor import Governor  # only where levels are on, or were
-
-        def change(module: Module, now: float) -> Module:
-            if plan is None:
-                return module.end(now) if isinstance(module, Governor) else module
-            if isinstance(module, Governor):
-                module.adopt(plan, now)
-                return module
-            assert isinstance(module, Gateway)
-            return Governor(self._settings, module, plan, self._say)
-
-        self._decisions.change(change)
+        self._decisions.change(standing.changer(self._settings, plan, self._say))
         if plan is None and self._vitals is not None:
             self._vitals.stop()
             self._vitals = None
--- a/tealwing/gateway/decisions.py
+++ b/tealwing/gateway/decisions.py
@@ -14,7 +14,7 @@
 from tealwing import log
 from tealwing.exchange import Unusable
 from tealwing.gateway.timers import Timers
-from tealwing.gateway.versions import Module, Versions
+from tealwing.gateway.versions import InForce, Module, Versions, Wrap
 from tealwing.resp.fleet import Fleet
 
 GRAIN = 0.02  # s: timers fire at its multiples, some together; none is due more exactly
@@ -59,11 +59,21 @@
         """The settings of the module that takes new requests."""
         return self._versions.settings
 
+    @property
+    def force(self) -> InForce:
+        """The settings and the routing table that bind a new request, of one version."""
+        return self._versions.force
+
+    @property
+    def ready(self) -> frozenset[int]:
+        """The zones in which an engine is ready."""
+        return self._versions.ready
+
     def enter(self, call: bytes, mailbox: Mailbox, settings: api.Settings | None = None) -> int:
         """A number for a new request, whose actions go to the mailbox; it was read under those settings.
 
         Engines tell requests apart by these ids: a second one of an open id would get the first's rows.
-        Raises Unusable for an open call, or for settings of which no module is left.
+        Raises Unusable for an open call, and Outdated for settings of which no module is left.
         """
         with self._lock:
             if call in self._calls:
@@ -92,9 +102,19 @@
 
         Gives the new version's number.
         """
+        return self.put_in_force(InForce(settings))
+
+    def put_in_force(self, force: InForce, wrap: Wrap | None = None) -> int:
+        """New requests are bound by this; settings that are others than before get a new module, as in `renew`.
+
+        wrap puts something before a new module. Gives the number of the module's version.
+        """
         with self._lock:
-            listed = self._versions.renew(settings)
-            self._handle(listed, (self._versions.version,))
+            if force.settings is self._versions.settings:
+                self._versions.force = force
+            else:
+                for event in self._versions.renew(force, wrap):
+                    self._handle(event, (self._versions.version,))
             return self._versions.version
 
     def tell_all(self, word: object) -> int:
--- a/tealwing/gateway/life.py
+++ b/tealwing/gateway/life.py
@@ -69,9 +69,11 @@
         fleet: Fleet,
         vitals: Vitals | None = None,
         figures: counted.Figures | None = None,
+        zones: frozenset[int] | None = None,
     ) -> None:
+        """zones has those that may serve it, as long as it lives; None is all."""
         self._query, self._settings, self._decisions, self._fleet = query, settings, decisions, fleet
-        self._vitals, self._figures = vitals, figures
+        self._vitals, self._figures, self._zones = vitals, figures, zones
         self._class = settings.classes[query.cls].name
         self._mailbox: Mailbox = SimpleQueue()
         # A late try of a client may have less than we need ourselves: the module hears that no time is left
@@ -182,6 +184,7 @@
             cost=query.cost,
             tenant=query.tenant,
             need=query.need,
+            zones=self._zones,
         )
 
     def _next(self, attempt: Attempt | None) -> object:
@@ -276,9 +279,7 @@
         attempt.stream = None  # it leads back here: a circle would keep the pages until a collection
         elapsed = time.monotonic() - attempt.sent
         self._decisions.submit(
-            api.Outcome(
-                self._id, attempt.number, attempt.engine, result, elapsed, over, report=attempt.report
-            )
+            api.Outcome(self._id, attempt.number, attempt.engine, result, elapsed, over, report=attempt.report)
         )
 
 
--- a/tealwing/gateway/versions.py
+++ b/tealwing/gateway/versions.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
-from typing import Protocol
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
 
 from tealwing import interface as api
 from tealwing import log
-from tealwing.exchange import Unusable
+from tealwing.exchange import Outdated
 from tealwing.policy import Gateway
 
+if TYPE_CHECKING:  # what the operators' file does not switch on is not imported
+    from tealwing.routing.table import Table
+
 OWN = (api.Request, api.Outcome, api.StreamStarted, api.Note, api.HungUp)  # events of one request: to its module
 
 
@@ -19,18 +24,37 @@
         """The actions on one event."""
 
 
+@dataclass(frozen=True, slots=True)
+class InForce:
+    """What binds a new request, one version in whole: who reads this once can't mix two."""
+
+    settings: api.Settings
+    table: Table | None = None
+    number: int = 0  # of the version of the rules; 0: none is in force
+
+
+Wrap = Callable[[Gateway], Module]  # what stands before a new module
+
+
 class Versions:
     """The module that takes new requests, and those of earlier settings that still hold some."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.module: Module = Gateway(settings, seed)  # of the settings below; it takes new requests
-        self.settings, self.version = settings, 0
+        self.force, self.version = InForce(settings), 0
+        self.ready: frozenset[int] = frozenset()  # zones with a ready engine
         self._seed = seed
         self._older: dict[int, tuple[api.Settings, Module]] = {}  # by version: modules that still hold requests
         self._owners: dict[int, int] = {}  # request id: the version of the module that decides it
         self._held: dict[int, int] = {}  # version: its requests still open
         self._listed: dict[int, api.ListEntry] = {}  # the engine list as the modules know it, for a new one
         self._list_version = 0
+        self._beliefs: api.Beliefs | None = None  # the last ones, for a new module
+
+    @property
+    def settings(self) -> api.Settings:
+        """Those of the module that takes new requests."""
+        return self.force.settings
 
     @property
     def listed(self) -> tuple[api.ListEntry, ...]:
@@ -38,13 +62,13 @@
         return tuple(self._listed.values())
 
     def of(self, settings: api.Settings) -> int:
-        """The version of those very settings; Unusable where no module of them is left."""
+        """The version of those very settings; Outdated where no module of them is left."""
         if settings is self.settings:
             return self.version
         for version, (older, _) in self._older.items():
             if older is settings:
                 return version
-        raise Unusable("the settings changed while the request was read; send it again")
+        raise Outdated(self.settings)
 
     def at(self, version: int) -> Module | None:
         """The module of a version, while there is one."""
@@ -67,13 +91,15 @@
             if self._older.pop(version, None) is not None:
                 log.event("settings_retired", version=version)
 
-    def renew(self, settings: api.Settings) -> api.EngineList:
-        """A new module takes new requests, the old keeps what it holds; gives the list that the new one needs."""
+    def renew(self, force: InForce, wrap: Wrap | None = None) -> list[api.Event]:
+        """A new module takes new requests, the old keeps what it holds; gives what the new one is to be told."""
         if self._held.get(self.version):
             self._older[self.version] = self.settings, self.module
         self.version += 1
-        self.settings, self.module = settings, Gateway(settings, self._seed + self.version)
-        return api.EngineList(api.ListKind.FULL, self._list_version, self.listed)
+        gateway = Gateway(force.settings, self._seed + self.version)
+        self.force, self.module = force, wrap(gateway) if wrap is not None else gateway
+        told: list[api.Event] = [api.EngineList(api.ListKind.FULL, self._list_version, self.listed)]
+        return told + ([self._beliefs] if self._beliefs is not None else [])
 
     def concerned(self, event: api.Event) -> tuple[int, ...]:
         """The versions whose modules an event is for: a request's own to its module, else all."""
@@ -81,6 +107,8 @@
             return (self._owners.get(event.id, self.version),)
         if isinstance(event, api.EngineList):
             self._note_list(event)
+        elif isinstance(event, api.Beliefs):
+            self._beliefs = event
         return self.version, *self._older
 
     def _note_list(self, event: api.EngineList) -> None:
@@ -95,3 +123,4 @@
             else:
                 self._listed[entry.engine] = entry
         self._list_version = event.version
+        self.ready = frozenset(entry.zone for entry in self._listed.values() if entry.health is api.Health.READY)
--- a/tealwing/interface.py
+++ b/tealwing/interface.py
@@ -239,7 +239,10 @@
 
 @dataclass(slots=True)
 class Request:
-    """A client's request; cost is seconds of work and None without an estimate, key 0 is none."""
+    """A client's request; cost is seconds of work and None without an estimate, key 0 is none.
+
+    zones has those whose engines its locality allows, fixed when it was admitted: None is all, an empty set nobody.
+    """
 
     id: int
     cls: int
@@ -251,6 +254,7 @@
     need: float = 0.0
     resubmitted: bool = False
     write: bool = False
+    zones: frozenset[int] | None = None
 
 
 @dataclass(slots=True)
--- a/tealwing/mysql/server.py
+++ b/tealwing/mysql/server.py
@@ -19,7 +19,20 @@
 from collections.abc import Callable
 
 from tealwing import interface, log, threads
-from tealwing.exchange import Abandoned, Exchange, Failed, Open, Refused, Reply, Served, Unusable
+from tealwing.exchange import (
+    Abandoned,
+    Exchange,
+    Failed,
+    Gate,
+    Open,
+    Outdated,
+    Query,
+    Refused,
+    Reply,
+    Served,
+    Turned,
+    Unusable,
+)
 from tealwing.mysql import packets, statements
 from tealwing.sockets import Address, receive, set_limit, silence, stamp
 
@@ -34,6 +47,10 @@
 BACKLOG = 256
 ACCEPT_PAUSE = 0.05  # s before a failed accept is tried again
 LOOK = 0.25  # s between two looks at the time limits of clients, and at who is late to leave
+READINGS = 3  # of one request: once more for each change of the rules that it meets
+UNREAD_WAITS = 1.0  # s that a request without a known time may be held
+STILL_CHANGING = 0.2  # s of pushback for one that met a change at each reading
+RESERVE, RESERVE_SHARE = 0.25, 0.5  # of a held request's time, that is kept for what follows: at most s, and a share
 SAMPLED = 4  # of so many sessions one tells how long what it reads has waited: enough for a mean
 READ_SIZE = 4 * 1024  # bytes of a thread's buffer: statements are short
 
@@ -245,11 +262,17 @@
 
     def _query(self, text: bytes) -> bytes:
         try:
-            settings = self.server.settings  # one version for the reading and the deciding
-            query = statements.query(text, settings, self._taken)
-            if self._late:  # its time has run since it came: past its deadline it is refused at once
-                query = dataclasses.replace(query, ttl=query.ttl - self._late)
-            exchange = self.server.open(query, settings)
+            if self.server.gate is not None:
+                passed = self._pass(text, self.server.gate)
+                if isinstance(passed, Turned):
+                    return answer(Refused(passed.pushback))
+                query, exchange = passed
+            else:
+                settings = self.server.settings  # one version for the reading and the deciding
+                query = statements.query(text, settings, self._taken)
+                if self._late:  # its time has run since it came: past its deadline it is refused at once
+                    query = dataclasses.replace(query, ttl=query.ttl - self._late)
+                exchange = self.server.open(query, settings)
         except Unusable as error:
             log.event("request_unusable", error=str(error))
             return packets.packet(1, packets.error(1210, "HY000", f"Incorrect arguments: {error}"))
@@ -265,12 +288,48 @@
             with self._lock:
                 self._exchange = None
 
+    def _pass(self, text: bytes, gate: Gate) -> tuple[Query, Exchange] | Turned:
+        """Open a request that the gate lets in, read under the version of the rules that then decides it.
+
+        Raises Unusable; of a request that can't be read, only when it could have passed.
+        """
+        settings, late = self.server.settings, self._late
+        for _ in range(READINGS):
+            now = time.monotonic()
+            try:
+                query = statements.query(text, settings, self._taken)
+                tenant = settings.tenants[query.tenant] if settings.tenants else ""
+                until = now + _patience(query.ttl - late)
+                entered = gate.enter(settings.classes[query.cls].name, tenant, query.tables, until)
+            except Unusable:  # under a version that may be going
+                entered = gate.enter(None, "", 0, now + UNREAD_WAITS)
+                if not (isinstance(entered, Turned) or entered.held):
+                    raise
+            if isinstance(entered, Turned):
+                return entered
+            if entered.held:
+                late += time.monotonic() - now
+                settings = self.server.settings
+                query = statements.query(text, settings, self._taken)
+            if late:  # its time has run since it came: past its deadline it is refused at once
+                query = dataclasses.replace(query, ttl=query.ttl - late)
+            try:
+                return query, self.server.open(query, settings)
+            except Outdated as error:
+                settings = error.settings
+        return Turned(STILL_CHANGING, "the rules change faster than the request can be read")
+
     def _last_words(self, data: bytes) -> None:
         with contextlib.suppress(OSError):  # the client may have gone already
             self._sock.sendall(data)
             self._sock.shutdown(socket.SHUT_WR)
 
 
+def _patience(ttl: float) -> float:
+    """Seconds that a request with so many left may be held: what is left then must do to refuse or to serve it."""
+    return ttl - min(RESERVE_SHARE * ttl, RESERVE)
+
+
 def answer(reply: Reply) -> bytes:
     """A reply as packets."""
     match reply:
@@ -319,6 +378,7 @@
         most is the number of clients at once; most_threads that of commands under way at once (most if None).
         """
         self.settings, self.open = settings, open_
+        self.gate: Gate | None = None  # what requests pass first, where rules are agreed on
         self.unread: Callable[[float], None] | None = None  # hears how long what was read had waited
         self._most, self._most_threads = most, min(most, most_threads or most)
         self._numbers = itertools.count(1)
--- a/tealwing/policy.py
+++ b/tealwing/policy.py
@@ -765,14 +765,14 @@
 
         While reports are fresh each query reads j within a spread, so that not all turn away at once.
         """
-        cls, flow = job.request.cls, self.flows[job.request.cls]
+        cls, flow, at = job.request.cls, self.flows[job.request.cls], job.request.zones
         found: list[tuple[float, Engine]] = []
         low, high = J_SPREAD if self.echo > 1 else (1.0, 1.0)  # few old reports differ enough by themselves
         spread = low + (high - low) * (job.lot / GOLDEN % 1.0)
         stands = job.cls.holds or job.cls.waits  # behind a load that holds its tables, at the cost h a second
         least = self._fleet_index(cls)
         flow.asked, self.asked = flow.asked + 1, self.asked + 1  # for the lots of the cold budget
-        for engine in self.targets[cls]:
+        for engine in self.targets[cls] if at is None else [e for e in self.targets[cls] if e.zone in at]:
             if self.now >= engine.view_until:
                 self._view(engine)
             index = engine.estimates[cls].at(spread)
@@ -828,13 +828,13 @@
 
     def _may_send(self, job: Job, engine: Engine) -> bool:
         """Whether a send now keeps every rule; every send passes here."""
-        if not (engine.ready and self.now < job.deadline and not job.over and self._placed(job.cls, engine)):
+        if not (engine.ready and self.now < job.deadline and not job.over):
             return False
         kept = self._in_turn(job) and self._attempt_left(job) and self._effect_kept(job, engine)
-        return kept and self._cold_budget(job, engine)
+        return kept and self._placed(job.cls, engine, job.request.zones) and self._cold_budget(job, engine)
 
-    def _placed(self, cls: api.RequestClass, engine: Engine) -> bool:
-        placed = cls.zones is None or engine.zone in cls.zones
+    def _placed(self, cls: api.RequestClass, engine: Engine, within: frozenset[int] | None = None) -> bool:
+        placed = (cls.zones is None or engine.zone in cls.zones) and (within is None or engine.zone in within)
         return placed and (cls.kinds is None or engine.kind in cls.kinds)
 
     def _in_turn(self, job: Job) -> bool:
--- /dev/null
+++ b/tealwing/rollout/gate.py
@@ -0,0 +1,165 @@
+"""The gate that requests pass before they are decided: open, closed for what a change touches, or shut.
+
+It has no thread of its own. Who passes while it is open takes no lock: what says so is read as single attributes, and
+a request that has read them began before whatever changes them next.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from math import inf
+from random import Random
+from typing import Protocol
+
+from tealwing.exchange import Entered, Turned
+
+PASSED, HELD = Entered(False), Entered(True)
+SPREAD = (0.5, 1.0)  # of the pushback, at random: those turned away together must not return together
+
+
+class Touch(Protocol):
+    """What a change touches."""
+
+    def hits(self, cls: str, tenant: str, group: int) -> bool:
+        """Whether requests of that class, account and group of tables may be decided otherwise after it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """What the gate has done: requests held so far, turned away, waiting now; s of the longest wait."""
+
+    held: int
+    turned: int
+    waiting: int
+    longest: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Open:
+    """Anybody may pass."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Closed:
+    """Who the change touches waits."""
+
+    touch: Touch
+
+
+@dataclass(frozen=True, slots=True)
+class _Shut:
+    """Nobody passes, and nobody waits."""
+
+    why: str
+    pushback: float
+
+
+class Gate:
+    """One gateway's gate; it is made shut. All its calls may come from any thread, and only `enter` waits."""
+
+    def __init__(self, queue: int, pushback: float, clock: Callable[[], float] = time.monotonic, seed: int = 0) -> None:
+        """At most queue requests wait at once; others, and who waits too long, hear of pushback seconds.
+
+        clock measures the permit alone: waits are measured by the system's own.
+        """
+        self._queue, self._pushback, self._clock, self._random = queue, pushback, clock, Random(seed)
+        self._changed = threading.Condition(threading.Lock())
+        self._state: _Open | _Closed | _Shut = _Shut("the rules are not known here yet", pushback)
+        self._is_open = False  # whether _state is _Open, for who passes
+        self._valid_until = inf
+        self._held = self._turned = self._waiting = 0
+        self._longest = 0.0
+
+    def open(self) -> None:
+        """Let everybody pass, as far as the permit goes; who waits is let in."""
+        self._set(_Open())
+
+    def close(self, touch: Touch) -> None:
+        """Have who the change touches wait, from now on; others pass. It waits for nobody."""
+        self._set(_Closed(touch))
+
+    def shut(self, why: str, pushback: float | None = None) -> None:
+        """Turn everybody away, who waits too; pushback in seconds, the usual one where it is None."""
+        self._set(_Shut(why, self._pushback if pushback is None else pushback))
+
+    def permit(self, until: float) -> None:
+        """By the gate's clock, nobody passes from then on, whatever else holds; inf where no permit is needed."""
+        self._valid_until = until
+
+    @property
+    def valid_until(self) -> float:
+        """Until when it may be open, by its clock."""
+        return self._valid_until
+
+    @property
+    def why_not(self) -> str:
+        """Why nobody passes; nothing where somebody may."""
+        state = self._state
+        if isinstance(state, _Shut):
+            return state.why
+        return "" if self._clock() < self._valid_until else "the permit to decide is over"
+
+    def figures(self) -> Figures:
+        """What it has done so far."""
+        with self._changed:
+            return Figures(self._held, self._turned, self._waiting, self._longest)
+
+    def enter(self, cls: str | None, tenant: str, group: int, until: float) -> Entered | Turned:
+        """Let a request pass, now or when it may, by the monotonic time `until` at the latest; else turn it away.
+
+        cls is the name of its class, tenant of its account, group its group of tables. A request that can't be read
+        has no class (None): every change may be the one that makes it readable.
+        """
+        if self._is_open and self._clock() < self._valid_until:
+            return PASSED
+        found = self._judge(cls, tenant, group, PASSED)
+        if found is None:
+            return self._wait(cls, tenant, group, until)
+        if isinstance(found, Turned):
+            with self._changed:
+                self._turned += 1
+        return found
+
+    def _set(self, state: _Open | _Closed | _Shut) -> None:
+        with self._changed:
+            self._is_open = False  # nobody passes between the two that belong together
+            self._state = state
+            self._is_open = isinstance(state, _Open)
+            self._changed.notify_all()
+
+    def _judge(self, cls: str | None, tenant: str, group: int, passed: Entered) -> Entered | Turned | None:
+        """What becomes of a request as things stand; None: it waits."""
+        state = self._state
+        if isinstance(state, _Shut):
+            return self._away(state.pushback, state.why)
+        if isinstance(state, _Closed) and (cls is None or state.touch.hits(cls, tenant, group)):
+            return None
+        if self._clock() >= self._valid_until:
+            return self._away(self._pushback, "the permit to decide is over")
+        return passed
+
+    def _wait(self, cls: str | None, tenant: str, group: int, until: float) -> Entered | Turned:
+        begun = time.monotonic()
+        with self._changed:
+            if self._waiting >= self._queue:
+                self._turned += 1
+                return self._away(self._pushback, "too many requests wait for the change")
+            self._waiting, self._held = self._waiting + 1, self._held + 1
+            try:
+                while (found := self._judge(cls, tenant, group, HELD)) is None:
+                    left = until - time.monotonic()
+                    if left <= 0:
+                        found = self._away(self._pushback, "the change took longer than the request had time")
+                        break
+                    self._changed.wait(left)
+            finally:
+                self._waiting -= 1
+                self._longest = max(self._longest, time.monotonic() - begun)
+            self._turned += isinstance(found, Turned)
+            return found
+
+    def _away(self, pushback: float, why: str) -> Turned:
+        return Turned(pushback * self._random.uniform(*SPREAD), why)
--- a/tealwing/service.py
+++ b/tealwing/service.py
@@ -11,7 +11,7 @@
 
 from tealwing import log
 from tealwing.admin.server import Admin
-from tealwing.config import Config, ConfigError, load
+from tealwing.config import Config, ConfigError, ConfigRejected, load
 from tealwing.gateway.daemon import Daemon
 from tealwing.mysql.server import Server
 
@@ -104,7 +104,11 @@
     """
     good = True
     try:
-        server.settings = daemon.reconfigure(load(os.environ))
+        daemon.reconfigure(load(os.environ))
+    except ConfigRejected as error:
+        if say:
+            log.event("config_rejected", why=error.why, remedy=error.remedy)
+        good = False
     except (ConfigError, OSError) as error:
         if say:
             log.event("configuration_unusable", error=str(error))
--- /dev/null
+++ b/tests/test_gate.py
@@ -0,0 +1,332 @@
+"""The gate that requests pass, the locality that binds them, and what puts a version of the rules in force."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import os
+import threading
+import time
+from collections.abc import Callable, Iterator
+from functools import partial
+from math import inf
+from pathlib import Path
+from queue import SimpleQueue
+from typing import Any
+
+import pytest
+
+from tealwing import config, log, service
+from tealwing import interface as api
+from tealwing.exchange import Entered, Exchange, Outdated, Query, Reply, Served, Turned
+from tealwing.gateway.daemon import Daemon
+from tealwing.mysql import server
+from tealwing.policy import Gateway
+from tealwing.rollout.gate import Gate
+from tealwing.routing.table import Route, Table
+from tests.build import bad, delta, entry, listing, make_settings, request_class, sends
+from tests.peers import LIMIT, SETTINGS, Client, event, member
+
+
+class Loads:
+    """A change that touches one class, or one group of tables."""
+
+    def hits(self, cls: str, tenant: str, group: int) -> bool:
+        return cls == "load" or group == 7
+
+
+def later() -> float:
+    return time.monotonic() + LIMIT
+
+
+def aside(call: Callable[[], Any]) -> SimpleQueue[Any]:
+    """What a call gives, once it has, on a thread of its own."""
+    found: SimpleQueue[Any] = SimpleQueue()
+    threading.Thread(target=lambda: found.put(call()), daemon=True).start()
+    return found
+
+
+def waiting(gate: Gate, count: int) -> None:
+    until = later()
+    while gate.figures().waiting != count:
+        assert time.monotonic() < until
+        time.sleep(0.005)
+
+
+@pytest.fixture
+def gate() -> Gate:
+    gate = Gate(2, 0.4)
+    gate.open()
+    return gate
+
+
+# The gate alone
+
+
+def test_who_passes_an_open_gate_takes_no_lock(gate: Gate) -> None:
+    with gate._changed:
+        assert aside(lambda: gate.enter("look", "", 1, 0.0)).get(timeout=LIMIT) == Entered(False)
+
+
+def test_only_what_the_change_touches_waits_and_is_then_read_anew(gate: Gate) -> None:
+    gate.close(Loads())
+    held = [aside(partial(gate.enter, cls, "", group, later())) for cls, group in (("load", 1), ("look", 7))]
+    waiting(gate, 2)
+    assert gate.enter("look", "", 6, 0.0) == Entered(False)
+    gate.open()
+    assert [one.get(timeout=LIMIT) for one in held] == [Entered(True)] * 2
+    figures = gate.figures()
+    assert (figures.held, figures.turned, figures.waiting) == (2, 0, 0) and figures.longest > 0
+
+
+def test_what_cannot_be_read_waits_for_any_change(gate: Gate) -> None:
+    gate.close(Loads())
+    held = aside(lambda: gate.enter(None, "", 0, later()))
+    waiting(gate, 1)
+    gate.open()
+    assert held.get(timeout=LIMIT) == Entered(True)
+
+
+def test_a_request_waits_within_its_time_and_the_queue_is_bounded(gate: Gate) -> None:
+    gate.close(Loads())
+    late = gate.enter("load", "", 1, time.monotonic() + 0.01)
+    assert isinstance(late, Turned) and 0.2 <= late.pushback <= 0.4
+    held = [aside(lambda: gate.enter("load", "", 1, later())) for _ in range(2)]
+    waiting(gate, 2)
+    more = gate.enter("load", "", 1, later())
+    assert isinstance(more, Turned) and "too many" in more.why
+    gate.shut("it ends", 1.0)  # nobody waits for nothing
+    ended = [one.get(timeout=LIMIT) for one in held]
+    assert all(isinstance(one, Turned) and one.why == "it ends" and one.pushback >= 0.5 for one in ended)
+    assert gate.figures().turned == 4 and gate.figures().waiting == 0
+
+
+def test_past_its_permit_the_gate_turns_everybody_away_by_itself() -> None:
+    now = [10.0]
+    gate = Gate(2, 0.4, lambda: now[0])
+    assert isinstance(gate.enter("look", "", 1, 0.0), Turned)  # nothing is known at the start
+    gate.open()
+    gate.permit(12.0)
+    assert gate.enter("look", "", 1, 0.0) == Entered(False) and not gate.why_not
+    now[0] = 12.0
+    assert isinstance(gate.enter("look", "", 1, 0.0), Turned) and "permit" in gate.why_not
+    gate.close(Loads())
+    held = aside(lambda: gate.enter("load", "", 1, later()))
+    waiting(gate, 1)
+    gate.open()  # guards the permit: who waited over its end must not slip in
+    assert isinstance(held.get(timeout=LIMIT), Turned)
+    gate.permit(inf)
+    assert gate.enter("look", "", 1, 0.0) == Entered(False)
+
+
+# Locality in the decisions
+
+
+def asked(gateway: Gateway, id_: int, zones: frozenset[int] | None, now: float = 1.0) -> list[api.Action]:
+    return gateway.handle(now, api.Request(id_, 0, 20.0, zones=zones))
+
+
+def test_no_attempt_leaves_the_zones_of_its_request() -> None:
+    gateway = Gateway(make_settings(max_attempts=4), 1)
+    gateway.handle(0.0, listing(*(entry(n, zone=n % 2) for n in range(8))))
+    assert {send.engine % 2 for n in range(90, 150) for send in sends(asked(gateway, n, None))} == {0, 1}
+    went: set[int] = set()
+    for id_ in range(1, 60):
+        actions, number = asked(gateway, id_, frozenset((1,))), 0
+        while send := sends(actions):
+            went.add(send[0].engine)
+            actions = gateway.handle(1.0, bad(id_, send[0].engine, api.Result.CONNECT_FAILED, number))
+            number += 1
+    assert len(went) > 1 and all(engine % 2 == 1 for engine in went)
+
+
+def test_zones_without_an_engine_are_an_immediate_refusal() -> None:
+    gateway = Gateway(make_settings(), 1)
+    gateway.handle(0.0, listing(entry(1, zone=0), entry(2, zone=1)))
+    gateway.handle(0.0, delta(entry(2, zone=1, health=api.Health.DRAINING)))
+    for id_, zones in enumerate((frozenset((1,)), frozenset[int]()), 1):
+        actions = asked(gateway, id_, zones)
+        assert not sends(actions) and any(isinstance(a, api.Refuse) and a.retry_after > 0 for a in actions)
+    assert not gateway.jobs
+
+
+# A version put in force
+
+
+@pytest.fixture
+def daemon(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Daemon:
+    """One of an engine in each of two zones; its configuration is a file that a reload reads."""
+    up = [member(f"s-{n}", f"127.0.0.1:{n}", locality=zone) for n, zone in ((1, "z"), (2, "y"))]
+    known = {"index": 1, "updates": [event(1, *up)]}
+    path = tmp_path / "config.json"
+    given = {"name": "n0", "listen": "127.0.0.1:0", "seed": "1f", "coordinator": "127.0.0.1:1", "known": known}
+    zones = {"Zones": ["z", "y"]}
+    path.write_text(json.dumps(given | {"settings": SETTINGS | zones}))
+    monkeypatch.setenv("LB_CONFIG", str(path))
+    return Daemon(config.load({"LB_CONFIG": str(path)}))
+
+
+def query(call: int, group: int = 0) -> Query:
+    return Query(b"%016x" % call, 0, 0, 9.0, b"SELECT 1", tables=group)
+
+
+def zones_of(daemon: Daemon, call: int, group: int) -> frozenset[int] | None:
+    life = daemon.open(query(call, group))
+    found = life._request().zones
+    life.abandon()
+    life.run()
+    return found
+
+
+def test_a_table_alone_builds_no_module_and_binds_new_requests(daemon: Daemon) -> None:
+    module, platform = daemon._decisions.module, daemon.platform
+    z, y = platform.zones.index("z"), platform.zones.index("y")
+    assert zones_of(daemon, 1, 3) is None
+    daemon.put_in_force(None, Table.of([Route(0, 9, ("z", "y"))]), None, 1)
+    before = daemon.open(query(2, 3))
+    daemon.put_in_force(dataclasses.replace(platform), Table.of([Route(0, 9, ("y", "z"))]), None, 2)
+    assert daemon._decisions.module is module and daemon.agreed == 2  # nothing learnt is lost
+    assert before._request().zones == frozenset((z,))  # and so for its retries
+    assert zones_of(daemon, 3, 3) == frozenset((y,)) and zones_of(daemon, 4, 30) is None
+    down = tuple(dataclasses.replace(e, health=api.Health.DRAINING) for e in daemon._decisions.listed if e.zone == y)
+    daemon._decisions.submit(api.EngineList(api.ListKind.DELTA, 2, down))
+    assert zones_of(daemon, 5, 3) == frozenset((z,))
+    daemon.put_in_force(None, None, None, 3)
+    assert zones_of(daemon, 6, 3) is None
+
+
+def test_open_requests_end_under_their_version_and_its_last_lets_it_go(daemon: Daemon) -> None:
+    old, told, module = daemon.platform, list[api.Settings](), daemon._decisions.module
+    daemon.on_settings = told.append
+    classes = tuple(dataclasses.replace(cls, aim=cls.aim / 2) for cls in old.classes)
+    new = dataclasses.replace(old, classes=classes)
+    life = daemon.open(query(1), old)
+    daemon.put_in_force(new, Table.of([Route(0, 9, ("y",))]), None, 1)
+    assert told == [new] and daemon._decisions.module is not module
+    with pytest.raises(Outdated) as caught:  # guards against settings of one version and a table of another
+        daemon.open(query(2), old)
+    assert caught.value.settings is new
+    versions = daemon._decisions._versions
+    assert versions.at(0) is module and life._request().zones is None
+    life.abandon()
+    life.run()
+    assert versions.at(0) is None and not versions._older
+    daemon.put_in_force(new, None, None, 2)
+    assert daemon._decisions.settings is new and len(told) == 1
+
+
+def test_what_the_file_says_does_not_go_before_what_the_fleet_agreed(
+    daemon: Daemon, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    told: list[tuple[str, dict[str, Any]]] = []
+    monkeypatch.setattr(log, "event", lambda name, **fields: told.append((name, fields)))
+    few = server.Server(("127.0.0.1", 0), 2, daemon.platform, daemon.open)
+    daemon.on_settings = lambda settings: setattr(few, "settings", settings)
+    path = Path(os.environ["LB_CONFIG"])
+    given = json.loads(path.read_text())
+    daemon.put_in_force(None, Table(), None, 4)
+    assert service.reload(daemon, few, None)  # it says what it said
+    shorter = SETTINGS["Grades"][0] | {"TargetNs": 500_000_000}
+    given["settings"]["Grades"] = [shorter, *SETTINGS["Grades"][1:]]
+    path.write_text(json.dumps(given | {"coordinator": "127.0.0.1:2"}))
+    for _ in range(2):
+        told.clear()
+        assert not service.reload(daemon, few, None)
+        ((name, fields),) = told
+        assert name == "config_rejected" and "version 4" in fields["why"] and "propose" in fields["remedy"]
+    assert few.settings is daemon._decisions.settings and few.settings.classes[0].aim == 1.0
+    assert daemon._follower._address == ("127.0.0.1", 2)  # the coordinator is taken still
+
+
+# The server's side
+
+
+class Once:
+    """An exchange that is served at once."""
+
+    def run(self) -> Reply:
+        return Served((b"a\tb\tc\n",))
+
+    def abandon(self) -> None:
+        raise AssertionError
+
+
+@pytest.fixture
+def gated(gate: Gate) -> Iterator[server.Server]:
+    """A server with a gate, which notes what it opens."""
+    few = server.Server(("127.0.0.1", 0), 8, make_settings(tenants=("acme",)), open_noting([]))
+    few.gate = gate
+    few.start()
+    yield few
+    gate.shut("the test ends")
+    few.stop_listening()
+    few.finish(LIMIT)
+
+
+def open_noting(seen: list[tuple[Query, Any]], outdated: list[api.Settings] | None = None) -> Any:
+    def open_(query: Query, settings: Any) -> Exchange:
+        seen.append((query, settings))
+        if outdated:
+            raise Outdated(outdated.pop())
+        return Once()
+
+    return open_
+
+
+def test_a_held_request_is_read_anew_under_what_then_holds(gated: server.Server, gate: Gate) -> None:
+    seen: list[tuple[Query, Any]] = []
+    gated.open = open_noting(seen)
+    gate.close(Loads())
+    client = Client(gated.address)
+    client.ask(op="look", ttl=9000)  # of group 7
+    waiting(gate, 1)
+    held = time.monotonic()
+    first = request_class(name="first")
+    gated.settings = new = make_settings(tenants=("acme",), classes=(first, request_class()))
+    time.sleep(0.02)
+    waited = time.monotonic() - held
+    gate.open()
+    assert len(client.rows()) == 1
+    ((query, settings),) = seen
+    assert settings is new and query.cls == 1 and query.ttl <= 9.0 - waited
+
+
+def test_a_request_that_only_the_next_version_can_read_waits_for_it(gated: server.Server, gate: Gate) -> None:
+    client = Client(gated.address)
+    client.ask(op="claim")
+    assert client.error()[0] == 1210
+    gate.close(Loads())
+    client.ask(op="claim")
+    waiting(gate, 1)
+    gated.settings = make_settings(tenants=("acme",), classes=(request_class(name="claim"),))
+    gate.open()
+    assert len(client.rows()) == 1
+
+
+def test_who_is_turned_away_is_told_when_to_come_back(gated: server.Server, gate: Gate) -> None:
+    gate.shut("not known yet", 0.3)
+    client = Client(gated.address)
+    client.ask(op="look")
+    code, text = client.error()
+    assert code == 1226 and 150 <= int(text.rpartition("pushback=")[2]) <= 300
+
+
+def test_settings_that_change_between_reading_and_opening_are_read_anew(gated: server.Server) -> None:
+    seen: list[tuple[Query, Any]] = []
+    new = make_settings(tenants=("acme",), classes=(request_class(name="first"), request_class()))
+    gated.open = open_noting(seen, [new])
+    client = Client(gated.address)
+    client.ask(op="look")
+    assert len(client.rows()) == 1
+    assert seen[-1][1] is new and [query.cls for query, _ in seen] == [0, 1]
+    gated.open = open_noting(seen, [new] * 9)  # it never ends: refused, and not for ever
+    client.ask(op="look")
+    assert client.error()[0] == 1226
+
+
+def test_without_a_gate_what_cannot_be_opened_fails_as_before(gated: server.Server) -> None:
+    gated.gate = None
+    gated.open = open_noting([], [make_settings()])
+    client = Client(gated.address)
+    client.ask(op="look")
+    assert client.error()[0] == 1210
