--- a/tealwing/routing/serving.py
+++ b/tealwing/routing/serving.py
@@ -17,8 +17,7 @@
     sites = table.sites_of(group) if table is not None else ()
     if not sites:
         return None
-    places = [zones.index(site) for site in sites if site in zones]
-    for place in places:
-        if place in ready:
+    for site in sites:
+        if site in zones and (place := zones.index(site)) in ready:
             return frozenset((place,))
-    return frozenset(places)
+    return frozenset(zones.index(site) for site in sites if site in zones)
