--- a/tealwing/routing/serving.py
+++ b/tealwing/routing/serving.py
@@ -7,9 +7,7 @@
 from tealwing.routing.table import Table
 
 
-def allowed(
-    table: Table | None, group: int, zones: tuple[str, ...], ready: Collection[int]
-) -> frozenset[int] | None:
+def allowed(table: Table | None, group: int, zones: tuple[str, ...], ready: Collection[int]) -> frozenset[int] | None:
     """The zones, by their places in `zones`, whose engines may serve the group; None: all of them.
 
     ready has the zones with a ready engine. The first site in order of preference that has one serves alone; where
@@ -19,8 +17,7 @@
     sites = table.sites_of(group) if table is not None else ()
     if not sites:
         return None
-    places = [zones.index(site) for site in sites if site in zones]
-    for place in places:
-        if place in ready:
+    for site in sites:
+        if site in zones and (place := zones.index(site)) in ready:
             return frozenset((place,))
-    return frozenset(places)
+    return frozenset(zones.index(site) for site in sites if site in zones)
