--- a/tealwing/rollout/__init__.py
+++ b/tealwing/rollout/__init__.py
@@ -1,5 +1,4 @@
-"""The switch from one version of the rules to the next.
+"""A change of rules takes hold everywhere or nowhere.
 
-In this order: actions, view, retry, permit, member; conductor, witnesses (all pure); gate, mark, plan, section,
-errands, shell, service.
+Read view, actions, retry, permit, member, witnesses, conductor (pure); then gate, mark, steering, shell, service.
 """
