--- a/tealwing/fleet/peering.py
+++ b/tealwing/fleet/peering.py
@@ -21,6 +21,7 @@
 from tealwing.replica.plan import Plan as ReplicaPlan
 from tealwing.replica.promotion import Promotion
 from tealwing.replica.recovery import Phase
+from tealwing.replica.roster import next_change
 from tealwing.replica.service import Service
 from tealwing.replica.storage import StorageError
 
@@ -56,10 +57,7 @@
             self.replica.on_installed(self._take_best)
             self._take_best()  # it serves at once, before anybody is asked
         if self.replica is not None and replica is not None and replica.replace_after:
-            from tealwing.replica import roster  # type: ignore[attr-defined, unused-ignore]
-
-            wanted = len(SITE.first(plan)[0])
-            Promotion(self.replica, roster.next_change, replica.replace_after, wanted)
+            Promotion(self.replica, next_change, replica.replace_after, len(SITE.first(plan)[0]))
         self.keeper: Keeper | None = None
         if self.replica is not None and replica is not None and replica.leases:
             self.keeper = Keeper(self.replica, self.clock)
--- a/tealwing/replica/node.py
+++ b/tealwing/replica/node.py
@@ -190,8 +190,8 @@
 
     def _reach(self) -> None:
         """Have the link speak to those that the log needs: what the file says of them may be old."""
-        core, learners = self.core, roles.learners(self.core)
-        names = {*core.members, *learners} if core.me in core.members else {*core.members, core.leader}
+        core = self.core
+        names = {*core.members, *core.learners} if core.me in core.members else {*core.members, core.leader}
         if names != self._reached:
             self._reached = names
             self._link.reach(self.group.name, names)
@@ -215,7 +215,7 @@
                 to = self.core.hand_over(now) or None
                 log.event("replica_handed_over", to=to, term=self.core.term, **self.group.mark)
             case "hurry":
-                roles.hurry(self.core, now)
+                self.core.hurry(now)
             case "written":
                 self.snapshots.written(item[1])
 
--- a/tealwing/replica/opening.py
+++ b/tealwing/replica/opening.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 from tealwing.peers.plan import Plan as PeersPlan
 from tealwing.replica.group import Group
 from tealwing.replica.messages import Kind
@@ -24,7 +22,6 @@
 def make_core(plan: Plan, peers: PeersPlan, group: Group, found: Found, now: float, start: int) -> Raft:
     """The core as the disk has it; start is a number that no earlier start of this member had."""
     voters, learners = group.first(peers)
-    also: dict[str, Any] = {"learners": learners} if learners and not plan.join else {}
     return Raft(
         peers.name,
         () if plan.join else voters,
@@ -38,7 +35,7 @@
         log=found.log,
         incoming=found.incoming,
         commit=found.commit,
-        **also,
+        learners=() if plan.join else learners,
     )
 
 
--- a/tealwing/replica/promotion.py
+++ b/tealwing/replica/promotion.py
@@ -58,7 +58,7 @@
         core = self._replica.core
         heard = {name: progress.heard for name, progress in core.progress.items()} | {core.me: now}
         change = self._next_change(
-            core.members, roles.learners(core), heard, roles.ready(core, now), now, self._after, self._wanted
+            core.members, core.learners, heard, roles.ready(core, now), now, self._after, self._wanted
         )
         if change is None:
             self._said = None
--- a/tealwing/replica/service.py
+++ b/tealwing/replica/service.py
@@ -10,7 +10,6 @@
 from tealwing import wire
 from tealwing.peers.control import Control, Denied, Fields, field, wait_of
 from tealwing.replica import commands as c
-from tealwing.replica import roles
 from tealwing.replica.node import Replica, Unavailable, Unknown
 from tealwing.replica.storage import verify
 
@@ -52,7 +51,7 @@
     def _members(self, fields: Fields) -> Fields:
         """One member more that votes (`add`, also of a learner) or only follows (`learn`), or one fewer (`remove`)."""
         change, name = field(fields, "change", str), field(fields, "name", str)
-        voters, learners = set(self._replica.core.members), set(roles.learners(self._replica.core))
+        voters, learners = set(self._replica.core.members), set(self._replica.core.learners)
         if change not in ("add", "learn", "remove"):
             raise Denied(f"change: {change!r}; allowed: add, learn or remove")
         where = {"add": voters, "learn": learners, "remove": voters | learners}[change]
--- a/tealwing/replica/snapshots.py
+++ b/tealwing/replica/snapshots.py
@@ -10,7 +10,6 @@
 import msgspec
 
 from tealwing import log, threads
-from tealwing.replica import roles
 from tealwing.replica.group import Group
 from tealwing.replica.messages import Snap
 from tealwing.replica.plan import Plan
@@ -75,14 +74,12 @@
         term = self._core.term_at(index)
         if index <= self._core.snapshot.index or term is None:
             return
-        twin, (voters, learners) = state.copy(), roles.members_at(self._core, index)
-        save: Any = self._storage.write_snapshot
-        also = (learners,) if learners else ()
+        twin, (voters, learners) = state.copy(), self._core.members_at(index)
         self._writing, self.bytes, self._due = True, 0, plan_due(self._plan)
 
         def write() -> None:
             try:
-                meta: Meta | None = save(index, term, voters, twin.dump(), *also)
+                meta: Meta | None = self._storage.write_snapshot(index, term, voters, twin.dump(), learners)
             except OSError as error:
                 log.event("replica_snapshot_not_written", index=index, error=str(error), **self._group.mark)
                 meta = None
--- a/tealwing/replica/views.py
+++ b/tealwing/replica/views.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING, Any
 
 from tealwing import log
-from tealwing.replica import roles
 from tealwing.replica.recovery import Seen
 
 if TYPE_CHECKING:
@@ -21,7 +20,7 @@
         counts, digest_at = replica.state.counts(), replica.state.applied
     return {
         "role": core.role.value, "term": core.term, "leader": core.leader, "members": list(core.members),
-        "learners": list(roles.learners(core)), "commit": core.commit, "applied": digest_at, "last": core.last_index,
+        "learners": list(core.learners), "commit": core.commit, "applied": digest_at, "last": core.last_index,
         "stable": core.stable, "snapshot": core.snapshot.index, "unsure": core.unsure, "broken": replica.broken,
         "held": counts, "snapshots": replica.snapshots.count, "kept": replica.storage.commit,
         "save_ms_max": round(replica.slowest_save * 1e3, 1), "refused_stale": replica.state.refused_stale,
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -17,7 +17,6 @@
 from tealwing.peers.plan import MANY, Address, Times
 from tealwing.peers.plan import Plan as PeersPlan
 from tealwing.replica import commands as c
-from tealwing.replica import roles
 from tealwing.replica.group import FEDERATION, SITE, Group
 from tealwing.replica.node import Replica, Unavailable
 from tealwing.replica.outcomes import Answering, Told
@@ -100,9 +99,9 @@
     follower = next(m for m in fleet.members.values() if m is not leader)
     fleet.propose(leader, b"decisive")
     assert leader.commit > follower.commit  # no time has passed: it would learn it with the next beat
-    roles.hurry(follower, fleet.now)  # who does not lead has nothing to say
+    follower.hurry(fleet.now)  # who does not lead has nothing to say
     assert not follower.has_ready()
-    roles.hurry(leader, fleet.now)
+    leader.hurry(fleet.now)
     fleet.settle(leader.me)
     fleet.pass_on()
     assert follower.commit == leader.commit and fleet.applied[follower.me][-1][1] == b"decisive"
