--- /dev/null
+++ b/tealwing/federation/shell.py
@@ -0,0 +1,156 @@
+"""One gateway's part in the federation's log: it speaks for its site where it leads that, decides where it leads all.
+
+One thread, woken by entries of either log and by time. Nothing here waits: what is said goes to whoever leads, and is
+said again, in its time, until the states show it.
+"""
+
+from __future__ import annotations
+
+import threading
+import traceback
+from collections.abc import Mapping
+from typing import Any
+
+from tealwing import log, threads
+from tealwing.federation.delegate import Delegate
+from tealwing.federation.plan import Plan
+from tealwing.peers.bounds import USUAL, Bounds
+from tealwing.peers.clock import Clock
+from tealwing.peers.link import Link
+from tealwing.replica import commands as c
+from tealwing.replica.node import Replica
+from tealwing.rollout.conductor import Conductor
+from tealwing.rollout.view import FederatedView, view
+from tealwing.rollout.witnesses import Witnesses
+from tealwing.rules import records
+
+TICK = 0.05  # s between two looks where no entry comes
+TABLES = ("rules", "rule_members", "rule_facts")
+Tables = Mapping[str, Mapping[str, Any]]
+
+
+class Federation:
+    """Joins the site's log and the federation's."""
+
+    def __init__(
+        self, plan: Plan, site: Replica, all_: Replica, link: Link, clock: Clock, patience: float,
+        bounds: Bounds = USUAL,
+    ) -> None:  # fmt: skip
+        """site and all_ are this process's members of the two logs; patience is s of a site's silence."""
+        name = link.plan.name
+        self.plan, self.site_name, self.replica = plan, plan.site_of(name), all_
+        self._site, self._link, self._clock = site, link, clock
+        self._delegate = Delegate(self.site_name, all_.start_number)
+        self._conductor = Conductor(self.site_name, plan.limit, patience, bounds, all_.start_number)
+        self._witnesses = Witnesses(self.site_name, bounds, all_.start_number)
+        self._woken, self._stopped = threading.Event(), threading.Event()
+        self._speaks = self._decides = self._conducts = False
+        self._lapses: list[tuple[int, records.Body]] = []  # applied and not yet told to the witnesses
+        self._lock = threading.Lock()  # round the lapses
+        site.watch(lambda index, command, result: self._woken.set())
+        site.on_led(self._site_led)
+        site.on_installed(self._woken.set)
+        all_.watch(self._applied)
+        all_.on_led(self._all_led)
+        all_.on_installed(self._woken.set)
+
+    def start(self) -> None:
+        """Take part from now on."""
+        threads.start(self._run, "federation")
+
+    def stop(self) -> None:
+        """Take part no more."""
+        self._stopped.set()
+        self._woken.set()
+
+    def view(self) -> FederatedView:
+        """The federation's state as it is applied here, as this site reads it."""
+        tables, index = _tables(self.replica)
+        return view(tables, index, self.site_name)
+
+    def status(self) -> dict[str, Any]:
+        """What operators ask for: the sites as the federation's log has them, and who speaks for ours."""
+        tables, index = _tables(self.replica)
+        facts: records.Facts = tables["rule_facts"].get(records.NOW) or records.Facts()
+        flight = view(tables, index, self.site_name).flight
+        return {
+            "site": self.site_name, "speaks": self._speaks, "decides": self._decides,
+            "leader": self.replica.core.leader, "applied": index, "active": facts.active, "last": facts.last,
+            "flight": {"number": flight.number, "phase": flight.phase,
+                       "said": {who: {"yes": word.yes, "reason": word.reason} for who, word in flight.said.items()}}
+            if flight is not None else None,
+            "sites": {name: {"start": site.start, "lost_touch": site.lost_touch, "closed": site.closed,
+                             "lapsed": site.lapsed, "over": site.over, "heard": self._hears(name)}
+                      for name, site in sorted(tables["rule_members"].items())},
+        }  # fmt: skip
+
+    # The replicas' threads
+
+    def _site_led(self, leads: bool) -> None:
+        self._speaks = leads
+        log.event("federation_delegate", site=self.site_name, speaks=leads)
+        self._woken.set()
+
+    def _all_led(self, leads: bool) -> None:
+        self._decides = leads
+        self._woken.set()
+
+    def _applied(self, index: int, command: c.Command | None, result: c.Result | None) -> None:
+        if command is not None and isinstance(command.body, records.Lapse | records.Forget):
+            with self._lock:
+                self._lapses.append((index, command.body))
+        if self._decides and command is not None and result is not None and result.ok:
+            self.replica.hurry()  # each step waits for the one before: sites must not learn of it with the next beat
+        self._woken.set()
+
+    # Our thread
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            self._woken.wait(TICK)
+            self._woken.clear()
+            if self._stopped.is_set():
+                return
+            try:
+                self._look()
+            except Exception:  # one fault must not leave the site without a voice: the next look begins anew
+                log.event("federation_failed", trace=traceback.format_exc(limit=-3))
+                log.must_hold(False, "a look at the federation's log goes through")
+
+    def _look(self) -> None:
+        now = self._clock.now()
+        tables, index = _tables(self.replica)
+        with self._lock:
+            lapses, self._lapses = self._lapses, []
+        for at, body in lapses:
+            self._witnesses.applied(now, at, body)
+        if self._decides != self._conducts:
+            self._conducts = self._decides
+            self._conductor.lead(now, self._conducts)
+        if self._conducts:
+            silent = [name for name in tables["rule_members"] if not self._hears(name)]
+            for body in self._conductor.look(now, tables, silent):
+                log.event("federation_says", what=type(body).__name__.lower(), number=getattr(body, "number", None))
+                self.replica.propose_here(c.encode(c.Command("", 0, body)))
+        found = self._witnesses.due(now, tables)
+        if not self._speaks:
+            return
+        for witness in found:
+            self.replica.pass_on(c.encode(c.Command("", 0, witness)))
+        ours, theirs = self._delegate.look(now, _tables(self._site)[0], tables, index)
+        for body in ours:
+            self._site.propose_here(c.encode(c.Command("", 0, body)))
+        for body in theirs:
+            log.event("federation_site_says", site=self.site_name, what=type(body).__name__.lower(),
+                      number=getattr(body, "number", None))  # fmt: skip
+            self.replica.pass_on(c.encode(c.Command("", 0, body)))
+
+    def _hears(self, site: str) -> bool:
+        """Whether a gateway of the site is heard, or it is ours."""
+        return site == self.site_name or any(name in self._link.live() for name in self.plan.gateways(site))
+
+
+def _tables(replica: Replica) -> tuple[Tables, int]:
+    """The tables of the rules as they are applied here, and the index: to be read without the replica's thread."""
+    with replica.lock:
+        return {name: dict(replica.state.tables[name]) for name in TABLES}, replica.state.applied
