--- a/tealwing/service.py
+++ b/tealwing/service.py
@@ -11,7 +11,7 @@
 
 from tealwing import log
 from tealwing.admin.server import Admin
-from tealwing.config import Config, ConfigError, load
+from tealwing.config import Config, ConfigError, ConfigRejected, load
 from tealwing.gateway.daemon import Daemon
 from tealwing.mysql.server import Server
 
@@ -94,6 +94,7 @@
     except ValueError as error:  # what it says is wrong, or does not fit the platform's settings
         raise FileUnusable(str(error)) from error
     server.unread = daemon.unread if "levels" in read.records else None
+    server.gate = daemon.gate
     log.event("operators_file", path=conf, sections=sorted(read.records))
 
 
@@ -104,7 +105,11 @@
     """
     good = True
     try:
-        server.settings = daemon.reconfigure(load(os.environ))
+        daemon.reconfigure(load(os.environ))
+    except ConfigRejected as error:
+        if say:
+            log.event("config_rejected", why=error.why, remedy=error.remedy)
+        good = False
     except (ConfigError, OSError) as error:
         if say:
             log.event("configuration_unusable", error=str(error))
