Let the sites of a federation change their rules together, over a second log of the same core

Need: sites with logs of their own are to change one routing table everywhere or nowhere. Each gateway takes part in the federation's log beside its site's; whoever leads the site's log speaks for the site, whoever leads the federation's conducts, and proposals, withdrawals and the forgetting of a site go to the log that decides. Sections that contradict one another are refused with what is allowed.

--- a/tealwing/federation/shell.py
+++ b/tealwing/federation/shell.py
@@ -8,7 +8,8 @@
 
 import threading
 import traceback
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from dataclasses import replace
 from typing import Any
 
 from tealwing import log, threads
@@ -20,12 +21,12 @@
 from tealwing.replica import commands as c
 from tealwing.replica.node import Replica
 from tealwing.rollout.conductor import Conductor
-from tealwing.rollout.view import FederatedView, view
+from tealwing.rollout.seen import TABLES, Seen, seen
 from tealwing.rollout.witnesses import Witnesses
 from tealwing.rules import records
 
 TICK = 0.05  # s between two looks where no entry comes
-TABLES = ("rules", "rule_members", "rule_facts")
+SILENT_BEATS = 2.0  # beats of the link without a sign of life after which a gateway counts as silent
 Tables = Mapping[str, Mapping[str, Any]]
 
 
@@ -47,12 +48,18 @@
         self._speaks = self._decides = self._conducts = False
         self._lapses: list[tuple[int, records.Body]] = []  # applied and not yet told to the witnesses
         self._lock = threading.Lock()  # round the lapses
+        self.seen: Seen = seen(all_.state, self.site_name)  # set on the replica's thread alone
+        self._changed: Callable[[], None] = lambda: None
         site.watch(lambda index, command, result: self._woken.set())
         site.on_led(self._site_led)
         site.on_installed(self._woken.set)
         all_.watch(self._applied)
         all_.on_led(self._all_led)
-        all_.on_installed(self._woken.set)
+        all_.on_installed(self._installed)
+
+    def on_change(self, changed: Callable[[], None]) -> None:
+        """Be told, on the replica's thread, when versions or sites have changed; before the start."""
+        self._changed = changed
 
     def start(self) -> None:
         """Take part from now on."""
@@ -63,25 +70,20 @@
         self._stopped.set()
         self._woken.set()
 
-    def view(self) -> FederatedView:
-        """The federation's state as it is applied here, as this site reads it."""
-        tables, index = _tables(self.replica)
-        return view(tables, index, self.site_name)
-
     def status(self) -> dict[str, Any]:
         """What operators ask for: the sites as the federation's log has them, and who speaks for ours."""
-        tables, index = _tables(self.replica)
-        facts: records.Facts = tables["rule_facts"].get(records.NOW) or records.Facts()
-        flight = view(tables, index, self.site_name).flight
+        seen_ = self.seen
+        flight = seen_.me.flight
+        said = {} if flight is None else {who: {"yes": w.yes, "reason": w.reason} for who, w in flight.said.items()}
         return {
-            "site": self.site_name, "speaks": self._speaks, "decides": self._decides,
-            "leader": self.replica.core.leader, "applied": index, "active": facts.active, "last": facts.last,
-            "flight": {"number": flight.number, "phase": flight.phase,
-                       "said": {who: {"yes": word.yes, "reason": word.reason} for who, word in flight.said.items()}}
-            if flight is not None else None,
-            "sites": {name: {"start": site.start, "lost_touch": site.lost_touch, "closed": site.closed,
-                             "lapsed": site.lapsed, "over": site.over, "heard": self._hears(name)}
-                      for name, site in sorted(tables["rule_members"].items())},
+            "site": self.site_name, "speaks": self._speaks, "decides": self._decides, "index": seen_.index,
+            "leader": self.replica.core.leader, "active": seen_.facts.active, "last": seen_.facts.last,
+            "flight": None if flight is None else {"number": flight.number, "phase": flight.phase, "said": said},
+            "sites": {
+                name: {"start": site.start, "lost_touch": site.lost_touch, "closed": site.closed,
+                       "lapsed": site.lapsed, "over": site.over, "heard": self._hears(name)}
+                for name, site in sorted(seen_.members.items())
+            },
         }  # fmt: skip
 
     # The replicas' threads
@@ -96,11 +98,22 @@
         self._woken.set()
 
     def _applied(self, index: int, command: c.Command | None, result: c.Result | None) -> None:
-        if command is not None and isinstance(command.body, records.Lapse | records.Forget):
+        body = command.body if command is not None else None
+        if not isinstance(body, records.Body):
+            self.seen = replace(self.seen, index=index, me=replace(self.seen.me, index=index))
+            return
+        self.seen = seen(self.replica.state, self.site_name)
+        if isinstance(body, records.Lapse | records.Forget):
             with self._lock:
-                self._lapses.append((index, command.body))
-        if self._decides and command is not None and result is not None and result.ok:
+                self._lapses.append((index, body))
+        if self._decides and result is not None and result.ok:
             self.replica.hurry()  # each step waits for the one before: sites must not learn of it with the next beat
+        self._changed()
+        self._woken.set()
+
+    def _installed(self) -> None:
+        self.seen = seen(self.replica.state, self.site_name)
+        self._changed()
         self._woken.set()
 
     # Our thread
@@ -119,7 +132,7 @@
 
     def _look(self) -> None:
         now = self._clock.now()
-        tables, index = _tables(self.replica)
+        tables, index = self.seen.tables, self.seen.index
         with self._lock:
             lapses, self._lapses = self._lapses, []
         for at, body in lapses:
@@ -137,7 +150,7 @@
             return
         for witness in found:
             self.replica.pass_on(c.encode(c.Command("", 0, witness)))
-        ours, theirs = self._delegate.look(now, _tables(self._site)[0], tables, index)
+        ours, theirs = self._delegate.look(now, _tables(self._site), tables, index)
         for body in ours:
             self._site.propose_here(c.encode(c.Command("", 0, body)))
         for body in theirs:
@@ -147,10 +160,15 @@
 
     def _hears(self, site: str) -> bool:
         """Whether a gateway of the site is heard, or it is ours."""
-        return site == self.site_name or any(name in self._link.live() for name in self.plan.gateways(site))
+        if site == self.site_name:
+            return True
+        limit = SILENT_BEATS * self._link.plan.times.beat
+        heard = {peer["name"] for peer in self._link.status()
+                 if peer["silence_s"] is not None and peer["silence_s"] <= limit}  # fmt: skip
+        return any(name in heard for name in self.plan.gateways(site))
 
 
-def _tables(replica: Replica) -> tuple[Tables, int]:
-    """The tables of the rules as they are applied here, and the index: to be read without the replica's thread."""
+def _tables(replica: Replica) -> Tables:
+    """The tables of the rules as they are applied here, for another thread."""
     with replica.lock:
-        return {name: dict(replica.state.tables[name]) for name in TABLES}, replica.state.applied
+        return {name: dict(replica.state.tables[name]) for name in TABLES}
--- a/tealwing/fleet/peering.py
+++ b/tealwing/fleet/peering.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
@@ -16,7 +17,7 @@
 from tealwing.peers.plan import Plan
 from tealwing.replica.commands import Command, Result, Settings
 from tealwing.replica.feed import Feed
-from tealwing.replica.group import SITE
+from tealwing.replica.group import SITE, Group
 from tealwing.replica.node import Replica
 from tealwing.replica.plan import Plan as ReplicaPlan
 from tealwing.replica.promotion import Promotion
@@ -25,6 +26,8 @@
 from tealwing.replica.storage import StorageError
 
 if TYPE_CHECKING:  # what the operators' file does not switch on is not imported
+    from tealwing.federation.plan import Plan as FederationPlan
+    from tealwing.federation.shell import Federation
     from tealwing.rollout.gate import Gate
     from tealwing.rollout.here import Gateway
     from tealwing.rollout.plan import Plan as RulesPlan
@@ -38,7 +41,7 @@
 
     def __init__(
         self, plan: Plan, replica: ReplicaPlan | None = None,
-        take: Callable[[int, bytes], None] = lambda version, text: None,
+        take: Callable[[int, bytes], None] = lambda version, text: None, federation: FederationPlan | None = None,
     ) -> None:  # fmt: skip
         """take hears good versions of the settings: the last one on the disk, and those that the fleet agrees on.
 
@@ -47,13 +50,15 @@
         self.plan, self.replica_plan = plan, replica
         self.rules_plan: RulesPlan | None = None
         self.rules: Shell | None = None
+        self.federation_plan = federation
+        self.federation: Federation | None = None
         self.clock = Clock()
         self.link = Link(plan)
         self.echo = Echo(self.link)
         self.replica: Replica | None = None
         if replica is not None:
             try:
-                self.replica = Replica(replica, self.link, self.clock)
+                self.replica = Replica(replica, self.link, self.clock, group=self._group())
             except (StorageError, OSError, ValueError) as error:
                 self.link.stop()
                 raise LinkFault(f"replica: folder {replica.folder}: {error}") from None
@@ -97,20 +102,46 @@
         """
         from tealwing.rollout import joining  # only where it is on
 
-        assert self.replica is not None  # the section needs it
+        assert self.replica is not None and self.replica_plan is not None  # the section needs it
         self.rules_plan = plan
+        if self.federation_plan is not None:
+            from tealwing.federation import joining as outside
+
+            try:
+                self.federation = outside.join(
+                    self.federation_plan, self.replica, self.replica_plan, self.link, self.control, plan.patience
+                )
+            except (StorageError, OSError, ValueError) as error:
+                self.stop()
+                raise LinkFault(f"federation: folder {self.federation_plan.folder}: {error}") from None
         try:
-            self.rules = joining.join(plan, self.replica, self.link, gateway, self.control)
+            self.rules = joining.join(plan, self.replica, self.link, gateway, self.control, self.federation)
         except OSError as error:
             self.stop()
             raise LinkFault(f"rules: {error}; allowed: a folder of the section replica that can be read") from None
         return self.rules.gate
 
+    @property
+    def plans(self) -> tuple[Plan, ReplicaPlan | None, RulesPlan | None, FederationPlan | None]:
+        """The sections that this was put together by: a change of one needs a restart."""
+        return self.plan, self.replica_plan, self.rules_plan, self.federation_plan
+
+    def _group(self) -> Group:
+        """The site's log: of all gateways of the section `peers`, or of those of this site."""
+        if self.federation_plan is None:
+            return SITE
+        site = self.federation_plan.site_of(self.plan.name)
+        return dataclasses.replace(SITE, members=self.federation_plan.gateways(site))
+
     def start(self) -> None:
         """Speak, listen and answer from now on."""
         if self.replica is not None:
             self.replica.start()
+        if self.federation is not None:
+            self.federation.replica.start()
         self.link.start()
+        if self.federation is not None:
+            self.federation.start()
         if self.rules is not None:
             self.rules.start()
         if self.keeper is not None and self.replica is not None:
@@ -133,6 +164,9 @@
             self.keeper.stop()
         if self.rules is not None:
             self.rules.stop()
+        if self.federation is not None:
+            self.federation.stop()
+            self.federation.replica.stop()
         if self.replica is not None:
             self.replica.stop()
         self.link.stop()
--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -23,6 +23,7 @@
 from tealwing.resp.fleet import Fleet
 
 if TYPE_CHECKING:  # what the operators' file does not switch on is not imported
+    from tealwing.federation.plan import Plan as FederationPlan
     from tealwing.fleet.peering import Peering
     from tealwing.gossip.plan import Plan as GossipPlan
     from tealwing.gossip.transport import Link
@@ -208,7 +209,7 @@
             levels.measures(self._settings)  # may not fit; what comes after it can't fail on the levels
         self._gossip(records.get("gossip"))
         self.sections = frozenset(records)
-        self._peers(records.get("peers"), records.get("replica"), records.get("rules"))
+        self._peers(*(records.get(name) for name in ("peers", "replica", "rules", "federation")))
         with self._changing:
             self._levels_file = levels
             if self._levels_rules is None:  # else those of the rules go before it
@@ -221,23 +222,30 @@
         if self._peering is not None:
             self._peering.stop()
 
-    def _peers(self, plan: PeersPlan | None, replica: ReplicaPlan | None, rules: RulesPlan | None) -> None:
+    def _peers(
+        self, plan: PeersPlan | None, replica: ReplicaPlan | None, rules: RulesPlan | None,
+        federation: FederationPlan | None,
+    ) -> None:  # fmt: skip
         """Begin the link to the peers, and the replicated state; a LinkFault leaves it as it is."""
         if plan is None and self._peering is None:
             if replica is not None:
                 raise ValueError("replica: needs the section peers, whose members take part")
+            if federation is not None:
+                raise ValueError("federation: needs the sections peers, replica and rules")
             return
+        if federation is not None and (replica is None or rules is None):
+            raise ValueError("federation: needs the sections replica and rules: what the sites agree on is a version")
         from tealwing.fleet.peering import Peering
         from tealwing.peers.link import LinkFault  # only where it is on
 
         if self._peering is not None:
-            if (plan, replica, rules) != (self._peering.plan, self._peering.replica_plan, self._peering.rules_plan):
-                raise LinkFault("peers, replica, rules: a section changed; allowed: a restart")
+            if (plan, replica, rules, federation) != self._peering.plans:
+                raise LinkFault("peers, replica, rules, federation: a section changed; allowed: a restart")
             return
         assert plan is not None
         if not self._settings.limits.peers:
             raise LinkFault("peers: the platform's settings forbid talk among gateways (Allowed.Peers)")
-        peering = Peering(plan, replica, self._fleet_settings)
+        peering = Peering(plan, replica, self._fleet_settings, federation)
         if rules is not None:
             self.gate = peering.follow_rules(rules, self)
         self._peering = peering
--- a/tealwing/replica/asking.py
+++ b/tealwing/replica/asking.py
@@ -56,6 +56,14 @@
             raise Unavailable(f"the state is not at {index} in time")
         return index
 
+    def pass_on(self, command: bytes) -> None:
+        """Have whoever leads propose a command, if anybody does; nobody hears what comes of it."""
+        leader = self._leader()
+        if leader == self._me:
+            self._queue.put(("ask", Ask(0, command), lambda told: None))
+        elif leader:
+            self._send(leader, encode(Ask(0, command)))
+
     def at_leader(self, ask: Ask, wait: float, again: bool) -> Told:
         """What the leader says to it. Tried again where that does no harm, with growing, jittered waits."""
         end = time.monotonic() + wait
--- a/tealwing/replica/node.py
+++ b/tealwing/replica/node.py
@@ -100,6 +100,10 @@
         """If this member leads: say at once how far all is committed, not with the next beat."""
         self._queue.put(("hurry",))
 
+    def pass_on(self, data: bytes) -> None:
+        """Have whoever leads propose a command, if anybody does; nobody hears what comes of it."""
+        self._asking.pass_on(data)
+
     def snapshot(self) -> None:
         """Write a snapshot soon, whatever has come since the last."""
         self.snapshots.want()
--- a/tealwing/rollout/service.py
+++ b/tealwing/rollout/service.py
@@ -12,6 +12,7 @@
 from tealwing.replica.messages import Big
 from tealwing.replica.node import Replica, Unavailable, Unknown
 from tealwing.rollout.outcomes import version
+from tealwing.rollout.seen import Seen
 from tealwing.rollout.shell import Shell
 from tealwing.rules import bundle, records
 
@@ -25,6 +26,7 @@
 
     def __init__(self, shell: Shell, replica: Replica, control: Control) -> None:
         self._shell, self._replica = shell, replica
+        self._changes = shell.outside.replica if shell.outside is not None else replica  # the log that decides
         self._lock, self._sequence = threading.Lock(), 0
         calls: dict[str, Callable[[Fields], Fields]] = {
             "rules.propose": self._propose,
@@ -52,11 +54,11 @@
             end = time.monotonic() + wait
             made_from = parent
             if made_from is None:
-                self._replica.read_index(wait)
-                made_from = self._shell.seen.facts.active
+                self._changes.read_index(wait)
+                made_from = self._deciding().facts.active
             body = records.Propose(made_from, bundle.digest(text), text, who, int(time.time() * 1e3), why)
-            told = self._write(body, max(0.0, end - time.monotonic()))
-            while self._shell.seen.index < told["index"] and time.monotonic() < end:  # who asks for it next finds it
+            told = self._write(self._changes, body, max(0.0, end - time.monotonic()))
+            while self._deciding().index < told["index"] and time.monotonic() < end:  # who asks for it next finds it
                 time.sleep(SOON)
             return told | {"number": told.pop("version")}
 
@@ -79,16 +81,20 @@
             field(fields, "number", Big), field(fields, "who", records.Word),
             field(fields, "why", records.Text, ""),
         )  # fmt: skip
-        return self._outcome(lambda wait: self._write(body, wait), fields)
+        return self._outcome(lambda wait: self._write(self._changes, body, wait), fields)
 
     def _forget(self, fields: Fields) -> Fields:
-        """Take a member out; waits until every permit that it may have is over."""
+        """Take a member out, or a federation's site; waits until every permit that it may have is over."""
         body = records.Forget(field(fields, "member", records.Word), bool(field(fields, "off", bool, False)))
 
+        outside = self._shell.outside
+        is_site = outside is not None and body.member in outside.seen.members
+        where, seen = (self._changes, self._deciding) if is_site else (self._replica, lambda: self._shell.seen)
+
         def forget(wait: float) -> Fields:
             end = time.monotonic() + wait
-            told = self._write(body, wait)
-            while told["word"] == "ok" and body.member in self._shell.seen.members:
+            told = self._write(where, body, wait)
+            while told["word"] == "ok" and body.member in seen().members:
                 if time.monotonic() >= end:
                     return told | {"word": "unknown", "why": f"{body.member} goes once its permits are over: ask again"}
                 time.sleep(LOOK)
@@ -96,13 +102,17 @@
 
         return self._outcome(forget, fields)
 
-    def _write(self, body: records.Body, wait: float) -> dict[str, Any]:
+    def _deciding(self) -> Seen:
+        """The registry in which changes are decided: the federation's, where this site takes part in one."""
+        return self._shell.outside.seen if self._shell.outside is not None else self._shell.seen
+
+    def _write(self, where: Replica, body: records.Body, wait: float) -> dict[str, Any]:
         """Have it applied once, however often it is sent."""
         with self._lock:
             self._sequence += 1
             number = self._sequence
-        client = f"{self._replica.core.me}/{self._replica.start_number}/rules/{number % 8}"  # calls come at once
-        result = self._replica.write(c.Command(client, number, body), wait)
+        client = f"{where.core.me}/{where.start_number}/rules/{number % 8}"  # calls come at once
+        result = where.write(c.Command(client, number, body), wait)
         word = "ok" if result.ok else "refused"
         return {"word": word, "index": result.index, "version": result.version, "why": result.why}
 
--- a/tealwing/rollout/shell.py
+++ b/tealwing/rollout/shell.py
@@ -9,9 +9,10 @@
 import threading
 import time
 import traceback
+from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 from tealwing import log, threads
 from tealwing.coordinator.backoff import Backoff
@@ -30,6 +31,25 @@
 from tealwing.rules import records
 from tealwing.rules.check import BUILD
 
+
+class Outside(Protocol):
+    """The federation that this site takes part in, as far as it is needed here."""
+
+    @property
+    def seen(self) -> Seen:
+        """Its registry as it is applied here."""
+
+    @property
+    def replica(self) -> Replica:
+        """Its log."""
+
+    def on_change(self, changed: Callable[[], None]) -> None:
+        """Be told when that has changed."""
+
+    def status(self) -> dict[str, Any]:
+        """What operators ask for."""
+
+
 TICK = 0.02  # s between two looks at the clock
 STEPS = 3  # looks in a row at most: what was done may be what the next step waits for
 AGAIN = (0.1, 2.0)  # s between two tries to put a version in force, least and most
@@ -39,8 +59,11 @@
 class Shell:
     """One gateway's part in changes of the rules."""
 
-    def __init__(self, plan: Plan, replica: Replica, link: Link, here: Here, gate_: gate.Gate) -> None:
+    def __init__(
+        self, plan: Plan, replica: Replica, link: Link, here: Here, gate_: gate.Gate, outside: Outside | None = None
+    ) -> None:
         """Before the replica starts. OSError where the mark can't be read for another reason than damage."""
+        self.outside = outside
         self.plan, self._replica, self._link, self._here = plan, replica, link, here
         self.name, self._clock = link.plan.name, replica.clock
         self._seen = seen(replica.state, self.name)  # set on the replica's thread alone
@@ -49,11 +72,13 @@
         self._machine = Machine(
             self.name, plan.lost_touch, max(int(time.time() * 1e3), me.start + 1 if me else 0), plan.permit,
             mark=self._read_mark(), build=BUILD, seed=replica.start_number, disk=self._seen.me,
-            sabotage=frozenset({plan.sabotage} - {""}),
+            sabotage=frozenset({plan.sabotage} - {""}), federated=outside is not None,
+            disk_federated=outside.seen.me if outside is not None else None,
         )  # fmt: skip
         self._lock = threading.Lock()  # round the machine, the witness and what steers the gate
         self._wake, self._stopped = threading.Event(), threading.Event()
-        self._talk = Talk(self._machine, self._clock, replica, self._lock, self._wake.set)
+        self._talk = Talk(self._machine, self._clock, replica, self._lock, self._wake.set,
+                          outside.replica if outside is not None else None)  # fmt: skip
         self._leading = Leading(plan, replica, link)
         self.steering = Steering(gate_, plan.lost_touch)
         self._due: list[Action] = []  # what the machine wants and nobody does yet
@@ -63,6 +88,8 @@
         replica.watch(self._applied)
         replica.on_installed(self._installed)
         replica.on_led(self._led)
+        if outside is not None:
+            outside.on_change(self._outside_changed)
 
     # Start and end
 
@@ -129,6 +156,7 @@
             "permit_left_s": round(left, 3) if holds else None, "mark": "held" if mark == HELD else mark,
             "figures": outcomes.figures(self.steering.gate.figures()), "broken": self._replica.broken,
             "leads": self._leading.leads, "refusal": self._talk.refusal,
+            "federation": self.outside.status() if self.outside is not None else None,
         }  # fmt: skip
 
     # The replica's thread: quick, and it waits for nobody but our own quick looks
@@ -153,6 +181,12 @@
         self.outcomes.tell(self._seen)
         self._wake.set()
 
+    def _outside_changed(self) -> None:
+        """On the thread of the federation's log: what it says of this site may shut the gate."""
+        with self._lock:
+            self._look()
+        self._wake.set()
+
     def _led(self, leads: bool) -> None:
         self._leading.leads = leads
         self._wake.set()
@@ -162,7 +196,8 @@
     def _look(self) -> None:
         """Have the machine look at the state, and the gate follow it."""
         now = self._clock.now()
-        self._due += [action for action in self._machine.look(now, self._seen.me) if action not in self._due]
+        outside = self.outside.seen.me if self.outside is not None else None
+        self._due += [action for action in self._machine.look(now, self._seen.me, outside) if action not in self._due]
         self._follow(now)
 
     def _follow(self, now: float) -> None:
