--- a/tealwing/rollout/joining.py
+++ b/tealwing/rollout/joining.py
@@ -7,9 +7,10 @@
 from tealwing.replica.node import Replica
 from tealwing.rollout.gate import Gate
 from tealwing.rollout.here import Gateway, Here
+from tealwing.rollout.outside import Outside
 from tealwing.rollout.plan import Plan
 from tealwing.rollout.service import Service
-from tealwing.rollout.shell import Outside, Shell
+from tealwing.rollout.shell import Shell
 
 PUSHBACK = 0.2  # s after which who was turned away may come again: a change takes less
 
--- a/tealwing/rollout/service.py
+++ b/tealwing/rollout/service.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from tealwing.peers.control import Control, Denied, Fields, field, wait_of
+from tealwing.peers.control import MOST_CALLERS, Control, Denied, Fields, field, wait_of
 from tealwing.replica import commands as c
 from tealwing.replica.messages import Big
 from tealwing.replica.node import Replica, Unavailable, Unknown
@@ -111,7 +111,8 @@
         with self._lock:
             self._sequence += 1
             number = self._sequence
-        client = f"{where.core.me}/{where.start_number}/rules/{number % 8}"  # calls come at once
+        turn = number % MOST_CALLERS  # calls come at once, and a client has one under way
+        client = f"{where.core.me}/{where.start_number}/rules/{turn}"
         result = where.write(c.Command(client, number, body), wait)
         word = "ok" if result.ok else "refused"
         return {"word": word, "index": result.index, "version": result.version, "why": result.why}
--- a/tealwing/rollout/shell.py
+++ b/tealwing/rollout/shell.py
@@ -9,10 +9,9 @@
 import threading
 import time
 import traceback
-from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
-from typing import Any, Protocol
+from typing import Any
 
 from tealwing import log, threads
 from tealwing.coordinator.backoff import Backoff
@@ -24,6 +23,7 @@
 from tealwing.rollout.leading import Leading
 from tealwing.rollout.mark import Mark, MarkDamaged
 from tealwing.rollout.member import Machine
+from tealwing.rollout.outside import Outside
 from tealwing.rollout.plan import Plan
 from tealwing.rollout.seen import Seen, seen
 from tealwing.rollout.steering import EVERYTHING, Here, Steering
@@ -31,25 +31,6 @@
 from tealwing.rules import records
 from tealwing.rules.check import BUILD
 
-
-class Outside(Protocol):
-    """The federation that this site takes part in, as far as it is needed here."""
-
-    @property
-    def seen(self) -> Seen:
-        """Its registry as it is applied here."""
-
-    @property
-    def replica(self) -> Replica:
-        """Its log."""
-
-    def on_change(self, changed: Callable[[], None]) -> None:
-        """Be told when that has changed."""
-
-    def status(self) -> dict[str, Any]:
-        """What operators ask for."""
-
-
 TICK = 0.02  # s between two looks at the clock
 STEPS = 3  # looks in a row at most: what was done may be what the next step waits for
 AGAIN = (0.1, 2.0)  # s between two tries to put a version in force, least and most
@@ -62,9 +43,11 @@
     def __init__(
         self, plan: Plan, replica: Replica, link: Link, here: Here, gate_: gate.Gate, outside: Outside | None = None
     ) -> None:
-        """Before the replica starts. OSError where the mark can't be read for another reason than damage."""
-        self.outside = outside
-        self.plan, self._replica, self._link, self._here = plan, replica, link, here
+        """Before the replica starts. OSError where the mark can't be read for another reason than damage.
+
+        outside: the federation, where the site is part of one.
+        """
+        self.plan, self._replica, self._here, self.outside = plan, replica, here, outside
         self.name, self._clock = link.plan.name, replica.clock
         self._seen = seen(replica.state, self.name)  # set on the replica's thread alone
         self._mark = Mark(Path(replica.plan.folder), replica.disk)
@@ -77,8 +60,8 @@
         )  # fmt: skip
         self._lock = threading.Lock()  # round the machine, the witness and what steers the gate
         self._wake, self._stopped = threading.Event(), threading.Event()
-        self._talk = Talk(self._machine, self._clock, replica, self._lock, self._wake.set,
-                          outside.replica if outside is not None else None)  # fmt: skip
+        other = outside.replica if outside is not None else None
+        self._talk = Talk(self._machine, self._clock, replica, self._lock, self._wake.set, other)
         self._leading = Leading(plan, replica, link)
         self.steering = Steering(gate_, plan.lost_touch)
         self._due: list[Action] = []  # what the machine wants and nobody does yet
@@ -89,7 +72,7 @@
         replica.on_installed(self._installed)
         replica.on_led(self._led)
         if outside is not None:
-            outside.on_change(self._outside_changed)
+            outside.on_change(self.notice)
 
     # Start and end
 
@@ -119,6 +102,12 @@
 
     # For others
 
+    def notice(self) -> None:
+        """What the gate depends on has moved elsewhere; quick, from any thread."""
+        with self._lock:
+            self._look()
+        self._wake.set()
+
     @property
     def seen(self) -> Seen:
         """The registry as it is applied here."""
@@ -176,16 +165,8 @@
 
     def _installed(self) -> None:
         self._seen = seen(self._replica.state, self.name)
-        with self._lock:
-            self._look()
+        self.notice()
         self.outcomes.tell(self._seen)
-        self._wake.set()
-
-    def _outside_changed(self) -> None:
-        """On the thread of the federation's log: what it says of this site may shut the gate."""
-        with self._lock:
-            self._look()
-        self._wake.set()
 
     def _led(self, leads: bool) -> None:
         self._leading.leads = leads
@@ -197,7 +178,9 @@
         """Have the machine look at the state, and the gate follow it."""
         now = self._clock.now()
         outside = self.outside.seen.me if self.outside is not None else None
-        self._due += [action for action in self._machine.look(now, self._seen.me, outside) if action not in self._due]
+        self._due += [
+            action for action in self._machine.look(now, self._seen.me, outside) if action not in self._due
+        ]
         self._follow(now)
 
     def _follow(self, now: float) -> None:
@@ -272,7 +255,9 @@
     def _put_in_force(self) -> None:
         """Decide under the version that the machine names; until that is done the gate lets nobody in."""
         with self._lock:
-            wanted = self._machine.gate(self._clock.now()).number
+            self._follow(self._clock.now())
+            wanted = self.steering.shown.number if self.steering.shown else 0
+            log.must_hold(wanted == self.steering.in_force or not self.steering.is_open, "nobody is let in meanwhile")
         if wanted == self.steering.in_force or time.monotonic() < self._next_try:
             return
         try:
--- a/tealwing/rollout/steering.py
+++ b/tealwing/rollout/steering.py
@@ -50,6 +50,11 @@
         self._closed: tuple[int, float] | None = None  # the change that it waits for the outcome of, and since when
         self._touches: dict[tuple[int, int], gates.Touch] = {}  # by the versions before and after: of the one in flight
 
+    @property
+    def is_open(self) -> bool:
+        """Whether anybody may pass, as far as the permit goes."""
+        return self._state == ("open",)
+
     @property
     def closed_for(self) -> float:
         """Seconds for which it has waited for an outcome; 0 where it does not."""
@@ -84,7 +89,7 @@
             self.gate.permit(wanted.until)
             self._set(("open",), self.gate.open)
         if before is None or (before.mode == "shut") != (wanted.mode == "shut"):
-            self._say(wanted)
+            self._say(wanted, before is None)
 
     def _set(self, state: tuple[object, ...], change: Callable[[], None]) -> None:
         if state != self._state:
@@ -97,8 +102,9 @@
             log.event("rules_opened", number=self._closed[0], outcome=phase(self._closed[0]), held_ms=round(held, 2))
             self._closed = None
 
-    def _say(self, wanted: Gate) -> None:
+    def _say(self, wanted: Gate, first: bool) -> None:
         if wanted.mode == "shut":
-            log.event("permit_lost" if self._holds else "rules_shut", why=wanted.reason, number=wanted.number)
+            log.event("permit_lost" if self._holds and not first else "rules_shut", why=wanted.reason,
+                      number=wanted.number)  # fmt: skip
         else:
             log.event("permit_gained" if self._holds else "rules_known", number=wanted.number)
