--- a/tests/test_rules_registry.py
+++ b/tests/test_rules_registry.py
@@ -291,7 +291,8 @@
 
 def test_a_replica_that_meets_a_newer_builds_entry_is_out_of_order_with_the_remedy(tmp_path: Path) -> None:
     alone = SimpleNamespace(name="a", members=(("a", ("127.0.0.1", 1)),), learners=())
-    link: Any = SimpleNamespace(plan=alone, on=lambda *_: None, send=lambda *_: None, live=lambda: [], reach=lambda *_: None)
+    silent = dict.fromkeys(("on", "send", "reach"), lambda *_: None)
+    link: Any = SimpleNamespace(plan=alone, live=lambda: [], **silent)
     replica = Replica(Plan(str(tmp_path), beat=0.02, election=0.1), link, Clock())
     replica.start()
     try:
