Tell why a version can't be put in force, and try disks, checks and starts that fail

A gateway that can't put in force what the fleet has agreed on is shut with the reason, and readiness says it; before, requests waited in vain and readiness gave no reason. Five kinds of failure are caused in tests on a log that is a list.

--- a/tealwing/rollout/steering.py
+++ b/tealwing/rollout/steering.py
@@ -46,6 +46,7 @@
         self.gate, self._holds = gate, lost_touch == "hold"
         self.in_force = 0  # number of the version in force here; 0: what the configuration says
         self.shown: Gate | None = None  # what the gate last followed
+        self.unusable = ""  # why the version that it should decide under can't be put in force here
         self._state: tuple[object, ...] = ()
         self._closed: tuple[int, float] | None = None  # the change that it waits for the outcome of, and since when
         self._touches: dict[tuple[int, int], gates.Touch] = {}  # by the versions before and after: of the one in flight
@@ -55,6 +56,15 @@
         """Whether anybody may pass, as far as the permit goes."""
         return self._state == ("open",)
 
+    def shows(self) -> tuple[str, str]:
+        """As the gate stands: open, closed or shut, and why."""
+        wanted = self.shown
+        if wanted is None or wanted.mode == "shut":
+            return "shut", wanted.reason if wanted is not None else "the rules are not known here yet"
+        if wanted.number != self.in_force:
+            return ("shut", self.unusable) if self.unusable else ("closed", f"version {wanted.number} comes into force")
+        return wanted.mode, wanted.reason
+
     @property
     def closed_for(self) -> float:
         """Seconds for which it has waited for an outcome; 0 where it does not."""
@@ -77,6 +87,8 @@
             log.event("rules_closed", number=wanted.closing, under=wanted.number, reason=wanted.reason)
         if wanted.mode == "shut":
             self._set(("shut", wanted.reason), lambda: self.gate.shut(wanted.reason))
+        elif wanted.number != self.in_force and self.unusable:
+            self._set(("shut", self.unusable), lambda: self.gate.shut(self.unusable))
         elif wanted.number != self.in_force:  # nobody is let in under another one: they wait until it is
             self._set(("closed", EVERYTHING), lambda: self.gate.close(EVERYTHING))
         elif wanted.mode == "closed":
--- /dev/null
+++ b/tests/test_rollout_shell.py
@@ -0,0 +1,184 @@
+"""A gateway's part in a change, with a log that is a list: disks, checks and versions that fail."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any, cast
+
+import pytest
+
+from tealwing.exchange import Turned
+from tealwing.peers.clock import Clock
+from tealwing.replica import commands as c
+from tealwing.replica.disk import Disk
+from tealwing.replica.state import State
+from tealwing.rollout.gate import Gate
+from tealwing.rollout.mark import NAME
+from tealwing.rollout.plan import Plan
+from tealwing.rollout.shell import Shell
+from tealwing.rules import records
+from tealwing.rules.digests import digest
+from tealwing.rules.touch import Touch
+from tests.test_peers import until
+
+
+class OneLog:
+    """The replica of a group of one, as the shell sees it; entries are applied by whoever writes them."""
+
+    def __init__(self, folder: Path, state: State | None = None) -> None:
+        self.state, self.clock, self.disk = state or State(), Clock(), Disk()
+        self.plan, self.start_number, self.broken = SimpleNamespace(folder=str(folder)), 7, ""
+        self.hurried, self._lock, self.answers = 0, threading.RLock(), threading.Event()
+        self._watchers: list[Callable[..., None]] = []
+        self.watch = self._watchers.append
+        self.led: list[Callable[[bool], None]] = []
+        self.on_led, self.on_installed = self.led.append, list[Any]().append
+
+    def write(self, command: c.Command, wait: float = 1.0) -> c.Result:
+        with self._lock:
+            index = self.state.applied + 1
+            result = self.state.apply(index, c.encode(command))
+            for watch in self._watchers:
+                watch(index, command, result)
+            return result
+
+    def do(self, body: records.Body) -> c.Result:
+        return self.write(c.Command("", 0, body))
+
+    def propose_here(self, data: bytes) -> None:
+        self.write(c.decode(data))
+
+    def read_index(self, wait: float) -> int:
+        self.answers.wait(wait)
+        return self.state.applied
+
+    def hurry(self) -> None:
+        self.hurried += 1
+
+
+@dataclass
+class Place:
+    """A gateway that puts in force what it is told, unless a text says otherwise."""
+
+    forced: list[int] = field(default_factory=list)
+    broken: bool = False
+
+    def faults(self, text: bytes) -> list[str]:
+        return []
+
+    def verdict(self, before: bytes, text: bytes, needs: int) -> tuple[bool, str]:
+        if text == b"garbage":
+            raise RecursionError("too deep")
+        return True, ""
+
+    def touch(self, before: bytes, after: bytes) -> Touch:
+        return Touch(classes=frozenset({"lookup"}))
+
+    def put_in_force(self, number: int, text: bytes) -> None:
+        if self.broken:
+            raise ValueError("the levels do not fit")
+        self.forced.append(number)
+
+
+class Fixture:
+    """A shell on its log, leading it."""
+
+    def __init__(self, folder: Path, state: State | None = None, answers: bool = True, **changes: Any) -> None:
+        self.log, self.place, self.gate = OneLog(folder, state), Place(), Gate(8, 0.1)
+        times = SimpleNamespace(name="n0", times=SimpleNamespace(beat=0.2))
+        link = SimpleNamespace(plan=times, status=lambda: [])
+        self.shell = Shell(Plan(**changes), cast(Any, self.log), cast(Any, link), self.place, self.gate)
+        if answers:
+            self.log.answers.set()
+        self.shell.begin()
+        self.shell.start()
+        for led in self.log.led:
+            led(True)
+
+    def propose(self, text: bytes, parent: int = 0) -> int:
+        told = self.log.do(records.Propose(parent, digest(text), text, "op", 1))
+        assert told.ok, told.why
+        return told.version
+
+    def passes(self, cls: str = "lookup") -> bool:
+        return not isinstance(self.gate.enter(cls, "", 1, time.monotonic()), Turned)
+
+    def phase(self, number: int) -> str:
+        return self.shell.seen.phase(number)
+
+
+@pytest.fixture
+def made(tmp_path: Path) -> Any:
+    shells: list[Fixture] = []
+
+    def make(**changes: Any) -> Fixture:
+        shells.append(Fixture(tmp_path, **changes))
+        return shells[-1]
+
+    yield make
+    for each in shells:
+        each.shell.stop()
+
+
+def test_a_version_is_put_in_force_before_anybody_passes_and_others_are_hurried(made: Any) -> None:
+    one = made()
+    until(one.passes)
+    number = one.propose(b"x")
+    until(lambda: one.phase(number) == "active" and one.passes())
+    assert one.place.forced == [number] and one.log.hurried >= 3
+
+
+def test_a_disk_that_does_not_take_the_mark_keeps_the_gate_closed_and_all_quiet(made: Any, tmp_path: Path) -> None:
+    one = made()
+    until(one.passes)
+    one.log.disk.fail("fsync", 10**6)
+    number = one.propose(b"x")
+    until(lambda: one.log.disk.failed >= 2)
+    assert one.phase(number) == "preparing" and not one.passes() and one.passes("loads")
+    assert one.shell.seen.members["n0"].closed == 0
+    one.log.disk.fail("none", 0)
+    until(lambda: one.phase(number) == "active" and one.passes())
+    assert f"closed-for {number} ".encode() in (tmp_path / NAME).read_bytes()
+
+
+def test_a_bundle_that_makes_the_check_fall_over_is_a_no_with_the_reason(made: Any) -> None:
+    one = made()
+    until(one.passes)
+    number = one.propose(b"garbage")
+    until(lambda: one.phase(number) == "rejected")
+    assert "RecursionError: too deep" in one.shell.seen.version(number).outcome and one.passes()
+
+
+def test_nobody_passes_where_a_version_can_not_be_put_in_force_until_it_can(made: Any) -> None:
+    one = made()
+    until(one.passes)
+    one.place.broken = True
+    number = one.propose(b"x")
+    until(lambda: one.phase(number) == "active")
+    assert not one.passes() and not one.passes("loads") and one.place.forced == []
+    until(lambda: "version 1 of the rules can't be put in force here: the levels" in one.shell.readiness())
+    one.place.broken = False
+    until(one.passes)
+    assert one.place.forced == [number] and one.shell.readiness() == ""
+
+
+@pytest.mark.parametrize("damage", [False, True])
+def test_after_a_start_a_mark_holds_until_the_log_knows_the_outcome(made: Any, damage: bool, tmp_path: Path) -> None:
+    before = made()
+    until(before.passes)
+    number = before.propose(b"x")
+    until(lambda: before.phase(number) == "active")
+    before.shell.stop()
+    if damage:
+        (tmp_path / NAME).write_bytes(b"closed-for 1 0")
+    after = made(state=before.log.state.copy(), answers=False)
+    assert after.place.forced == [number]  # what the disk says, before anybody is asked
+    assert after.passes() is not damage
+    after.log.answers.set()
+    until(after.passes)
+    until(lambda: len((tmp_path / NAME).read_bytes()) > 20)
