--- a/tealwing/policy/engines.py
+++ b/tealwing/policy/engines.py
@@ -101,9 +101,10 @@
         passed = max(now - self.started, 0.0) / self.rules.cold_time
         return self.rules.cold_share + (1 - self.rules.cold_share) * passed
 
-    def takes(self, cls: api.RequestClass) -> bool:
-        """Whether the class may be placed there."""
-        return (cls.zones is None or self.zone in cls.zones) and (cls.kinds is None or self.kind in cls.kinds)
+    def takes(self, cls: api.RequestClass, within: frozenset[int] | None = None) -> bool:
+        """Whether the class may be placed there, and a request of it that is kept within some zones."""
+        placed = (cls.zones is None or self.zone in cls.zones) and (within is None or self.zone in within)
+        return placed and (cls.kinds is None or self.kind in cls.kinds)
 
     def holds(self, group: float, now: float) -> bool:
         """Whether a load holds the group of tables there, as far as we know."""
--- a/tealwing/policy/placement.py
+++ b/tealwing/policy/placement.py
@@ -38,14 +38,14 @@
 
     def _choose(self, job: Job, failed: Engine | None) -> Engine | None:
         """The engine of the smallest index below nu; near-ties go to the least crowded."""
-        cls, flow, found = job.request.cls, job.flow, list[tuple[float, Engine]]()
+        cls, flow, at, found = job.request.cls, job.flow, job.request.zones, list[tuple[float, Engine]]()
         # While reports are fresh each query reads j within a spread, so that not all turn away at once.
         low, high = J_SPREAD if self.echo > 1 else (1.0, 1.0)  # few old reports differ enough by themselves
         spread = low + (high - low) * (job.lot / GOLDEN % 1.0)
         stands = job.cls.holds or job.cls.waits  # behind a load that holds its tables, at the cost h a second
         least = self._fleet_index(cls)
         flow.asked, self.asked = flow.asked + 1, self.asked + 1  # for the lots of the cold budget
-        for engine in self.targets[cls]:
+        for engine in self.targets[cls] if at is None else [e for e in self.targets[cls] if e.zone in at]:
             if self.now >= engine.view_until:
                 self._view(engine)
             index = engine.estimates[cls].at(spread)
@@ -84,10 +84,10 @@
 
     def _may_send(self, job: Job, engine: Engine) -> bool:
         """Whether a send now keeps every rule; every send passes here."""
-        if not (engine.ready and self.now < job.deadline and not job.over and engine.takes(job.cls)):
-            return False
-        kept = self._in_turn(job) and (not job.attempts or self._attempt_left(job))
-        return kept and self._effect_kept(job, engine) and self._cold_budget(job, engine)
+        live = engine.ready and self.now < job.deadline and not job.over
+        kept = live and engine.takes(job.cls, job.request.zones) and self._in_turn(job)
+        kept = kept and (not job.attempts or self._attempt_left(job)) and self._effect_kept(job, engine)
+        return kept and self._cold_budget(job, engine)
 
     def _in_turn(self, job: Job) -> bool:
         if not job.key or job.attempts:
