--- /dev/null
+++ b/benchmarks/rollout.py
@@ -0,0 +1,82 @@
+"""The model checks of a change of rules, of one site and of a federation: states, time, and what mutations are found.
+
+Example: python -m benchmarks.rollout
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable, Iterable
+from concurrent.futures import ProcessPoolExecutor
+
+from tealwing.lab.models.explore import explore, wander
+from tealwing.lab.models.federation import Federation, closing, site_early
+from tealwing.lab.models.rollout import Budget, Rollout, lapsed, likely, nearly_closed
+
+QUIET = Budget(times=0, crashes=0, lapses=0, reads=0)
+FAULTS = Budget(times=12, crashes=4, old=2, empty=1, flips=2, lapses=3, aborts=1, proposals=3, reads=16)
+DISKS = Budget(times=2, crashes=2, old=1, empty=1, flips=1, lapses=1, aborts=1, reads=2)
+CORES = 3
+MOST = 400_000  # states
+
+MUTATIONS: dict[str, Callable[[], Rollout]] = {
+    "early-open": lambda: Rollout("sss", QUIET, "early-open"),
+    "old-leader": lambda: Rollout("sss", QUIET, mutation="old-leader"),
+    "guess-after-close": lambda: Rollout(
+        "sss", Budget(1, 0, lapses=0, reads=0), "guess-after-close", begin=nearly_closed
+    ),
+    "no-permit": lambda: Rollout("hhh", Budget(2, 0, lapses=0, reads=0), "no-permit", begin=lapsed),
+    "start-from-disk": lambda: Rollout("hhh", Budget(2, 1, lapses=0, reads=0), "start-from-disk", begin=lapsed),
+    "one-clock": lambda: Rollout(
+        "hhh", Budget(1, 0, lapses=1, reads=0), mutation="one-clock", wild="c", begin=nearly_closed
+    ),
+    "site-early": site_early,
+}  # fmt: skip
+
+EXPLORED: dict[str, tuple[Callable[[], Rollout], int]] = {
+    "serve": (lambda: Rollout("sss", Budget()), 10),
+    "hold": (lambda: Rollout("hhh", Budget()), 6),
+    "mixed": (lambda: Rollout("shh", Budget()), 7),
+    "serve, nearly closed, disks old or empty": (lambda: Rollout("sss", DISKS, begin=nearly_closed), 5),
+    "hold, nearly closed, disks old or empty": (lambda: Rollout("hhh", DISKS, begin=nearly_closed), 5),
+    "hold, one has lapsed": (lambda: Rollout("hhh", Budget(crashes=0), begin=lapsed), 7),
+    "hold, one clock runs wild": (lambda: Rollout("hhh", Budget(crashes=0, lapses=2), wild="c", begin=lapsed), 6),
+    "sites that serve": (lambda: Federation("sss", Budget(), begin=closing("b", "c")), 8),
+    "sites that hold, one has lapsed": (lambda: Federation("hhh", Budget(), begin=closing("b", "c", lapse="A")), 5),
+}
+
+WALKED: dict[str, tuple[Callable[[], Rollout], int]] = {
+    "serve": (lambda: Rollout("sss", FAULTS), 1600),
+    "hold": (lambda: Rollout("hhh", FAULTS), 1600),
+    "hold, one clock runs wild": (lambda: Rollout("hhh", FAULTS, wild="c"), 1600),
+    "mixed": (lambda: Rollout("shh", FAULTS), 1600),
+    "sites that serve": (lambda: Federation("sss", FAULTS), 800),
+    "sites that hold": (lambda: Federation("hhh", FAULTS), 800),
+    "sites, mixed": (lambda: Federation("shh", FAULTS), 800),
+}
+
+
+def check(kind: str, name: str) -> str:
+    """One of them, in words."""
+    if kind == "mutation":
+        found = explore(MUTATIONS[name](), 10, MOST)
+    elif kind == "explored":
+        model, depth = EXPLORED[name]
+        found = explore(model(), depth, MOST)
+    else:
+        model, walks = WALKED[name]
+        found = wander(model(), walks, 160, 7, likely)
+    return f"{kind}: {name}: {found.told()}"
+
+
+def main(kinds: list[str]) -> None:
+    """Run all checks of these kinds."""
+    tables: dict[str, Iterable[str]] = {"mutation": MUTATIONS, "explored": EXPLORED, "walked": WALKED}
+    with ProcessPoolExecutor(CORES) as pool:
+        jobs = [pool.submit(check, kind, name) for kind in kinds or tables for name in tables[kind]]
+        for job in jobs:
+            print(job.result(), flush=True)
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- /dev/null
+++ b/tealwing/lab/models/rollout.py
@@ -0,0 +1,506 @@
+"""The model of a change of rules: the members' machines, the witnesses and the registry themselves.
+
+The log is taken as given (its own model is beside this one): one order, reliable. Each member applies it at its own
+pace. What was ever proposed may be applied at any later moment, again, or never; what a leader proposes comes from any
+leader at any moment, in the right or not. Members crash and come back with what they had applied, with less, or empty,
+in this mode or another; permits run out on slow clocks, and are waited for on fast ones, of which one may run wild.
+
+A request may be decided at any member at any moment its gate lets it. Checked in every state: no gate is open under a
+version older than one that some gate was ever open under; none is open under a version that was never in force; the
+outcome of a version never changes. A crash before the mark is written is the same as one before the entry was applied.
+
+The bounds are coarser than in service, so that what they cover shows within few steps of time.
+"""
+
+from __future__ import annotations
+
+import copy
+from collections.abc import Callable, Hashable, Iterable, Mapping
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from msgspec import structs
+
+from tealwing.peers.bounds import Bounds
+from tealwing.rollout.member import Check, Machine, Restart, Say, View, WriteMark, view
+from tealwing.rollout.retry import Retry
+from tealwing.rollout.witnesses import Witnesses
+from tealwing.rules import kept, registry
+from tealwing.rules import records as r
+from tealwing.rules.digests import digest
+
+PERMIT, DT = 2.0, 1.0  # s: of a permit, of a step of time
+COARSE = Bounds(drift=0.25, step=0.0, told=0.0)
+SLOW, FAST, WILD = 0.75, 1.25, 10.0
+LOG = "log"
+TEXT = b"[attempts]\nmost = 3\n"
+Tables = dict[str, dict[str, Any]]
+
+
+class Eager(Retry):
+    """All that is wanted is asked for at once: what is proposed may be applied late or never anyway."""
+
+    def ready(self, now: float, key: Hashable) -> bool:
+        """Always."""
+        return True
+
+    def keep(self, wanted: Iterable[Hashable]) -> None:
+        """Nothing is kept."""
+
+
+EAGER = Eager(0)
+
+
+@dataclass(frozen=True, slots=True)
+class Budget:
+    """How often each thing may happen."""
+
+    times: int = 3  # steps of time
+    crashes: int = 1
+    old: int = 0  # of the crashes, those that come back with less than was applied
+    empty: int = 0  # those that come back with nothing
+    flips: int = 0  # those that come back in the other mode
+    lapses: int = 1
+    aborts: int = 0
+    proposals: int = 0
+    reads: int = 3
+
+
+@dataclass(slots=True)
+class Log:
+    """Tables at each index, and what they come to for the key."""
+
+    states: tuple[Tables, ...]
+    keys: tuple[Hashable, ...]
+
+
+@dataclass(slots=True)
+class Node:
+    """One member: its machine, how far it has applied each log, how far its disk surely has."""
+
+    machine: Machine
+    rate: float
+    at: dict[str, int]
+    disk: dict[str, int]
+    witnesses: dict[str, Witnesses]
+
+
+@dataclass(slots=True)
+class World:
+    """One state."""
+
+    nodes: dict[str, Node]
+    logs: dict[str, Log]
+    requests: frozenset[tuple[str, r.Body]]
+    budget: Budget
+    at: int = 0  # steps of time so far
+    newest: int = 0  # version that some request was decided under
+    wrong: str = ""
+    gates: dict[str, Hashable] = field(default_factory=dict)
+
+
+def empty() -> Tables:
+    """The registry before the first entry."""
+    return {"rules": {}, "rule_members": {}, "rule_facts": {}}
+
+
+def propose(parent: int, number: int = 0) -> r.Propose:
+    """A version, made from another."""
+    return r.Propose(parent, digest(TEXT), TEXT, "operator", 0, "", number, number > 0)
+
+
+class Rollout:
+    """The model of one site."""
+
+    def __init__(
+        self, modes: str, budget: Budget, sabotage: str = "", mutation: str = "", wild: str = "",
+        begin: Callable[[Any, World], World] | None = None,
+    ) -> None:  # fmt: skip
+        """modes is one letter a member, s or h; wild names a member whose clock runs far beyond the bound.
+
+        begin leads from where all have begun and a version is checked to where the exploration starts.
+        """
+        self._modes, self._budget, self._mutation, self._wild, self._begin = modes, budget, mutation, wild, begin
+        self._sabotage = frozenset({sabotage} if sabotage else ())
+        self._names = "abcdefgh"[: len(modes)]
+        self._applied: dict[Hashable, tuple[Tables, Tables | None]] = {}  # what was worked out before
+        self._seen: dict[tuple[int, str], tuple[Tables, View]] = {}
+        self._interned: dict[Hashable, int] = {}
+
+    # Where it begins
+
+    def initial(self) -> World:
+        """All have begun and applied it, and a version is checked."""
+        nodes = {}
+        for place, (name, mode) in enumerate(zip(self._names, self._modes, strict=True)):
+            nodes[name] = self._node(name, mode, SLOW if place == 0 else FAST)
+        world = World(nodes, self._logs(), frozenset(), replace(self._budget, proposals=99))
+        for name in self._names:
+            world = self._settled(world, name)
+        world = self._set_up(world)
+        world.budget = self._budget
+        if self._begin is None:
+            return world
+        world.budget = Budget(99, 99, 99, 99, 99, 99, 99, 99, 99)
+        world = self._begin(self, world)
+        world.budget, world.at = self._budget, world.at
+        return world
+
+    def _logs(self) -> dict[str, Log]:
+        return {LOG: Log((empty(),), (None,))}
+
+    def _node(self, name: str, mode: str, rate: float) -> Node:
+        rate = WILD if name == self._wild else rate
+        logs = self.logs_of(name)
+        nodes = {log: Witnesses(who, COARSE) for log, who in logs.items()}
+        for watch in nodes.values():
+            watch._retry = EAGER
+        machine = self._machine(name, mode, 1, 0, None, None)
+        return Node(machine, rate, dict.fromkeys(logs, 0), dict.fromkeys(logs, 0), nodes)
+
+    def _machine(self, name: str, mode: str, start: int, mark: int, disk: View | None, fed: View | None) -> Machine:
+        touch: r.LostTouch = "hold" if mode[0] == "h" else "serve"
+        machine = Machine(
+            name, touch, start, PERMIT, COARSE, mark, sabotage=self._sabotage, disk=disk,
+            federated=len(self.logs_of(name)) > 1, disk_federated=fed,
+        )  # fmt: skip
+        machine._retry = EAGER
+        return machine
+
+    def logs_of(self, name: str) -> dict[str, str]:
+        """The logs that a member applies, its site's first, and the name under which it speaks there."""
+        return {LOG: name}
+
+    def _set_up(self, world: World) -> World:
+        world = self.flow(world, lambda body: isinstance(body, r.Begin))
+        for name in self._names:
+            world = self.read(world, name, LOG)
+        world = self.apply(world, LOG, propose(0))
+        return self.flow(world, lambda body: isinstance(body, r.Verdict))
+
+    def flow(self, world: World, want: Callable[[r.Body], bool]) -> World:
+        """Apply all that is proposed and wanted, and have all apply it, until nothing more comes of it."""
+        while True:
+            for name, node in world.nodes.items():
+                for log in node.at:
+                    if node.at[log] < len(world.logs[log].states) - 1:
+                        world = self.catch_up(world, name, log, len(world.logs[log].states) - 1)
+            for log, body in sorted(world.requests, key=repr):
+                if want(body) and (after := self.apply(world, log, body)) is not world:
+                    world = after
+                    break
+            else:
+                return world
+
+    # Steps
+
+    def steps(self, world: World) -> Iterable[tuple[str, Callable[[], World]]]:
+        """All that can happen."""
+        budget = world.budget
+        for log, body in sorted((*world.requests, *self.leaders(world)), key=repr):
+            if self._changes(world, log, body):
+                yield f"{log}: {told(body)}", lambda o=log, b=body: self.apply(world, o, b)  # type: ignore[misc]
+        for name, node in world.nodes.items():
+            for log, at in node.at.items():
+                last = len(world.logs[log].states) - 1
+                for to in sorted({at + 1, last} if at < last else ()):
+                    what = "all" if to == last else "one entry"
+                    yield (
+                        f"{name} applies {what} of the {log}",
+                        lambda n=name, o=log, t=to: self.catch_up(world, n, o, t),  # type: ignore[misc]
+                    )
+                if budget.reads and self._may_read(world, node, log):
+                    yield f"{name} reads the {log}", lambda n=name, o=log: self.read(world, n, o)  # type: ignore[misc]
+            if budget.crashes:
+                word = f"{name} crashes and comes back"
+                yield word, lambda n=name, p=node.at: self.crash(world, n, p)  # type: ignore[misc]
+                yield from self._crashes(world, name, node)
+        if budget.times:
+            yield f"{DT:g} s pass", lambda: self.passed(world)
+
+    def _crashes(self, world: World, name: str, node: Node) -> Iterable[tuple[str, Callable[[], World]]]:
+        if world.budget.old:
+            for log in node.at:
+                for at in range(node.disk[log], node.at[log]):
+                    yield (
+                        f"{name} crashes and comes back with the {log} up to {at}",
+                        lambda n=name, p=node.at | {log: at}: self.crash(world, n, p, old=1),  # type: ignore[misc]
+                    )
+        if world.budget.empty:
+            nothing = dict.fromkeys(node.at, 0)
+            yield f"{name} crashes and comes back empty", lambda: self.crash(world, name, nothing, empty=1)
+        if world.budget.flips:
+            for had in (node.disk, node.at):
+                yield (
+                    f"{name} crashes and comes back in the other mode with the logs up to {tuple(had.values())}",
+                    lambda p=had: self.crash(world, name, p, flips=1),  # type: ignore[misc]
+                )
+
+    def leaders(self, world: World) -> Iterable[tuple[str, r.Body]]:
+        """What any leader may propose now, or may have long ago."""
+        for log, its in world.logs.items():
+            tables = its.states[-1]
+            flight = registry.in_flight(tables)
+            if flight is None:
+                if world.budget.proposals and log == self.top:
+                    yield log, propose(registry.facts(tables).active)
+                continue
+            if log == self.top:
+                yield log, r.Close(flight.number)
+                yield log, r.Activate(flight.number)
+                if world.budget.aborts:
+                    yield log, r.Abort(flight.number)
+            if world.budget.lapses and len(tables["rule_members"]) > 1:
+                for name, member in tables["rule_members"].items():
+                    if member.lost_touch == "hold" and not member.lapsed:
+                        yield log, r.Lapse(name, member.start)
+
+    top = LOG  # the log that decides
+
+    def _may_read(self, world: World, node: Node, log: str) -> bool:
+        return node.machine.lost_touch == "hold" or node.machine.read_wanted(log != next(iter(node.at)))
+
+    def apply(self, world: World, log: str, body: r.Body) -> World:
+        """An entry is applied to the state; members come to it later. The same world if it changes nothing."""
+        states = world.logs[log].states
+        known = id(states[-1]), len(states), body
+        if known not in self._applied:
+            fresh = {name: dict(table) for name, table in states[-1].items()}
+            changes = self._apply(fresh, len(states), body) and fresh != states[-1]
+            self._applied[known] = states[-1], fresh if changes else None
+        tables = self._applied[known][1]
+        if tables is None:
+            return world
+        kinds = {"lapses": r.Lapse, "aborts": r.Abort, "proposals": r.Propose}
+        spent = {key: int(isinstance(body, kind) and log == self.top) for key, kind in kinds.items()}
+        after = self._after(world, spent)
+        after.logs = {**world.logs, log: Log((*states, tables), (*world.logs[log].keys, self._small(_key(tables))))}
+        for number, before in states[-1]["rules"].items():
+            now = tables["rules"].get(number)
+            again = (before.phase, now.phase) in (("active", "superseded"), ("rejected", "proposed")) if now else True
+            if before.phase not in r.IN_FLIGHT and now is not None and now.phase != before.phase and not again:
+                after.wrong = f"version {number} was {before.phase} and is {now.phase}"
+        return after
+
+    def _apply(self, tables: Tables, index: int, body: r.Body) -> bool:
+        if self._mutation == "old-leader" and isinstance(body, r.Activate):
+            found: r.Version | None = tables["rules"].get(str(body.number))
+            if found is not None and found.phase == "preparing":
+                kept.turn(tables, index, found, "agreed")
+                tables["rule_members"].update({
+                    name: _closed(member, body.number) for name, member in tables["rule_members"].items()
+                })
+        if self._mutation == "one-clock" and isinstance(body, r.Witness):
+            body2 = r.Witness(body.member, body.lapse, "another")
+            tables["rule_members"]["another"] = r.Member(1, "hold")
+            registry.apply(tables, index, body2)
+            del tables["rule_members"]["another"]
+        return registry.apply(tables, index, body).ok
+
+    def _changes(self, world: World, log: str, body: r.Body) -> bool:
+        return self.apply(world, log, body) is not world
+
+    def catch_up(self, world: World, name: str, log: str, to: int) -> World:
+        """A member applies a log up to an index, one entry after the other."""
+        after = self._with(world, name)
+        node = after.nodes[name]
+        while node.at[log] < to:
+            node.at[log] += 1
+            after = self._settled(after, name)
+        return after
+
+    def read(self, world: World, name: str, log: str) -> World:
+        """A member asks for a read-index, and is answered with what was committed then: the least that may come."""
+        after = self._with(world, name, reads=1)
+        node = after.nodes[name]
+        token = node.machine.read_sent(self._clock(after, node), log != next(iter(node.at)))
+        node.machine.read_done(self._clock(after, node), token, len(after.logs[log].states) - 1)
+        return self._settled(after, name)
+
+    def crash(self, world: World, name: str, at: Mapping[str, int], **spent: int) -> World:
+        """A member comes back with its logs up to those indexes; with all of them at 0 it has no mark either."""
+        after = self._with(world, name, crashes=1, **spent)
+        node = after.nodes[name]
+        lost = "empty" in spent
+        touch = node.machine.lost_touch
+        if "flips" in spent:
+            touch = "hold" if touch == "serve" else "serve"
+        views = [
+            None if lost else view(world.logs[log].states[at[log]], at[log], who)
+            for log, who in self.logs_of(name).items()
+        ]
+        start, mark = (1, 0) if lost else (node.machine.start + 1, node.machine.mark)
+        node.machine = self._machine(name, touch, start, mark, views[0], views[1] if len(views) > 1 else None)
+        node.at, node.disk = dict(at), dict(at)
+        for watch in node.witnesses.values():
+            watch._since = {}
+        return self._settled(after, name)
+
+    def passed(self, world: World) -> World:
+        """Time passes for all."""
+        after = self._after(world, {"times": 1})
+        after.at += 1
+        after.nodes = dict(world.nodes)
+        for name in world.nodes:
+            after = self._settled(self._with(after, name), name)
+        return after
+
+    # What comes of a step
+
+    def _after(self, world: World, spent: Mapping[str, int]) -> World:
+        after = copy.copy(world)
+        if any(spent.values()):
+            left = {key: max(0, getattr(world.budget, key) - count) for key, count in spent.items() if count}
+            after.budget = replace(world.budget, **left)
+        return after
+
+    def _with(self, world: World, name: str, **spent: int) -> World:
+        after = self._after(world, spent)
+        node = world.nodes[name]
+        twin = Node(node.machine.clone(), node.rate, dict(node.at), node.disk, {})
+        for log, watch in node.witnesses.items():
+            twin.witnesses[log] = copy.copy(watch)
+        after.nodes = {**world.nodes, name: twin}
+        return after
+
+    def _clock(self, world: World, node: Node) -> float:
+        return world.at * DT * node.rate
+
+    def _settled(self, world: World, name: str) -> World:
+        """What the shell does: the machine looks, the mark is written, checks say yes, and all is proposed."""
+        node = world.nodes[name]
+        now, machine = self._clock(world, node), node.machine
+        views = [
+            self._view(world, log, node.at[log], who) for log, who in self.logs_of(name).items()
+        ]
+        said: set[tuple[str, r.Body]] = set()
+        again = True
+        while again:
+            again = False
+            for action in machine.look(now, *views):
+                match action:
+                    case Say(body):
+                        said.add((next(iter(node.at)), body))
+                    case WriteMark(number):
+                        machine.marked(number)
+                        again = True
+                    case Check(number):
+                        machine.checked(number, True)
+                        again = True
+                    case Restart():
+                        again = True
+        for log, watch in node.witnesses.items():
+            said |= {(log, body) for body in watch.due(now, world.logs[log].states[node.at[log]])}
+        world.requests = world.requests | said | self._told(world, name)
+        gate = machine.gate(now)
+        if gate.mode == "open" and not world.wrong:
+            if gate.number < world.newest:
+                world.wrong = f"{name} decides under version {gate.number}, and one was decided under {world.newest}"
+            phase = self._view(world, self.top, len(world.logs[self.top].states) - 1, "").known(gate.number)
+            if gate.number and phase not in ("active", "superseded"):
+                world.wrong = f"{name} decides under version {gate.number}, which is {phase}"
+            if gate.number > world.newest:
+                world.newest = gate.number
+                for other, its in world.nodes.items():
+                    theirs = its.machine.gate(self._clock(world, its))
+                    if theirs.mode == "open" and theirs.number < gate.number:
+                        world.wrong = (
+                            f"{name} decides under version {gate.number}, and {other} under {theirs.number}"
+                        )
+        return world
+
+    def _told(self, world: World, name: str) -> frozenset[tuple[str, r.Body]]:
+        return frozenset()
+
+    # What must hold
+
+    def broken(self, world: World) -> str:
+        """What does not."""
+        return world.wrong
+
+    def key(self, world: World) -> Hashable:
+        """All of it; of a log what some member has not passed yet, or may come back to."""
+        logs = []
+        for name, log in world.logs.items():
+            least = min(
+                min(node.at[name], node.disk[name] if world.budget.old or world.budget.flips else node.at[name])
+                for node in world.nodes.values() if name in node.at
+            )  # fmt: skip
+            logs.append((len(log.states), log.keys[least:]))
+        nodes = tuple(
+            (self._small(node.machine.key()), tuple(node.at.values()), tuple(node.disk.values()),
+             tuple(tuple(sorted(watch._since.items())) for watch in node.witnesses.values()))
+            for node in world.nodes.values()
+        )  # fmt: skip
+        return tuple(logs), nodes, self._small(world.requests), world.budget, world.newest
+
+    def _small(self, thing: Hashable) -> int:
+        return self._interned.setdefault(thing, len(self._interned))
+
+    def _view(self, world: World, log: str, at: int, who: str) -> View:
+        tables = world.logs[log].states[at]
+        known = self._seen.get((id(tables), who))
+        if known is None or known[1].index != at:
+            known = self._seen[id(tables), who] = tables, view(tables, at, who)
+        return known[1]
+
+
+def _closed(member: r.Member, number: int) -> r.Member:
+    return structs.replace(member, closed=number)
+
+
+def _key(tables: Tables) -> Hashable:
+    found: list[r.Version] = list(tables["rules"].values())
+    versions = tuple(
+        (v.number, v.phase, tuple(sorted(v.said.items())) if v.phase in r.IN_FLIGHT else (), v.decided) for v in found
+    )
+    return versions, tuple(sorted(tables["rule_members"].items())), tables["rule_facts"].get(r.NOW)
+
+
+def told(body: r.Body) -> str:
+    """A command in a few words."""
+    match body:
+        case r.Propose(parent=parent, number=number):
+            return f"a version{f' {number}' if number else ''} made from {parent}"
+        case r.Verdict(number, member, start, yes):
+            return f"{member} (start {start}) says {'yes' if yes else 'no'} to {number}"
+        case r.Closed(number, member, start):
+            return f"{member} (start {start}) has closed for {number}"
+        case r.Begin(member, start, touch):
+            return f"{member} begins (start {start}, {touch})"
+        case r.Lapse(member, start):
+            return f"{member} (start {start}) lapses"
+        case r.Witness(member, lapse, by):
+            return f"{by} says that the lapse {lapse} of {member} is over"
+        case _:
+            return f"{type(body).__name__} {body.number}" if hasattr(body, "number") else repr(body)
+
+
+# Where explorations start that would else be too far away
+
+
+def nearly_closed(model: Rollout, world: World) -> World:
+    """All but the first have closed, and the first has not applied that it should."""
+    world = model.apply(world, LOG, r.Close(1))
+    for name in list(world.nodes)[1:]:
+        world = model.catch_up(world, name, LOG, len(world.logs[LOG].states) - 1)
+    for log, body in sorted(world.requests, key=repr):
+        if isinstance(body, r.Closed):
+            world = model.apply(world, log, body)
+    return world
+
+
+def lapsed(model: Rollout, world: World) -> World:
+    """And the first has lapsed, as all others know."""
+    world = model.apply(nearly_closed(model, world), LOG, r.Lapse(next(iter(world.nodes)), 1))
+    for name in list(world.nodes)[1:]:
+        world = model.catch_up(world, name, LOG, len(world.logs[LOG].states) - 1)
+    return world
+
+
+LIKELY = (("crashes", 0.1), ("lapses", 0.3), ("Abort", 0.1), ("pass", 0.4), ("Close ", 2.0))
+
+
+def likely(word: str) -> float:
+    """For walks at random: entries are applied more often than anything breaks."""
+    return next((weight for part, weight in LIKELY if part in word), 1.0)
--- a/tealwing/rollout/member.py
+++ b/tealwing/rollout/member.py
@@ -7,8 +7,8 @@
 
 from __future__ import annotations
 
+import copy
 from collections.abc import Hashable
-from itertools import count
 
 from tealwing.peers.bounds import USUAL, Bounds
 from tealwing.rollout.actions import FOREVER, HELD, Action, Check, Gate, Read, Restart, Say, Token, WriteMark
@@ -50,7 +50,7 @@
             self._site.until = FOREVER  # whoever went on has waited for a word of ours, which the mark would tell
         if not holds and disk_federated is not None and disk_federated.me is not None:
             self._fed.until = FOREVER
-        self._retry, self._serials = Retry(seed), count(1)
+        self._retry, self._serial = Retry(seed), 0
         self._checked: dict[int, tuple[bool, str]] = {}  # of the version in flight alone
         self._closed_at: tuple[int, float] | None = None  # for the sabotaged
 
@@ -69,17 +69,36 @@
 
     def read_sent(self, now: float, federation: bool = False) -> Token:
         """A read is sent now; the token goes with it."""
-        return Token(next(self._serials), now, self.start, federation)
+        self._serial += 1
+        return Token(self._serial, now, self.start, federation)
 
     def read_done(self, now: float, token: Token, index: int) -> None:
         """All that was committed when the read was sent lies at or before that index."""
         (self._fed if token.federation else self._site).answered(token, index)
         self._take()
 
+    def read_wanted(self, federation: bool = False) -> bool:
+        """Whether a read of that log would allow more than is allowed already: for the model check."""
+        return (self._fed if federation else self._site).until < FOREVER
+
     def read_failed(self, now: float, token: Token) -> None:
         """Nobody could say."""
         (self._fed if token.federation else self._site).failed(now, min(MOST, 0.1 * self._permit))
 
+    def clone(self) -> Machine:
+        """One like this that goes its own way, but for its retries: for the model check."""
+        twin = copy.copy(self)
+        twin._site, twin._fed = self._site.clone(), self._fed.clone()
+        return twin
+
+    def key(self) -> tuple[Hashable, ...]:
+        """All that decides what it does later, but for its views and its retries: for the model check."""
+        closed = self._closed_at if self._sabotage else None
+        return (
+            self.lost_touch, self.start, self.mark, self._from_disk, self._site.key(), self._fed.key(), closed,
+            *self._checked,
+        )  # fmt: skip
+
     # What to do
 
     def look(self, now: float, view: View, federated: FederatedView | None = None) -> list[Action]:
@@ -165,7 +184,7 @@
         why, until = self._barred(now, seen)
         if why:
             return Gate("shut", seen.active, closing, why)
-        if early := self._early(now, seen, closing):
+        if (early := self._early(now, seen, closing)) is not None:
             return Gate("open", early, 0, "", until)
         if not closing:
             return Gate("open", seen.active, 0, "", until)
@@ -214,11 +233,11 @@
             return f"version {fed.active} is in force in the federation, and not here yet"
         return ""
 
-    def _early(self, now: float, seen: View, closing: int) -> int:
-        """The version that a sabotaged member opens under without an outcome; 0: none."""
+    def _early(self, now: float, seen: View, closing: int) -> int | None:
+        """The version that a sabotaged member opens under without an outcome."""
         flight = seen.flight
         if not closing or flight is None or flight.number != closing:
-            return 0
+            return None
         said = seen.me is not None and seen.me.closed == closing
         if "early-open" in self._sabotage and (self.mark == closing or said):
             return closing
@@ -226,4 +245,4 @@
             return closing
         if "guess-after-close" in self._sabotage and self._closed_at and now - self._closed_at[1] >= GUESS:
             return seen.active
-        return 0
+        return None
--- a/tealwing/rollout/permit.py
+++ b/tealwing/rollout/permit.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import copy
+from collections.abc import Hashable
+
 from tealwing.peers.bounds import RENEW_SHARE, Bounds
 from tealwing.rollout.actions import FOREVER, Token
 from tealwing.rollout.view import View
@@ -59,6 +62,12 @@
         self.until, self._renew_at, self._asked = 0.0, 0.0, None
         self._pending.clear()
 
-    def key(self) -> tuple[object, ...]:
-        """All of it, for the model check."""
-        return (self.until, self._renew_at, self._asked, tuple(self._pending))
+    def clone(self) -> Permit:
+        """One like this that goes its own way: for the model check."""
+        twin = copy.copy(self)
+        twin._pending = list(self._pending)
+        return twin
+
+    def key(self) -> tuple[Hashable, ...]:
+        """All that allows something now or later: for the model check."""
+        return (self.until, *((token.sent, token.start, index) for token, index in self._pending))
--- /dev/null
+++ b/tests/test_rollout_model.py
@@ -0,0 +1,52 @@
+"""The model of a change of rules, of one site and of a federation: it holds, and known faults are found."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from benchmarks.rollout import MUTATIONS
+from tealwing.lab.models.explore import explore, wander
+from tealwing.lab.models.federation import Federation, closing
+from tealwing.lab.models.rollout import Budget, Rollout, lapsed, likely, nearly_closed
+
+DISKS = Budget(times=1, crashes=2, old=1, empty=1, flips=1, lapses=1, aborts=1, reads=1)
+FAULTS = Budget(times=12, crashes=4, old=2, empty=1, flips=2, lapses=3, aborts=1, proposals=3, reads=16)
+
+
+@pytest.mark.parametrize(
+    ("model", "depth", "states"),
+    [
+        (lambda: Rollout("sss", Budget()), 8, 5_000),
+        (lambda: Rollout("hhh", Budget(crashes=0), begin=lapsed), 5, 2_000),
+        (lambda: Rollout("shh", DISKS, begin=nearly_closed), 3, 1_000),
+        (lambda: Rollout("hhh", Budget(2, 0, lapses=1, reads=0), wild="c", begin=nearly_closed), 6, 1_000),
+        (lambda: Federation("sss", Budget(), begin=closing("b", "c")), 6, 1_500),
+        (lambda: Federation("hhh", Budget(), begin=closing("b", "c", lapse="A")), 4, 1_500),
+    ],
+)
+def test_nobody_decides_under_older_rules_than_anybody_did_in_all_interleavings_of_a_few_steps(
+    model: Callable[[], Rollout], depth: int, states: int
+) -> None:
+    found = explore(model(), depth)
+    assert found.whole and found.broken == "" and found.states > states
+
+
+@pytest.mark.parametrize("modes", ["sss", "hhh", "shh"])
+def test_nor_in_long_walks_through_crashes_old_disks_changed_modes_and_several_versions(modes: str) -> None:
+    for model, walks in ((Rollout(modes, FAULTS), 15), (Federation(modes, FAULTS), 8)):
+        found = wander(model, walks, 160, 11, likely)
+        assert found.broken == "" and found.steps > 1_000
+
+
+@pytest.mark.parametrize(
+    ("name", "steps"),
+    [
+        ("early-open", 2), ("old-leader", 3), ("guess-after-close", 5), ("no-permit", 6), ("start-from-disk", 4),
+        ("one-clock", 6), ("site-early", 4),
+    ],
+)  # fmt: skip
+def test_known_faults_of_a_change_are_found_with_short_stories(name: str, steps: int) -> None:
+    found = explore(MUTATIONS[name](), 10)
+    assert "decide" in found.broken and len(found.trace) == steps
