--- a/tealwing/federation/__init__.py
+++ b/tealwing/federation/__init__.py
@@ -1,1 +1,1 @@
-"""Several sites under one version of the rules; the argument is in docs/federation.md."""
+"""Several sites that change their rules together: plan, section, delegate (pure), shell; see docs/federation.md."""
--- a/tealwing/rollout/__init__.py
+++ b/tealwing/rollout/__init__.py
@@ -1,1 +1,1 @@
-"""A change of rules takes hold everywhere or nowhere: view, actions, retry, permit, member, witnesses, conductor."""
+"""One version of the rules on every gateway or on none: read plan, view, member, witnesses, conductor, mark, shell."""
--- a/tealwing/rules/records.py
+++ b/tealwing/rules/records.py
@@ -89,8 +89,8 @@
 class Begin(Record, tag="rules.begin", frozen=True):
     """A member's present start; the member is in the table from here on.
 
-    A start of `hold` counts as closed for a change under way, so that one which comes late, sent by a process that is
-    no more, must not take the place of the start that decides now: it names the one that it replaces.
+    One that comes late, sent by a process that is no more, must not take the place of the start that decides now: it
+    names the one that it replaces.
     """
 
     member: Word
