--- a/tealwing/rollout/member.py
+++ b/tealwing/rollout/member.py
@@ -47,9 +47,9 @@
         self._fed_view: FederatedView | None = disk_federated
         self._from_disk = disk is not None and disk.me is not None
         if not holds and disk is not None and disk.me is not None and disk.me.lost_touch == "serve" and mark != HELD:
-            self._site.until = FOREVER  # whoever went on has waited for a word of ours, which the mark would tell
+            self._site.trust()  # whoever went on has waited for a word of ours, which the mark would tell
         if not holds and disk_federated is not None and disk_federated.me is not None:
-            self._fed.until = FOREVER
+            self._fed.trust()
         self._retry, self._serial = Retry(seed), 0
         self._checked: dict[int, tuple[bool, str]] = {}  # of the version in flight alone
         self._closed_at: tuple[int, float] | None = None  # for the sabotaged
--- a/tealwing/rollout/permit.py
+++ b/tealwing/rollout/permit.py
@@ -27,6 +27,10 @@
         """Whether it counts now."""
         return now < self.until
 
+    def trust(self) -> None:
+        """It counts for good, without a read."""
+        self.until = self._renew_at = FOREVER
+
     def wants(self, now: float) -> bool:
         """Whether a read should be sent; counts as asked for if so."""
         if self._asked is not None and now - self._asked < LOST or self._pending or now < self._renew_at:
@@ -51,11 +55,11 @@
             me = view.me
             if token.start != start or me is None or me.lapsed or me.start != member:
                 continue
-            until = token.sent + self._bounds.holder_may(min(lasts, self._lasts)) if self._lapses else FOREVER
-            if until > self.until:
+            until = token.sent + self._bounds.holder_may(min(lasts, self._lasts))
+            if not self._lapses:
+                self.trust()
+            elif until > self.until:
                 self.until, self._renew_at = until, token.sent + RENEW_SHARE * min(lasts, self._lasts)
-                if not self._lapses:
-                    self._renew_at = FOREVER
 
     def drop(self) -> None:
         """Nothing read before counts any more."""
