--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -11,7 +11,9 @@
 
 from tealwing.lab.models.explore import explore, wander
 from tealwing.lab.models.federation import Federation, closing, site_early
-from tealwing.lab.models.rollout import Budget, Rollout, lapsed, likely, nearly_closed
+from tealwing.lab.models.rollout import Rollout
+from tealwing.lab.models.rollout_parts import Budget, likely
+from tealwing.lab.models.rollout_starts import begun_twice, lapsed, made, nearly_closed, once_held
 
 QUIET = Budget(times=0, crashes=0, lapses=0, reads=0)
 FAULTS = Budget(times=12, crashes=4, old=2, empty=1, flips=2, lapses=3, aborts=1, proposals=3, reads=16)
@@ -31,6 +33,12 @@
         "hhh", Budget(1, 0, lapses=1, reads=0), mutation="one-clock", wild="c", begin=nearly_closed
     ),
     "site-early": site_early,
+    # what was found in the design, and mended
+    "begin-counts": lambda: Rollout("hhh", QUIET, mutation="begin-counts", begin=begun_twice),
+    "mode-forgotten": lambda: Rollout(
+        "sss", Budget(0, 1, flips=1, reads=0), mutation="mode-forgotten", begin=once_held
+    ),
+    "empty-trusted": lambda: Rollout("sss", Budget(0, 1, empty=1, reads=0), mutation="empty-trusted", begin=made),
 }  # fmt: skip
 
 EXPLORED: dict[str, tuple[Callable[[], Rollout], int]] = {
--- a/tealwing/lab/models/federation.py
+++ b/tealwing/lab/models/federation.py
@@ -11,7 +11,8 @@
 from dataclasses import replace
 
 from tealwing.federation.delegate import duties
-from tealwing.lab.models.rollout import Budget, Log, Rollout, World, empty, propose
+from tealwing.lab.models.rollout import Rollout
+from tealwing.lab.models.rollout_parts import Budget, Log, World, empty, propose
 from tealwing.rules import records as r
 
 TOP = "federation"
--- a/tealwing/lab/models/rollout.py
+++ b/tealwing/lab/models/rollout.py
@@ -16,97 +16,33 @@
 
 import copy
 from collections.abc import Callable, Hashable, Iterable, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from typing import Any
 
-from msgspec import structs
-
-from tealwing.peers.bounds import Bounds
-from tealwing.rollout.member import Check, Machine, Restart, Say, View, WriteMark, view
-from tealwing.rollout.retry import Retry
+from tealwing.lab.models.rollout_faults import applied
+from tealwing.lab.models.rollout_parts import (
+    COARSE,
+    DT,
+    EAGER,
+    FAST,
+    LOG,
+    PERMIT,
+    SLOW,
+    WILD,
+    Budget,
+    Log,
+    Node,
+    Tables,
+    World,
+    empty,
+    propose,
+    told,
+    told_apart,
+)
+from tealwing.rollout.member import HELD, Check, Machine, Restart, Say, View, WriteMark, view
 from tealwing.rollout.witnesses import Witnesses
-from tealwing.rules import kept, registry
 from tealwing.rules import records as r
-from tealwing.rules.digests import digest
-
-PERMIT, DT = 2.0, 1.0  # s: of a permit, of a step of time
-COARSE = Bounds(drift=0.25, step=0.0, told=0.0)
-SLOW, FAST, WILD = 0.75, 1.25, 10.0
-LOG = "log"
-TEXT = b"[attempts]\nmost = 3\n"
-Tables = dict[str, dict[str, Any]]
-
-
-class Eager(Retry):
-    """All that is wanted is asked for at once: what is proposed may be applied late or never anyway."""
-
-    def ready(self, now: float, key: Hashable) -> bool:
-        """Always."""
-        return True
-
-    def keep(self, wanted: Iterable[Hashable]) -> None:
-        """Nothing is kept."""
-
-
-EAGER = Eager(0)
-
-
-@dataclass(frozen=True, slots=True)
-class Budget:
-    """How often each thing may happen."""
-
-    times: int = 3  # steps of time
-    crashes: int = 1
-    old: int = 0  # of the crashes, those that come back with less than was applied
-    empty: int = 0  # those that come back with nothing
-    flips: int = 0  # those that come back in the other mode
-    lapses: int = 1
-    aborts: int = 0
-    proposals: int = 0
-    reads: int = 3
-
-
-@dataclass(slots=True)
-class Log:
-    """Tables at each index, and what they come to for the key."""
-
-    states: tuple[Tables, ...]
-    keys: tuple[Hashable, ...]
-
-
-@dataclass(slots=True)
-class Node:
-    """One member: its machine, how far it has applied each log, how far its disk surely has."""
-
-    machine: Machine
-    rate: float
-    at: dict[str, int]
-    disk: dict[str, int]
-    witnesses: dict[str, Witnesses]
-
-
-@dataclass(slots=True)
-class World:
-    """One state."""
-
-    nodes: dict[str, Node]
-    logs: dict[str, Log]
-    requests: frozenset[tuple[str, r.Body]]
-    budget: Budget
-    at: int = 0  # steps of time so far
-    newest: int = 0  # version that some request was decided under
-    wrong: str = ""
-    gates: dict[str, Hashable] = field(default_factory=dict)
-
-
-def empty() -> Tables:
-    """The registry before the first entry."""
-    return {"rules": {}, "rule_members": {}, "rule_facts": {}}
-
-
-def propose(parent: int, number: int = 0) -> r.Propose:
-    """A version, made from another."""
-    return r.Propose(parent, digest(TEXT), TEXT, "operator", 0, "", number, number > 0)
+from tealwing.rules import registry
 
 
 class Rollout:
@@ -266,7 +202,7 @@
         known = id(states[-1]), len(states), body
         if known not in self._applied:
             fresh = {name: dict(table) for name, table in states[-1].items()}
-            changes = self._apply(fresh, len(states), body) and fresh != states[-1]
+            changes = applied(fresh, len(states), body, self._mutation) and fresh != states[-1]
             self._applied[known] = states[-1], fresh if changes else None
         tables = self._applied[known][1]
         if tables is None:
@@ -274,7 +210,8 @@
         kinds = {"lapses": r.Lapse, "aborts": r.Abort, "proposals": r.Propose}
         spent = {key: int(isinstance(body, kind) and log == self.top) for key, kind in kinds.items()}
         after = self._after(world, spent)
-        after.logs = {**world.logs, log: Log((*states, tables), (*world.logs[log].keys, self._small(_key(tables))))}
+        keys = *world.logs[log].keys, self._small(told_apart(tables))
+        after.logs = {**world.logs, log: Log((*states, tables), keys)}
         for number, before in states[-1]["rules"].items():
             now = tables["rules"].get(number)
             again = (before.phase, now.phase) in (("active", "superseded"), ("rejected", "proposed")) if now else True
@@ -282,21 +219,6 @@
                 after.wrong = f"version {number} was {before.phase} and is {now.phase}"
         return after
 
-    def _apply(self, tables: Tables, index: int, body: r.Body) -> bool:
-        if self._mutation == "old-leader" and isinstance(body, r.Activate):
-            found: r.Version | None = tables["rules"].get(str(body.number))
-            if found is not None and found.phase == "preparing":
-                kept.turn(tables, index, found, "agreed")
-                tables["rule_members"].update({
-                    name: _closed(member, body.number) for name, member in tables["rule_members"].items()
-                })
-        if self._mutation == "one-clock" and isinstance(body, r.Witness):
-            body2 = r.Witness(body.member, body.lapse, "another")
-            tables["rule_members"]["another"] = r.Member(1, "hold")
-            registry.apply(tables, index, body2)
-            del tables["rule_members"]["another"]
-        return registry.apply(tables, index, body).ok
-
     def _changes(self, world: World, log: str, body: r.Body) -> bool:
         return self.apply(world, log, body) is not world
 
@@ -330,7 +252,11 @@
             for log, who in self.logs_of(name).items()
         ]
         start, mark = (1, 0) if lost else (node.machine.start + 1, node.machine.mark)
+        if mark == HELD and self._mutation == "mode-forgotten":
+            mark = 0
         node.machine = self._machine(name, touch, start, mark, views[0], views[1] if len(views) > 1 else None)
+        if lost and self._mutation == "empty-trusted":
+            node.machine._site.trust()
         node.at, node.disk = dict(at), dict(at)
         for watch in node.witnesses.values():
             watch._since = {}
@@ -443,64 +369,3 @@
         if known is None or known[1].index != at:
             known = self._seen[id(tables), who] = tables, view(tables, at, who)
         return known[1]
-
-
-def _closed(member: r.Member, number: int) -> r.Member:
-    return structs.replace(member, closed=number)
-
-
-def _key(tables: Tables) -> Hashable:
-    found: list[r.Version] = list(tables["rules"].values())
-    versions = tuple(
-        (v.number, v.phase, tuple(sorted(v.said.items())) if v.phase in r.IN_FLIGHT else (), v.decided) for v in found
-    )
-    return versions, tuple(sorted(tables["rule_members"].items())), tables["rule_facts"].get(r.NOW)
-
-
-def told(body: r.Body) -> str:
-    """A command in a few words."""
-    match body:
-        case r.Propose(parent=parent, number=number):
-            return f"a version{f' {number}' if number else ''} made from {parent}"
-        case r.Verdict(number, member, start, yes):
-            return f"{member} (start {start}) says {'yes' if yes else 'no'} to {number}"
-        case r.Closed(number, member, start):
-            return f"{member} (start {start}) has closed for {number}"
-        case r.Begin(member, start, touch):
-            return f"{member} begins (start {start}, {touch})"
-        case r.Lapse(member, start):
-            return f"{member} (start {start}) lapses"
-        case r.Witness(member, lapse, by):
-            return f"{by} says that the lapse {lapse} of {member} is over"
-        case _:
-            return f"{type(body).__name__} {body.number}" if hasattr(body, "number") else repr(body)
-
-
-# Where explorations start that would else be too far away
-
-
-def nearly_closed(model: Rollout, world: World) -> World:
-    """All but the first have closed, and the first has not applied that it should."""
-    world = model.apply(world, LOG, r.Close(1))
-    for name in list(world.nodes)[1:]:
-        world = model.catch_up(world, name, LOG, len(world.logs[LOG].states) - 1)
-    for log, body in sorted(world.requests, key=repr):
-        if isinstance(body, r.Closed):
-            world = model.apply(world, log, body)
-    return world
-
-
-def lapsed(model: Rollout, world: World) -> World:
-    """And the first has lapsed, as all others know."""
-    world = model.apply(nearly_closed(model, world), LOG, r.Lapse(next(iter(world.nodes)), 1))
-    for name in list(world.nodes)[1:]:
-        world = model.catch_up(world, name, LOG, len(world.logs[LOG].states) - 1)
-    return world
-
-
-LIKELY = (("crashes", 0.1), ("lapses", 0.3), ("Abort", 0.1), ("pass", 0.4), ("Close ", 2.0))
-
-
-def likely(word: str) -> float:
-    """For walks at random: entries are applied more often than anything breaks."""
-    return next((weight for part, weight in LIKELY if part in word), 1.0)
--- /dev/null
+++ b/tealwing/lab/models/rollout_faults.py
@@ -0,0 +1,37 @@
+"""Registries with a known fault, so that the model of a change of rules can be seen to find it."""
+
+from __future__ import annotations
+
+from msgspec import structs
+
+from tealwing.lab.models.rollout_parts import Tables
+from tealwing.rules import kept, registry
+from tealwing.rules import records as r
+
+
+def applied(tables: Tables, index: int, body: r.Body, mutation: str) -> bool:
+    """Have the registry, or one with a known fault, apply a command; whether it does."""
+    if mutation == "old-leader" and isinstance(body, r.Activate):
+        found: r.Version | None = tables["rules"].get(str(body.number))
+        if found is not None and found.phase == "preparing":
+            kept.turn(tables, index, found, "agreed")
+            tables["rule_members"].update({
+                name: _closed(member, body.number) for name, member in tables["rule_members"].items()
+            })
+    flight = registry.in_flight(tables)
+    if mutation == "begin-counts" and isinstance(body, r.Begin) and flight is not None:
+        begun = registry.apply(tables, index, body).ok
+        new = begun and tables["rule_members"][body.member].begun == index
+        if new and body.lost_touch == "hold" and flight.phase in ("preparing", "agreed"):
+            return registry.apply(tables, index, r.Closed(flight.number, body.member, body.start)).ok
+        return begun
+    if mutation == "one-clock" and isinstance(body, r.Witness):
+        body2 = r.Witness(body.member, body.lapse, "another")
+        tables["rule_members"]["another"] = r.Member(1, "hold")
+        registry.apply(tables, index, body2)
+        del tables["rule_members"]["another"]
+    return registry.apply(tables, index, body).ok
+
+
+def _closed(member: r.Member, number: int) -> r.Member:
+    return structs.replace(member, closed=number)
--- a/tests/test_rollout_cores.py
+++ b/tests/test_rollout_cores.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from tealwing.federation.delegate import Delegate, duties
-from tealwing.lab.models.rollout import empty, propose
+from tealwing.lab.models.rollout_parts import empty, propose
 from tealwing.peers.bounds import USUAL
 from tealwing.rollout.conductor import Conductor, Witnesses
 from tealwing.rollout.member import HELD, Check, Machine, Read, Restart, Say, WriteMark, view
--- a/tests/test_rollout_model.py
+++ b/tests/test_rollout_model.py
@@ -9,7 +9,9 @@
 from benchmarks.rollout import MUTATIONS
 from tealwing.lab.models.explore import explore, wander
 from tealwing.lab.models.federation import Federation, closing
-from tealwing.lab.models.rollout import Budget, Rollout, lapsed, likely, nearly_closed
+from tealwing.lab.models.rollout import Rollout
+from tealwing.lab.models.rollout_parts import Budget, likely
+from tealwing.lab.models.rollout_starts import lapsed, nearly_closed
 
 DISKS = Budget(times=1, crashes=2, old=1, empty=1, flips=1, lapses=1, aborts=1, reads=1)
 FAULTS = Budget(times=12, crashes=4, old=2, empty=1, flips=2, lapses=3, aborts=1, proposals=3, reads=16)
@@ -44,7 +46,7 @@
     ("name", "steps"),
     [
         ("early-open", 2), ("old-leader", 3), ("guess-after-close", 5), ("no-permit", 6), ("start-from-disk", 4),
-        ("one-clock", 6), ("site-early", 4),
+        ("one-clock", 6), ("site-early", 4), ("begin-counts", 3), ("mode-forgotten", 2), ("empty-trusted", 2),
     ],
 )  # fmt: skip
 def test_known_faults_of_a_change_are_found_with_short_stories(name: str, steps: int) -> None:
