Go on without a gateway whose copy of the log takes nothing more, though its link lives

A gateway with a failed disk is heard on the link and says nothing to the log: with hold every change waited for it and was aborted. The leader now counts it as silent once it has not answered for an election's time.

--- a/tealwing/rollout/leading.py
+++ b/tealwing/rollout/leading.py
@@ -38,12 +38,16 @@
         self._conductor.lead(now, self.leads)
         if not self.leads:
             return
-        silent = self._silent(seen) if seen.me.flight is not None else []
+        silent = self._silent(now, seen) if seen.me.flight is not None else []
         for body in self._conductor.look(now, seen.tables, silent):
             self._replica.propose_here(c.encode(c.Command("", 0, body)))
 
-    def _silent(self, seen: Seen) -> list[str]:
-        limit = SILENT_BEATS * self._link.plan.times.beat
+    def _silent(self, now: float, seen: Seen) -> list[str]:
+        """Names of the members that are not heard on the link, or whose copy of the log takes nothing more."""
+        limit, core = SILENT_BEATS * self._link.plan.times.beat, self._replica.core
         heard = {peer["name"] for peer in self._link.status()
                  if peer["silence_s"] is not None and peer["silence_s"] <= limit}  # fmt: skip
+        for name, progress in list(core.progress.items()):
+            if name in core.members and now - progress.heard >= self._replica.plan.election:
+                heard.discard(name)
         return [name for name in seen.members if name not in heard and name != self._name]
--- a/tests/test_rollout_processes.py
+++ b/tests/test_rollout_processes.py
@@ -192,6 +192,17 @@
         assert [m["name"] for m in call(trial, "n0", "rules.status")["members"]] == others
 
 
+def test_one_whose_disk_fails_is_gone_on_without_though_it_is_heard_and_refuses_once_its_permit_is_over() -> None:
+    with fleet("hold") as trial:
+        lost = next(name for name in trial.names if name not in ("n0", trial.leader()))
+        call(trial, lost, "fault.disk", fault="fsync", count=10**6)
+        assert propose(trial, "n0", 650)["word"] == "ok"
+        others = [name for name in trial.names if name != lost]
+        until(lambda: all(call(trial, name, "rules.status")["in_force"] == 1 for name in others))
+        found = call(trial, lost, "rules.status")
+        assert (found["gate"]["mode"], found["in_force"]) == ("shut", 0) and "fsync" in found["broken"]
+
+
 @pytest.mark.parametrize("lost_touch", ["serve", "hold"])
 def test_all_killed_between_the_close_and_the_outcome_come_back_to_one_outcome(lost_touch: str) -> None:
     with fleet(lost_touch) as trial:
