--- a/tealwing/commands/fleet.py
+++ b/tealwing/commands/fleet.py
@@ -46,6 +46,8 @@
               help="Load rules: what gateways that are cut off do.")  # fmt: skip
 @click.option("--sites", type=click.IntRange(0, 16), default=0, show_default=True,
               help="Load rules: of a federation, among which the processes are shared out; 0: none.")  # fmt: skip
+@click.option("--learners", type=click.IntRange(0, 29), default=0, show_default=True,
+              help="Of the processes: those that follow the replicated log without a vote.")  # fmt: skip
 @click.option("--json", "as_json", is_flag=True, help="The figures as one line of JSON.")
 def attempt(
     name: str,
@@ -56,6 +58,7 @@
     sabotage: str,
     lost_touch: str,
     sites: int,
+    learners: int,
     as_json: bool,
 ) -> None:
     """Run SCENARIO, a name of `tealwing fleet list` or a .toml file, on real processes over loopback.
@@ -78,7 +81,7 @@
     if folder is not None and folder.exists() and any(folder.iterdir()):
         raise click.UsageError(f"--out: {out} is there and not empty; allowed: a new folder")
     try:
-        found = runs.attempt(scenario.load(name), procs, seconds, seed, folder, sabotage, lost_touch, sites)
+        found = runs.attempt(scenario.load(name), procs, seconds, seed, folder, sabotage, lost_touch, sites, learners)
     except (scenario.ScenarioError, ValueError, RuntimeError, OSError) as error:
         raise Finding(str(error)) from None
     for violation in found.violations[:20]:
--- a/tealwing/lab/rig/layouts.py
+++ b/tealwing/lab/rig/layouts.py
@@ -45,13 +45,17 @@
 
 
 def layout(
-    workload: str, names: Sequence[str], lost_touch: str = "serve", sites: int = 0, sabotage: str = ""
-) -> Layout:
-    """The layout of a load's trial with those processes; sites above 0: a federation of so many."""
-    members = len(names) // sites if sites else len(names)
+    workload: str, names: Sequence[str], lost_touch: str = "serve", sites: int = 0, sabotage: str = "",
+    learners: int = 0,
+) -> Layout:  # fmt: skip
+    """The layout of a load's trial with those processes; sites above 0: a federation of so many.
+
+    learners: how many of them, the last ones, follow the log without a vote.
+    """
+    members = len(names) // sites if sites else len(names) - learners
     stale = max(1, (members - 1) // 2 // 2) if members >= 3 else 0
     if workload != "rules":
-        return Layout(SECTIONS[workload], ENGINES.get(workload, 0), stale=stale)
+        return Layout(SECTIONS[workload], ENGINES.get(workload, 0), stale=stale, learners=_last(names, learners))
     text = REPLICA + RULES.replace("LOST_TOUCH", lost_touch).replace("LIMIT", f"{RULES_LIMIT:g}")
     places: Mapping[str, tuple[str, ...]] = federated(names, sites) if sites else {}
     if sites:
@@ -60,4 +64,9 @@
     return Layout(
         text, len(ZONES), ZONES, places, lost_touch, stale if lost_touch == "hold" else 0, tight=names[-1],
         sabotage=sabotage if sabotage in RULES_SABOTAGES else "", saboteurs=frozenset(names),
+        learners=_last(names, learners),
     )  # fmt: skip
+
+
+def _last(names: Sequence[str], count: int) -> frozenset[str]:
+    return frozenset(names[len(names) - count :])
--- a/tealwing/lab/rig/runs.py
+++ b/tealwing/lab/rig/runs.py
@@ -52,12 +52,17 @@
     sabotage: str = "",
     lost_touch: str = "serve",
     sites: int = 0,
+    learners: int = 0,
 ) -> Found:
     """Run the trial; out is a folder for history, logs and report (none is kept if None).
 
     lost_touch: what gateways of the load `rules` do when they are cut off. sites: of a federation; 0: none.
+    learners: how many of the processes follow the log without a vote.
     """
     _check(scenario, procs, sites, sabotage)
+    if learners and (sites or scenario.workload == "echo" or procs - learners < 3):
+        raise ValueError(f"--learners: {learners}; allowed: as many as leave three that vote, with a load that has a"
+                         " replicated log and without --sites")  # fmt: skip
     begun = time.monotonic()
     load = LOADS[scenario.workload]()
     if isinstance(load, LeaseLoad):
@@ -65,7 +70,7 @@
     elif isinstance(load, RulesLoad):
         load = RulesLoad(lost_touch, layouts.FEDERATION_LIMIT if sites else layouts.RULES_LIMIT)
     names = [f"n{number}" for number in range(procs)]
-    layout = layouts.layout(scenario.workload, names, lost_touch, sites, sabotage)
+    layout = layouts.layout(scenario.workload, names, lost_touch, sites, sabotage, learners)
     with Trial(scenario, procs, seconds, seed, out, layout) as trial:
         trial.start()
         _break(trial, sabotage)
--- a/tests/test_rules_trials.py
+++ b/tests/test_rules_trials.py
@@ -37,6 +37,13 @@
     assert found.figures["activated"] >= 3 and found.figures["served"] > 100 and found.figures["faults"] >= 4
 
 
+def test_members_that_only_learn_change_their_rules_with_the_others() -> None:
+    found = attempt("rules-change", 6, 12.0, "hold", learners=3)
+    assert [str(violation) for violation in found.violations] == []
+    assert {key: found.figures[key] for key in NONE} == dict.fromkeys(NONE, 0)
+    assert found.figures["activated"] >= 2 and found.figures["served"] > 100
+
+
 def test_sites_of_a_federation_change_together_or_not_at_all() -> None:
     found = attempt("federation-switch", 9, 18.0, "serve", sites=3)
     assert [str(violation) for violation in found.violations] == []
