--- a/tealwing/rollout/shell.py
+++ b/tealwing/rollout/shell.py
@@ -64,6 +64,7 @@
         self._leading = Leading(plan, replica, link)
         self.steering = Steering(gate_, plan.lost_touch)
         self._deeds = deeds.Deeds(self._machine, mark, here, self.steering, self._lock, self._follow)
+        self._fault = ""  # of the last turn
         self._due: list[Action] = []  # what the machine wants and nobody does yet
         self.outcomes = outcomes.Outcomes(self._seen)
         replica.watch(self._applied)
@@ -185,8 +186,12 @@
             self._wake.clear()
             try:
                 self._turn()
+                self._fault = ""
             except Exception:  # what holds holds by the gate; the machine asks again for what was not done
-                log.event("rules_fault", trace=traceback.format_exc(limit=-4))
+                trace = traceback.format_exc(limit=-4)
+                if trace != self._fault:
+                    log.event("rules_fault", trace=trace)
+                self._fault = trace
                 self._stopped.wait(AFTER_FAULT)
 
     def _turn(self) -> None:
--- a/tests/test_rollout_shell.py
+++ b/tests/test_rollout_shell.py
@@ -32,7 +32,8 @@
 
     def __init__(self, folder: Path, state: State | None = None) -> None:
         self.state, self.clock, self.disk = state or State(), Clock(), Disk()
-        self.plan, self.start_number, self.broken = SimpleNamespace(folder=str(folder)), 7, ""
+        self.plan, self.start_number, self.broken = SimpleNamespace(folder=str(folder), election=0.6), 7, ""
+        self.core = SimpleNamespace(progress={}, members=("n0",))
         self.hurried, self._lock, self.answers = 0, threading.RLock(), threading.Event()
         self._watchers: list[Callable[..., None]] = []
         self.watch = self._watchers.append
