--- a/tealwing/replica/__init__.py
+++ b/tealwing/replica/__init__.py
@@ -1,1 +1,4 @@
-"""State that the gateways share: a replicated log (Raft), its disk, the state that it makes, and recovery."""
+"""State that gateways share, in a replicated log.
+
+In this order: messages, raft/, commands, state, storage, then member and node.
+"""
