--- a/tealwing/lab/models/rollout_starts.py
+++ b/tealwing/lab/models/rollout_starts.py
@@ -26,6 +26,16 @@
     return world
 
 
+def lapsed_for_good(model: Rollout, world: World) -> World:
+    """And that lapse is over, as two others have waited for and say; one of them has a new permit."""
+    world = model.passed(model.passed(lapsed(model, world)))
+    name, *others = world.nodes
+    lapse = len(world.logs[LOG].states) - 1
+    for other in others:
+        world = model.apply(world, LOG, r.Witness(name, lapse, other))
+    return model.read(world, others[0], LOG)
+
+
 def begun_twice(model: Rollout, world: World) -> World:
     """The first came back, and came back empty under its old start number; it decides, and all others have closed."""
     name = next(iter(world.nodes))
