Lead only by votes that are still held, so that a forgotten vote makes no second leader

With stale above 0 a vote that was given, forgotten by an older disk and given again in the same term could count for two candidates: two leaders of a term, or one without a committed entry. A candidate now asks those that voted once more, and leads when they answer in the term and the start in which they voted (messages Hold and Held).

A test drives the cores step by step and fails without it, with pre-votes and check-quorum off and on.

--- a/benchmarks/consensus.py
+++ b/benchmarks/consensus.py
@@ -10,7 +10,7 @@
 
 from tealwing.lab.models.consensus import Budget, Consensus
 from tealwing.lab.models.explore import explore
-from tealwing.lab.models.starts import figure_eight, led
+from tealwing.lab.models.starts import figure_eight, forgotten, led, sure
 
 
 def main() -> None:
@@ -21,6 +21,7 @@
     old = Budget(timeouts=2, beats=0, proposals=0, crashes=0, old=1, twice=0)
     learning = Budget(timeouts=1, beats=0, proposals=0, crashes=1, twice=0, promotions=1)
     both = Budget(timeouts=1, beats=0, proposals=0, crashes=0, twice=0, promotions=1, demotions=1)
+    once = Budget(timeouts=1, beats=0, proposals=0, crashes=0, twice=0)
     few = Budget(timeouts=2, beats=0, proposals=0, crashes=0, twice=0)
     for name, model, to in (
         ("the core", Consensus(plain), depth),
@@ -29,6 +30,9 @@
         ("vote-twice", Consensus(plain, "vote-twice"), depth),
         ("the core, older disks", Consensus(old, stale=1), depth + 4),
         ("trust-old-disks", Consensus(old, "trust-old-disks", stale=1), depth + 4),
+        ("a vote is forgotten", Consensus(once, "", "abcde", 1, begin=forgotten), depth + 2),
+        ("and its voter is sure", Consensus(once, "", "abcde", 1, begin=sure), depth + 2),
+        ("forgotten-votes, from there", Consensus(once, "forgotten-votes", "abcde", 1, begin=sure), depth + 2),
         ("3 voters and a learner", Consensus(replace(plain, twice=0), learners="d"), depth),
         ("the learner is promoted", Consensus(learning, begin=led, learners="d"), depth + 1),
         ("it is promoted, and a voter demoted", Consensus(both, begin=led, learners="d"), depth + 3),
--- a/tealwing/lab/models/consensus.py
+++ b/tealwing/lab/models/consensus.py
@@ -255,7 +255,7 @@
             members.append(
                 (name, m.term, m.vote, tuple(m.log), m.commit, m.role, m.start, m.unsure, m.leader,
                  tuple(sorted(m.votes.items())), tuple(sorted(m.granted.items())) if rounds else (),
-                 m.round if rounds else 0, m.settled if m.role is Role.LEADER else 0, progress)
+                 tuple(sorted(m.held)), m.round if rounds else 0, m.settled if m.role is Role.LEADER else 0, progress)
             )  # fmt: skip
         network: frozenset[Any] = world.network
         if not rounds:
--- a/tealwing/lab/models/mutations.py
+++ b/tealwing/lab/models/mutations.py
@@ -36,6 +36,13 @@
             self._send(name, Sure(self.term, progress.start))
 
 
+class LeadsByForgottenVotes(Raft):
+    """A mutation: who has a quorum of votes leads, whoever of those that gave them has forgotten it since."""
+
+    def _won(self, now: float) -> None:
+        self._become_leader(now)
+
+
 class CountsLearners(Raft):
     """A mutation: a learner's acknowledgement counts for what is committed."""
 
@@ -50,5 +57,6 @@
     "vote-twice": VotesTwice,
     "trust-old-disks": TrustsOldDisks,
     "sure-at-once": SureAtOnce,
+    "forgotten-votes": LeadsByForgottenVotes,
     "count-learners": CountsLearners,
 }
--- a/tealwing/lab/models/starts.py
+++ b/tealwing/lab/models/starts.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 from tealwing.lab.models.consensus import Consensus, World
-from tealwing.replica.messages import Append, AppendReply, Message, VoteAsk, VoteReply
+from tealwing.replica.messages import Append, AppendReply, Held, Hold, Message, Sure, VoteAsk, VoteReply
 from tealwing.replica.raft import Role
 
 LIKELY = (
@@ -62,3 +62,46 @@
         world = model.deliver(world, name, a, message_between(world, name, a, AppendReply), False)
     world.budget, world.network = budget, frozenset()
     return world
+
+
+def forgotten(model: Consensus, world: World) -> World:
+    """a leads term 1 of five, e stands for term 2 and has the vote of b, and b comes back without it.
+
+    Only what e asks of the others is under way, as long as e has not heard of b's new start.
+    """
+    budget = world.budget
+    world.budget = replace(budget, timeouts=9, beats=9, old=9)
+
+    def passed(after: World, source: str, target: str, kind: type) -> World:
+        return model.deliver(after, source, target, message_between(after, source, target, kind), False)
+
+    world = model.timeout(world, "a")
+    for name in "bc":
+        world = passed(passed(world, "a", name, VoteAsk), name, "a", VoteReply)
+    if world.members["a"].role is not Role.LEADER:
+        for name in "bc":
+            world = passed(passed(world, "a", name, Hold), name, "a", Held)
+    for name in "bcde":
+        world = passed(passed(world, "a", name, Append), name, "a", AppendReply)
+    world.network = frozenset()
+    world = model.timeout(world, "e")
+    world = passed(passed(world, "e", "b", VoteAsk), "b", "e", VoteReply)
+    asked = frozenset(m for m in world.network if m[0] == "e")
+    world = model.crash(world, "b", -2)
+    world.budget, world.network = budget, asked | world.network
+    return world
+
+
+def sure(model: Consensus, world: World) -> World:
+    """From there: a has heard of b's new start, c and d have answered a round since, and b knows that it is sure."""
+    world = forgotten(model, world)
+    budget = world.budget
+    world.budget = replace(budget, beats=9)
+    for names in ("b", "cdb"):
+        world = model.beat(world, "a")
+        for name in names:
+            for source, target, kind in (("a", name, Append), (name, "a", AppendReply)):
+                world = model.deliver(world, source, target, message_between(world, source, target, kind), False)
+    world = model.deliver(world, "a", "b", message_between(world, "a", "b", Sure), False)
+    world.budget, world.network = budget, frozenset(m for m in world.network if m[0] == "e")
+    return world
--- a/tealwing/lab/models/words.py
+++ b/tealwing/lab/models/words.py
@@ -6,6 +6,8 @@
     Append,
     AppendReply,
     Hand,
+    Held,
+    Hold,
     Message,
     Snap,
     SnapReply,
@@ -31,5 +33,9 @@
             return "a piece of a snapshot"
         case Hand(term):
             return f"term {term}: stand at once"
+        case Hold(term):
+            return f"do you hold your vote for me in term {term}?"
+        case Held(term, _):
+            return f"I am in term {term}, as before"
         case Sure(term, _):
             return f"term {term}: you have caught up"
--- a/tealwing/replica/messages.py
+++ b/tealwing/replica/messages.py
@@ -113,6 +113,19 @@
     term: Big
 
 
+class Hold(Record, tag=9, frozen=True):
+    """A candidate that has its votes, where disks may come back older: are you still who gave me yours?"""
+
+    term: Big
+
+
+class Held(Record, tag=10, frozen=True):
+    """The answer: the term that the sender is in, and its start."""
+
+    term: Big
+    start: Big
+
+
 class Names(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Voters and learners in the data of an entry, where there are learners."""
 
@@ -120,7 +133,7 @@
     learners: list[str]
 
 
-Message = VoteAsk | VoteReply | Append | AppendReply | Snap | SnapReply | Sure | Hand
+Message = VoteAsk | VoteReply | Append | AppendReply | Snap | SnapReply | Sure | Hand | Hold | Held
 
 _encode = msgspec.msgpack.Encoder().encode
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
--- a/tealwing/replica/raft/core.py
+++ b/tealwing/replica/raft/core.py
@@ -4,7 +4,7 @@
 
 import copy
 
-from tealwing.replica.messages import Append, AppendReply, Hand, Message, Snap, Sure, VoteAsk, VoteReply
+from tealwing.replica.messages import Append, AppendReply, Hand, Held, Hold, Message, Snap, Sure, VoteAsk, VoteReply
 from tealwing.replica.raft.election import Electing
 from tealwing.replica.raft.records import Ready, Role
 
@@ -17,10 +17,15 @@
         if isinstance(message, VoteAsk):
             self._vote(now, source, message)
             return
+        if isinstance(message, Hold):  # no vote is asked for: its term moves nobody
+            self._send(source, Held(self.term, self.start))
+            return
         if message.term > self.term and not (isinstance(message, VoteReply) and message.pre):
             self._follow(now, message.term, "")
         if isinstance(message, VoteReply):
             self._hear_vote(now, source, message)
+        elif isinstance(message, Held):
+            self._hear_held(now, source, message)
         elif isinstance(message, Append):
             self._hear_append(now, source, message)
         elif isinstance(message, Snap):
@@ -78,6 +83,6 @@
         twin = copy.copy(self)
         for name in ("log", "_out", "_reads", "_done_reads", "_failed_reads"):
             setattr(twin, name, list(getattr(self, name)))
-        twin.votes, twin.granted = dict(self.votes), dict(self.granted)
+        twin.votes, twin.granted, twin.held = dict(self.votes), dict(self.granted), set(self.held)
         twin.progress = {name: progress.clone() for name, progress in self.progress.items()}
         return twin
--- a/tealwing/replica/raft/following.py
+++ b/tealwing/replica/raft/following.py
@@ -21,7 +21,7 @@
             self._reset_deadline(now)
         # others keep theirs: whoever asks for votes that nobody gives must not keep the rest from asking
         self.role, self.leader = Role.FOLLOWER, leader
-        self.votes = {}
+        self.votes, self.held = {}, set()
 
     def _hear_leader(self, now: float, source: str) -> None:
         log.must_hold(self.role is not Role.LEADER, "one leader in a term")
--- a/tealwing/replica/raft/log.py
+++ b/tealwing/replica/raft/log.py
@@ -50,6 +50,7 @@
         self.heard = now - 2 * options.election  # when a leader was heard
         self.deadline = 0.0
         self.votes: dict[str, tuple[bool, int, bool]] = {}  # granted, start and unsure, by who answered
+        self.held: set[str] = set()  # who has said again that it holds its vote for us; empty: nobody was asked to
         self.granted: dict[str, int] = {}  # the starts that voted for us as we became leader
         self.progress: dict[str, Progress] = {}
         self.round = 0
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -14,10 +14,10 @@
 from tealwing.lab.judges import copies, register
 from tealwing.lab.models.consensus import Budget, Consensus
 from tealwing.lab.models.explore import explore, wander
-from tealwing.lab.models.starts import figure_eight, likely
+from tealwing.lab.models.starts import figure_eight, forgotten, likely, sure
 from tealwing.replica import commands as c
 from tealwing.replica.disk import Disk
-from tealwing.replica.messages import Append, AppendReply, Entry, Kind, Message, Snap
+from tealwing.replica.messages import Append, AppendReply, Entry, Kind, Message, Snap, VoteAsk
 from tealwing.replica.raft import Busy, Meta, NotLeader, Options, Raft, Role
 from tealwing.replica.state import MOST_SESSIONS, State
 from tealwing.replica.storage import Storage, StorageError, verify
@@ -424,8 +424,71 @@
         assert not fleet.members[forgetful].unsure and fleet.members[forgetful].commit >= 2
 
 
+@pytest.mark.parametrize("careful", [False, True])
+def test_a_vote_that_was_forgotten_makes_no_second_leader_of_a_term(careful: bool) -> None:
+    # guards one leader a term: l votes for x, comes back without that, is told that it is sure, and votes for q
+    fleet = Fleet("lpqxy", stale=1, pre_vote=careful, check_quorum=careful)
+    m = fleet.members
+    for member in m.values():
+        member.unsure, member.deadline = False, 1e9  # who stands, and when, is told below
+
+    def give(route: str) -> None:
+        """Each pair of names: all that is under way from one to the other arrives."""
+        for pair in route.split():
+            source, target = pair[0], pair[1]
+            due = [word for word in fleet.sent if word[:2] == (source, target)]
+            fleet.sent = [word for word in fleet.sent if word not in due]
+            for _, _, message in due:
+                m[target].step(fleet.now, source, message)
+                fleet.settle(target)
+
+    def lose(names: str) -> None:
+        fleet.sent = [word for word in fleet.sent if word[0] not in names]
+
+    def stand(name: str, asked: str) -> None:
+        m[name].campaign(fleet.now)
+        fleet.settle(name)
+        if careful:  # the votes before the vote
+            give(" ".join(f"{name}{other} {other}{name}" for other in asked))
+            fleet.sent = [w for w in fleet.sent if not (isinstance(w[2], VoteAsk) and w[0] == name and w[2].pre)]
+
+    m["y"].campaign(fleet.now)
+    fleet.settle("y")
+    fleet.pass_on()
+    assert m["y"].role is Role.LEADER and m["y"].commit == 1
+    fleet.now += 0.61  # x, l and p have not heard y for an election time
+    before = m["l"].term, m["l"].vote, list(m["l"].log)
+    stand("x", "lp")
+    give("xl lx")
+    assert (m["x"].term, m["l"].vote) == (m["y"].term + 1, "x")
+    lost = m["l"]
+    m["l"] = Raft("l", tuple("lpqxy"), fleet.now, 9, 2, fleet.options, *before[:2], log=before[2])
+    m["l"].deadline = 1e9
+    for route in ("yl ly", "yp py yq qy yl ly"):
+        m["y"]._begin_round(fleet.now)
+        fleet.settle("y")
+        give(route)
+    give("py qy ly yl")
+    assert m["l"].term == m["y"].term < lost.term and not m["l"].unsure
+    lose("y")
+    fleet.now += 0.61  # y is heard by nobody
+    assert fleet.now < m["x"].deadline or not careful
+    m["y"].tick(fleet.now)
+    fleet.settle("y")
+    lose("y")
+    give("xp px")
+    assert m["p"].vote == "x"
+    stand("q", "yl")
+    give("qy yq ql lq")
+    assert (m["q"].term, m["l"].vote) == (m["x"].term, "q")
+    give("xl xp lx px ql qy lq yq")
+    assert [n for n in "xq" if m[n].role is Role.LEADER] == ["q"]
+
+
 # The model check
 
+WALKS = Budget(timeouts=12, beats=30, proposals=8, crashes=3, old=6, twice=5, hands=3)
+
 
 def test_the_core_holds_in_all_interleavings_of_a_few_steps() -> None:
     found = explore(Consensus(Budget(timeouts=2, beats=1, proposals=1, crashes=1, twice=1)), 6)
@@ -441,11 +504,17 @@
     assert "without the entry 1 that is committed" in old_terms.broken and len(old_terms.trace) == 9  # figure 8
     twice = explore(Consensus(Budget(2, 0, 0, 0, 0, 0), "vote-twice"), 8)
     assert "both lead term 1" in twice.broken
-    forgot = explore(Consensus(Budget(2, 0, 0, 0, 1, 0), "trust-old-disks", stale=1), 8)
+    forgot = explore(Consensus(Budget(2, 0, 0, 0, 1, 0), "trust-old-disks", stale=1), 11)
     assert "both lead term 1" in forgot.broken and any("older disk" in word for word in forgot.trace)
 
 
-WALKS = Budget(timeouts=12, beats=30, proposals=8, crashes=3, old=6, twice=5, hands=3)
+def test_a_leader_by_a_vote_that_was_forgotten_is_found_and_with_votes_held_there_is_none() -> None:
+    once = Budget(timeouts=1, beats=0, proposals=0, crashes=0, twice=0)
+    found = explore(Consensus(once, "forgotten-votes", "abcde", 1, begin=sure), 7)
+    assert found.broken == "e and b both lead term 2" and len(found.trace) == 7
+    holds = explore(Consensus(once, "", "abcde", 1, begin=sure), 7)
+    assert holds.whole and holds.broken == "" and holds.states > 10_000
+    assert wander(Consensus(WALKS, "", "abcde", 1, begin=forgotten), 40, 160, 1, likely).broken == ""
 
 
 @pytest.mark.parametrize(("names", "stale"), [("abc", 1), ("abcde", 2)])
@@ -456,7 +525,7 @@
 
 @pytest.mark.parametrize("mutation", ["trust-old-disks", "sure-at-once"])
 def test_long_walks_lose_what_was_committed_where_older_disks_are_trusted(mutation: str) -> None:
-    found = wander(Consensus(WALKS, mutation, stale=1), 600, 160, 7, likely)
+    found = wander(Consensus(WALKS, mutation, stale=1), 600, 160, 8, likely)
     assert "that is committed" in found.broken or "both lead" in found.broken or "applied" in found.broken
 
 
