--- a/tealwing/federation/__init__.py
+++ b/tealwing/federation/__init__.py
@@ -1,1 +1,1 @@
-"""Several sites that change their rules together: plan, section, delegate (pure), shell; see docs/federation.md."""
+"""Several sites that change their rules together: plan, section, delegate (pure), shell, joining."""
--- a/tealwing/leases/peering.py
+++ b/tealwing/fleet/peering.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import dataclasses
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from tealwing import log
 from tealwing.leases import sweep
@@ -16,12 +17,23 @@
 from tealwing.peers.plan import Plan
 from tealwing.replica.commands import Command, Result, Settings
 from tealwing.replica.feed import Feed
+from tealwing.replica.group import SITE, Group
 from tealwing.replica.node import Replica
 from tealwing.replica.plan import Plan as ReplicaPlan
+from tealwing.replica.promotion import Promotion
 from tealwing.replica.recovery import Phase
+from tealwing.replica.roster import next_change
 from tealwing.replica.service import Service
 from tealwing.replica.storage import StorageError
 
+if TYPE_CHECKING:  # what the operators' file does not switch on is not imported
+    from tealwing.federation.plan import Plan as FederationPlan
+    from tealwing.federation.shell import Federation
+    from tealwing.rollout.gate import Gate
+    from tealwing.rollout.here import Gateway
+    from tealwing.rollout.plan import Plan as RulesPlan
+    from tealwing.rollout.shell import Shell
+
 MOST_RATE, LEAST_RATE = 2.0, 0.5  # of a clock that the laboratory skews
 
 
@@ -30,20 +42,24 @@
 
     def __init__(
         self, plan: Plan, replica: ReplicaPlan | None = None,
-        take: Callable[[int, bytes], None] = lambda version, text: None,
+        take: Callable[[int, bytes], None] = lambda version, text: None, federation: FederationPlan | None = None,
     ) -> None:  # fmt: skip
         """take hears good versions of the settings: the last one on the disk, and those that the fleet agrees on.
 
         LinkFault where an address can't be had, or a disk can't be trusted.
         """
         self.plan, self.replica_plan = plan, replica
+        self.rules_plan: RulesPlan | None = None
+        self.rules: Shell | None = None
+        self.federation_plan = federation
+        self.federation: Federation | None = None
         self.clock = Clock()
         self.link = Link(plan)
         self.echo = Echo(self.link)
         self.replica: Replica | None = None
         if replica is not None:
             try:
-                self.replica = Replica(replica, self.link, self.clock)
+                self.replica = Replica(replica, self.link, self.clock, group=self._group())
             except (StorageError, OSError, ValueError) as error:
                 self.link.stop()
                 raise LinkFault(f"replica: folder {replica.folder}: {error}") from None
@@ -53,6 +69,8 @@
             self.replica.watch(self._applied)
             self.replica.on_installed(self._take_best)
             self._take_best()  # it serves at once, before anybody is asked
+        if self.replica is not None and replica is not None and replica.replace_after:
+            Promotion(self.replica, next_change, replica.replace_after, len(SITE.first(plan)[0]))
         self.keeper: Keeper | None = None
         if self.replica is not None and replica is not None and replica.leases:
             self.keeper = Keeper(self.replica, self.clock)
@@ -75,11 +93,55 @@
             if self.keeper is not None:
                 LeaseService(self.keeper, self.control, plan.faults)
 
+    def follow_rules(self, plan: RulesPlan, gateway: Gateway) -> Gate:
+        """Take part in changes of the rules; before the start. What requests pass from now on.
+
+        LinkFault where the mark of changes can't be read.
+        """
+        from tealwing.rollout import joining  # only where it is on
+
+        assert self.replica is not None and self.replica_plan is not None  # the section needs it
+        self.rules_plan = plan
+        if self.federation_plan is not None:
+            from tealwing.federation import joining as outside
+
+            try:
+                self.federation = outside.join(
+                    self.federation_plan, self.replica, self.replica_plan, self.link, self.control, plan.patience
+                )
+            except (StorageError, OSError, ValueError) as error:
+                self.stop()
+                raise LinkFault(f"federation: folder {self.federation_plan.folder}: {error}") from None
+        try:
+            self.rules = joining.join(plan, self.replica, self.link, gateway, self.control, self.federation)
+        except OSError as error:
+            self.stop()
+            raise LinkFault(f"rules: {error}; allowed: a folder of the section replica that can be read") from None
+        return self.rules.gate
+
+    @property
+    def plans(self) -> tuple[Plan, ReplicaPlan | None, RulesPlan | None, FederationPlan | None]:
+        """The sections that this was put together by: a change of one needs a restart."""
+        return self.plan, self.replica_plan, self.rules_plan, self.federation_plan
+
+    def _group(self) -> Group:
+        """The site's log: of all gateways of the section `peers`, or of those of this site."""
+        if self.federation_plan is None:
+            return SITE
+        site = self.federation_plan.site_of(self.plan.name)
+        return dataclasses.replace(SITE, members=self.federation_plan.gateways(site))
+
     def start(self) -> None:
         """Speak, listen and answer from now on."""
         if self.replica is not None:
             self.replica.start()
+        if self.federation is not None:
+            self.federation.replica.start()
         self.link.start()
+        if self.federation is not None:
+            self.federation.start()
+        if self.rules is not None:
+            self.rules.start()
         if self.keeper is not None and self.replica is not None:
             self.keeper.start()
             sweep.begin(self.keeper, self.replica)
@@ -98,6 +160,11 @@
             self.feed.stop()
         if self.keeper is not None:
             self.keeper.stop()
+        if self.rules is not None:
+            self.rules.stop()
+        if self.federation is not None:
+            self.federation.stop()
+            self.federation.replica.stop()
         if self.replica is not None:
             self.replica.stop()
         self.link.stop()
@@ -117,6 +184,8 @@
         if self.replica is None:
             return True, "", 0
         back = self.replica.back
+        if back.ready and self.rules is not None and (why := self.rules.readiness()):
+            return False, why, list(Phase).index(back.phase) + 1
         return back.ready, back.reason(self.replica.seen()), list(Phase).index(back.phase) + 1
 
     def status(self) -> dict[str, Any]:
--- a/tealwing/interface.py
+++ b/tealwing/interface.py
@@ -64,6 +64,16 @@
     WAITS = 3
 
 
+# What the contract says
+
+NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
+MAY_STILL_RUN = (Result.TIMEOUT, Result.RESET, Result.CANCELLED)
+FOR_A_LOAD = 2.0  # the amount of a note of NoteKind.WAITS when a load holds the attempt's tables
+SHARES = (1, 4, 8, 16)  # of short cores and disks, by priority
+USUAL_RANK = 1  # the priority of a query for which none was named
+COLD_LOAD = 0.85  # busy share of the cores that the fail-back rule calls capacity
+
+
 def _need(holds: bool, name: str, value: object) -> None:
     if not holds:
         raise ValueError(f"impossible setting {name}: {value!r}")
@@ -239,7 +249,10 @@
 
 @dataclass(slots=True)
 class Request:
-    """A client's request; cost is seconds of work and None without an estimate, key 0 is none."""
+    """A client's request; cost is seconds of work and None without an estimate, key 0 is none.
+
+    zones has those whose engines its locality allows, fixed when it was admitted: None is all, an empty set nobody.
+    """
 
     id: int
     cls: int
@@ -251,6 +264,7 @@
     need: float = 0.0
     resubmitted: bool = False
     write: bool = False
+    zones: frozenset[int] | None = None
 
 
 @dataclass(slots=True)
--- a/tealwing/rollout/__init__.py
+++ b/tealwing/rollout/__init__.py
@@ -1,1 +1,4 @@
-"""One version of the rules on every gateway or on none: read plan, view, member, witnesses, conductor, mark, shell."""
+"""A change of rules takes hold everywhere or nowhere.
+
+Read view, actions, retry, permit, member, witnesses, conductor (pure); then gate, mark, steering, shell, service.
+"""
