Keep the policy's costs as they were before the split

Seen: the first form of the split made three hot paths dearer: books of time out were summed through one more call, and loads and lines were tidied by copies.

--- a/tealwing/policy/attempts.py
+++ b/tealwing/policy/attempts.py
@@ -158,10 +158,10 @@
         if not job.over or job.out():
             return
         self.jobs.pop(job.request.id, None)
-        line = self.lines[job.key]
+        line = self.lines.get(job.key)
         while line and line[0].over and not line[0].out():
             line.popleft()
         if not line:
-            del self.lines[job.key]
+            self.lines.pop(job.key, None)
         elif not line[0].attempts:
             self._timer(self.rests.get(job.key, 0.0) - self.now, line[0].request.id << 1 | 1)
--- a/tealwing/policy/engines.py
+++ b/tealwing/policy/engines.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import Counter, deque
-from collections.abc import Sequence
 from math import inf
 
 from tealwing import interface as api
@@ -28,9 +27,8 @@
     def __init__(self) -> None:
         self.exposed = self.done = self.at = 0.0  # queries' time out over their class's best; answers
 
-    def passed(self, now: float, counts: Sequence[Flow | Estimate], flows: list[Flow]) -> None:
-        """Time went by with so many queries of each class out, each over its class's best."""
-        rate = sum(n.out / max(flow.best, LEAST_LATENCY) for n, flow in zip(counts, flows, strict=True))
+    def passed(self, now: float, rate: float) -> None:
+        """Time went by with so many queries out, each over its class's best."""
         self.exposed, self.at = self.exposed + rate * (now - self.at), now
 
     def slow(self, usual: float) -> float:
@@ -154,8 +152,9 @@
 
     def __init__(self, request: api.Request, flow: Flow, now: float, lot: float) -> None:
         self.request, self.flow, self.cls, self.deadline = request, flow, flow.cls, now + request.time_left
-        self.key, self.attempts = request.key if flow.cls.ordered else 0, list[Attempt]()  # key 0: no order
-        self.over, self.lot = False, lot  # its lot decides where fixed shares of a budget are too small
+        self.key, self.over = request.key if flow.cls.ordered else 0, False  # 0: no order
+        self.attempts: list[Attempt] = []
+        self.lot = lot  # its lot decides where fixed shares of a budget are too small
 
     def out(self) -> int:
         """Attempts without an outcome."""
--- a/tealwing/policy/fleet.py
+++ b/tealwing/policy/fleet.py
@@ -37,10 +37,9 @@
         self.begun, self.echo = False, 1  # echo: what a send of ours since a report stands for, with others'
 
     def _list(self, event: api.EngineList) -> None:
-        named = {entry.engine for entry in event.entries}
         if event.kind is not api.ListKind.DELTA:
-            for engine in [e for e in self.engines.values() if e.id not in named]:
-                engine.ready, engine.gone = False, True
+            for left in self.engines.keys() - {entry.engine for entry in event.entries}:
+                self.engines[left].ready, self.engines[left].gone = False, True
         for entry in event.entries:
             known = self.engines.get(entry.engine)
             if known is None or entry.started > known.started:  # new, or started anew: nothing learned holds
@@ -77,7 +76,7 @@
             self.fleet = {name: value * (1 - FADE) for name, value in self.fleet.items()}
         self._mix()
         self._learn_m(any(self.fleet.get(name, 0.0) > BUSY[name] for name in ("util", "x1")))
-        self.pace.passed(self.now, self.flows, self.flows)
+        self.pace.passed(self.now, sum(flow.out / max(flow.best, LEAST_LATENCY) for flow in self.flows))
         self.slow = self.pace.slow(1.0)
         self.cores = sum(engine.cores * engine.warmth(self.now) for engine in self.ready)
         busy = any(self.fleet.get(name, 0.0) > FLEET_BUSY * limit for name, limit in BUSY.items())
@@ -87,7 +86,7 @@
         self.common = max((engine.success for engine in self.ready), default=1.0)
         for engine in self.ready:
             engine.held = {group: until for group, until in engine.held.items() if until > self.now}
-            engine.pace.passed(self.now, engine.estimates, self.flows)
+            self._exposed(engine)
             engine.slow = engine.pace.slow(self.slow)
             self._fade(engine)
             self._view(engine)
@@ -122,10 +121,14 @@
             mean = self.fleet.setdefault(name, value)
             self.fleet[name] = mean + max(weight, 1 / self.reports) * (value - mean)
 
+    def _exposed(self, engine: Engine) -> None:
+        out = zip(engine.estimates, self.flows, strict=True)
+        engine.pace.passed(self.now, sum(e.out / max(flow.best, LEAST_LATENCY) for e, flow in out))
+
     def _count(self, job: Job, engine: Engine, by: int) -> None:
         """One attempt more or less in our books."""
-        self.pace.passed(self.now, self.flows, self.flows)
-        engine.pace.passed(self.now, engine.estimates, self.flows)
+        self.pace.passed(self.now, sum(flow.out / max(flow.best, LEAST_LATENCY) for flow in self.flows))
+        self._exposed(engine)
         job.flow.out += by
         engine.estimates[job.request.cls].out += by
         engine.threads, engine.queries = engine.threads + by * job.cls.threads, engine.queries + by
@@ -133,7 +136,8 @@
         engine.view_until = -inf
         if job.cls.holds:
             engine.loads[job.request.dataset] += by
-            engine.loads = +engine.loads  # without the groups of none
+            if engine.loads[job.request.dataset] <= 0:
+                del engine.loads[job.request.dataset]
 
     def _view(self, engine: Engine) -> None:
         """Make the engine's load and its indices: nu*(j), or h/mu while nothing presses."""
--- a/tealwing/policy/gateway.py
+++ b/tealwing/policy/gateway.py
@@ -71,8 +71,7 @@
             elif not self._in_turn(job):
                 self._timer(job.deadline - self.margin - self.now, request.id << 1 | 1)
                 self._timer(self.rests.get(job.key, 0.0) - self.now, request.id << 1 | 1)
-                return
-        if not job.over:
+        if not job.over and self._in_turn(job):
             self._place(job)
 
     def _admitted(self, job: Job) -> bool:
--- a/tealwing/policy/placement.py
+++ b/tealwing/policy/placement.py
@@ -38,7 +38,8 @@
 
     def _choose(self, job: Job, failed: Engine | None) -> Engine | None:
         """The engine of the smallest index below nu; near-ties go to the least crowded."""
-        cls, flow, at, found = job.request.cls, job.flow, job.request.zones, list[tuple[float, Engine]]()
+        cls, flow, at = job.request.cls, job.flow, job.request.zones
+        found: list[tuple[float, Engine]] = []
         # While reports are fresh each query reads j within a spread, so that not all turn away at once.
         low, high = J_SPREAD if self.echo > 1 else (1.0, 1.0)  # few old reports differ enough by themselves
         spread = low + (high - low) * (job.lot / GOLDEN % 1.0)
@@ -86,8 +87,8 @@
         """Whether a send now keeps every rule; every send passes here."""
         live = engine.ready and self.now < job.deadline and not job.over
         kept = live and engine.takes(job.cls, job.request.zones) and self._in_turn(job)
-        kept = kept and (not job.attempts or self._attempt_left(job)) and self._effect_kept(job, engine)
-        return kept and self._cold_budget(job, engine)
+        kept = kept and (not job.attempts or self._attempt_left(job))
+        return kept and self._effect_kept(job, engine) and self._cold_budget(job, engine)
 
     def _in_turn(self, job: Job) -> bool:
         if not job.key or job.attempts:
@@ -108,12 +109,11 @@
         return len(self.extra) + 1 <= rules.ration_free + rules.ration_share * len(self.taken)
 
     def _effect_kept(self, job: Job, engine: Engine) -> bool:
-        doubtful = job.doubtful()
-        if job.cls.effect is api.Effect.SAFE or not doubtful:
+        first = next(iter(job.doubtful()), None)
+        if job.cls.effect is api.Effect.SAFE or first is None:
             return True
-        first, group = doubtful[0], job.cls.group
-        same = group is api.Group.ALL or engine.cell == first.engine.cell
-        same = same or (group is api.Group.ZONE and engine.zone == first.engine.zone)
+        same = job.cls.group is api.Group.ALL or engine.cell == first.engine.cell
+        same = same or (job.cls.group is api.Group.ZONE and engine.zone == first.engine.zone)
         same = same and self.now + 2 * self.settings.tick < first.sent + job.cls.window
         return same and job.cls.effect is api.Effect.KEYED
 
--- a/tealwing/policy/rates.py
+++ b/tealwing/policy/rates.py
@@ -86,19 +86,18 @@
 
     def _mix(self) -> None:
         """Priorities, and the mix of classes among the queries in flight."""
-        flows = self.flows
-        self.rest = HELD_FOR * max((flow.latency for flow in flows if flow.cls.holds), default=0.0)
-        best = max(flow.cls.worth / flow.work for flow in flows)
-        for flow in flows:
+        self.rest = HELD_FOR * max((flow.latency for flow in self.flows if flow.cls.holds), default=0.0)
+        best = max(flow.cls.worth / flow.work for flow in self.flows)
+        for flow in self.flows:
             if self.settings.priorities:
                 flow.rank = RANKS[0] if flow.cls.worth / flow.work >= best else RANKS[1]
-        held = [flow.held or flow.lam * flow.latency for flow in flows]  # in a jam those that ended mislead
+        held = [f.held or f.lam * f.latency for f in self.flows]  # in a jam those that ended mislead
         total = sum(held) or 1.0
-        self.width = sum(n * flow.cls.threads for n, flow in zip(held, flows, strict=True)) / total
+        self.width = sum(n * flow.cls.threads for n, flow in zip(held, self.flows, strict=True)) / total
         self.need = self.needs / total
-        for flow in flows:  # threads of a lower priority take less from a query
-            flow.weights = [min(1.0, api.SHARES[other.rank] / api.SHARES[flow.rank]) for other in flows]
-            mixed = zip(held, flows, flow.weights, strict=True)
+        for flow in self.flows:  # threads of a lower priority take less from a query
+            flow.weights = [min(1.0, api.SHARES[other.rank] / api.SHARES[flow.rank]) for other in self.flows]
+            mixed = zip(held, self.flows, flow.weights, strict=True)
             flow.others = sum(n * other.cls.threads * weight for n, other, weight in mixed) / total
             flow.part = flow.others / (self.width or 1.0)
 
