--- a/benchmarks/consensus.py
+++ b/benchmarks/consensus.py
@@ -31,7 +31,7 @@
         ("the core, older disks", Consensus(old, stale=1), depth + 4),
         ("trust-old-disks", Consensus(old, "trust-old-disks", stale=1), depth + 4),
         ("a vote is forgotten", Consensus(once, "", "abcde", 1, begin=forgotten), depth + 2),
-        ("and its voter is sure", Consensus(once, "", "abcde", 1, begin=sure), depth + 1),
+        ("and its voter is sure", Consensus(once, "", "abcde", 1, begin=sure), depth + 3),
         ("forgotten-votes, from there", Consensus(once, "forgotten-votes", "abcde", 1, begin=sure), depth + 2),
         ("3 voters and a learner", Consensus(replace(plain, twice=0), learners="d"), depth),
         ("the learner is promoted", Consensus(learning, begin=led, learners="d"), depth + 1),
