--- /dev/null
+++ b/tealwing/lab/rollout/copies.py
@@ -0,0 +1,71 @@
+"""The state of one log at each index: the same at all members, so it is made once, by whoever is there first.
+
+That it is the same rests on their entries being the same, which is looked at for every entry at every member.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from tealwing.log import must_hold
+from tealwing.replica import commands as c
+from tealwing.replica.messages import Entry, Kind
+from tealwing.replica.state import State
+from tealwing.rollout.seen import TABLES
+from tealwing.rollout.view import View, view
+
+KEPT = 4096  # indices
+
+
+@dataclass(frozen=True, slots=True)
+class Shot:
+    """The tables of the rules after one entry, and what came of it."""
+
+    index: int
+    entry: Entry | None
+    command: c.Command | None
+    result: c.Result | None
+    tables: dict[str, dict[str, Any]]
+    plain: View  # nobody's: without `me`
+
+    def view(self, name: str) -> View:
+        """The state as a member of that name reads it."""
+        v = self.plain
+        return View(v.index, v.active, v.flight, self.tables["rule_members"].get(name), v.last, v.phases, v.decided)
+
+
+class Copies:
+    """All shots of one log."""
+
+    def __init__(self) -> None:
+        self._state = State()
+        tables: dict[str, dict[str, Any]] = {name: {} for name in TABLES}
+        self.first = Shot(0, None, None, None, tables, view(tables, 0, ""))
+        self._shots = {0: self.first}
+
+    @property
+    def last(self) -> Shot:
+        """After the last entry that any member has applied."""
+        return self._shots[self._state.applied]
+
+    def apply(self, entry: Entry) -> Shot:
+        """A member applies an entry."""
+        if entry.index == self._state.applied + 1:
+            self._shots[entry.index] = self._make(entry)
+            self._shots.pop(entry.index - KEPT, None)
+        shot = self._shots[entry.index]
+        must_hold(shot.entry == entry, "members apply the same entries")
+        return shot
+
+    def _make(self, entry: Entry) -> Shot:
+        before = self.last
+        if entry.kind is not Kind.DATA:
+            self._state.applied = entry.index
+            v = before.plain
+            plain = View(entry.index, v.active, v.flight, None, v.last, v.phases, v.decided)
+            return Shot(entry.index, entry, None, None, before.tables, plain)
+        result = self._state.apply(entry.index, entry.data)
+        tables = {name: dict(self._state.tables[name]) for name in TABLES}
+        command = c.decode(entry.data)
+        return Shot(entry.index, entry, command, result, tables, view(tables, entry.index, ""))
--- /dev/null
+++ b/tealwing/lab/rollout/fleet.py
@@ -0,0 +1,111 @@
+"""A fleet, or a federation of fleets, in virtual time; and changes made in it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from tealwing.lab.clock import Clock
+from tealwing.lab.rollout.copies import Copies, Shot
+from tealwing.lab.rollout.costs import Costs
+from tealwing.lab.rollout.door import Door, Judge
+from tealwing.lab.rollout.host import Host, Wires
+from tealwing.lab.rollout.logs import Log
+from tealwing.lab.rollout.part import Part
+from tealwing.lab.rollout.sites import Federated
+from tealwing.lab.rollout.tasks import Step, Task
+from tealwing.replica import commands as c
+from tealwing.replica.raft import Options
+from tealwing.rollout.plan import Plan
+from tealwing.rules import records
+from tealwing.rules.digests import digest
+
+ALL = "federation"
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """What there is: sites (more than one: a federation), gateways and voters of each, and the mode."""
+
+    sites: int
+    gateways: int
+    voters: int
+    plan: Plan
+    limit: float = 8.0  # s, of the federation
+    rate: float = 5.0  # clients a second, of each gateway
+
+
+class Fleet:
+    """All of it; the same for the same seed."""
+
+    def __init__(self, shape: Shape, seed: int, costs: Costs = Costs()) -> None:  # noqa: B008 - frozen
+        self.shape, self.clock, self.judge = shape, Clock(), Judge()
+        self.wires = Wires(self.clock, costs, seed)
+        self.gateways = {f"s{i}": tuple(f"s{i}g{k:03}" for k in range(shape.gateways)) for i in range(shape.sites)}
+        self.copies: dict[str, Copies] = {}
+        self.logs: dict[str, list[Log]] = {}  # by log
+        self.parts: dict[str, Part] = {}
+        federated = shape.sites > 1
+        few = {site: names[: min(3, len(names))] for site, names in self.gateways.items()}
+        voting = tuple(name for names in few.values() for name in names)
+        learning = tuple(n for site, names in self.gateways.items() for n in names if n not in few[site])
+        self.deciding = ALL if federated else "s0"
+        for site, names in self.gateways.items():
+            for name in names:
+                host = self.wires.hosts[name] = Host(self.wires, name, site)
+                log = self._log(host, site, names[: shape.voters], names[shape.voters :], Options(), seed)
+                outside = self._log(host, ALL, voting, learning, Options(election=1.0), seed) if federated else None
+                door = Door(self.clock, name, self.judge, shape.rate, seed)
+                self.parts[name] = Part(shape.plan, log, door, seed, outside, site)
+                if outside is not None:
+                    Federated(log, outside, site, self.gateways, shape.limit, shape.plan.patience)
+
+    def _log(
+        self, host: Host, name: str, voters: tuple[str, ...], learners: tuple[str, ...], options: Options, seed: int
+    ) -> Log:
+        copies = self.copies.setdefault(name, Copies())
+        log = Log(host, name, voters, learners, copies, options, seed)
+        self.logs.setdefault(name, []).append(log)
+        return log
+
+    def until(self, holds: Callable[[], bool], limit: float, step: float = 0.005) -> bool:
+        """Let time pass until something holds; False where it does not in so many seconds."""
+        end = self.clock.now + limit
+        while not holds():
+            if self.clock.now >= end:
+                return False
+            self.clock.run(self.clock.now + step)
+        return True
+
+    @property
+    def state(self) -> Shot:
+        """Of the log that decides, after the last entry that anybody has applied."""
+        return self.copies[self.deciding].last
+
+    def leader(self, log: str) -> str:
+        """Who leads a log; empty: nobody."""
+        return next((member.host.name for member in self.logs[log] if member.leads), "")
+
+    def begun(self) -> bool:
+        """Whether all gateways, and sites, are in their tables and decide."""
+        wanted = self.shape.sites if self.deciding == ALL else self.shape.gateways
+        there = len(self.state.tables["rule_members"]) == wanted
+        return there and all(part.door.version >= 0 for part in self.parts.values())
+
+    def open_under(self, number: int) -> bool:
+        """Whether all gateways that are not cut off decide under that version."""
+        return all(part.door.version == number for name, part in self.parts.items() if name not in self.wires.cut)
+
+    def propose(self, text: bytes, at: str) -> None:
+        """An operator proposes a version at a gateway."""
+        log = next(member for member in self.logs[self.deciding] if member.host.name == at)
+        body = records.Propose(
+            self.state.plain.active, digest(text), text, "operator", 1_800_000_000_000, "a change",
+            federated=False,
+        )  # fmt: skip
+        command = c.Command("operator", self.state.index + 1, body)
+
+        def run() -> Step:
+            yield from log.write(command, 5.0)
+
+        Task(self.clock, run())
--- /dev/null
+++ b/tealwing/lab/rollout/logs.py
@@ -0,0 +1,248 @@
+"""One member of a replicated log in virtual time: what replica/node.py, member.py and asking.py do on threads."""
+
+from __future__ import annotations
+
+import itertools
+from collections import deque
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from tealwing.lab.rollout.copies import Copies, Shot
+from tealwing.lab.rollout.host import Host
+from tealwing.lab.rollout.tasks import Signal, Step
+from tealwing.replica import commands as c
+from tealwing.replica.asking import ASK_AGAIN, LEADER_LOOK, LEADER_WAIT
+from tealwing.replica.node import MOST_AT_ONCE
+from tealwing.replica.outcomes import Answering, Ask, Pending, Told
+from tealwing.replica.raft import Busy, NotLeader, Options, Raft, Ready, Role
+from tealwing.replica.reading import Reading
+from tealwing.replica.waiting import Waiting
+
+
+class _Reached(Pending):
+    """The state is at the index that a read waits for."""
+
+    def __init__(self, signal: Signal) -> None:
+        super().__init__()
+        self._signal = signal
+
+    def set(self, outcome: Any) -> None:
+        """It is."""
+        self._signal.set()
+
+
+class Log:
+    """A core, and the state that it has applied."""
+
+    def __init__(
+        self, host: Host, name: str, voters: tuple[str, ...], learners: tuple[str, ...], copies: Copies,
+        options: Options, seed: int,
+    ) -> None:  # fmt: skip
+        """name is the log's; voters and learners are hosts' names, and seed that of the whole laboratory."""
+        self.host, self.name, self._clock = host, name, host.wires.clock
+        number = Random(f"{seed}/{name}/{host.name}").randrange(1, 2**53)
+        self.core = Raft(host.name, voters, self._clock.now, number, number, options, learners=learners)
+        self.shot, self._copies = copies.first, copies
+        self.applied: list[Callable[[Shot], None]] = []  # told of each entry, as it is applied
+        self.led: list[Callable[[bool], None]] = []
+        self.leads = False
+        self._random = Random(f"{seed}/{name}/{host.name}/asking")
+        self._inbox: deque[tuple[Any, ...]] = deque()
+        self._turning, self._timer = False, float("inf")
+        self._waiting, self._reading = Waiting(), Reading(self.core)
+        self._asked: dict[int, tuple[Signal, list[Told]]] = {}
+        self._numbers = itertools.count(1)
+        host.hears[name, "log"] = lambda source, message: self.put("message", source, message)
+        host.hears[name, "forward"] = self._hear_forwarded
+        self._due()
+
+    # What others ask for; tasks
+
+    def put(self, *item: Any) -> None:
+        """Have the member's thread do something."""
+        self._inbox.append(item)
+        if not self._turning:
+            self._turning = True
+            self._clock.at(self.host.free, self._turn)
+
+    def propose_here(self, body: Any) -> None:
+        """Propose if this member leads."""
+        self.put("ask", Ask(0, c.encode(c.Command("", 0, body))), lambda told: None)
+
+    def pass_on(self, body: Any) -> None:
+        """Have whoever leads propose it."""
+        if self.core.leader == self.host.name:
+            self.propose_here(body)
+        elif self.core.leader:
+            self.host.send(self.core.leader, self.name, "forward", Ask(0, c.encode(c.Command("", 0, body))))
+
+    def hurry(self) -> None:
+        """If this member leads: say at once how far all is committed."""
+        self.put("hurry")
+
+    def write(self, command: c.Command, wait: float) -> Step:
+        """Have a command applied: its result, or None where that is not seen in time."""
+        told = yield from self._at_leader(Ask(0, c.encode(command)), wait, bool(command.sequence))
+        return c.decode_result(told.result) if told is not None else None
+
+    def read_index(self, wait: float) -> Step:
+        """Wait until the state here has all that was committed: the index, or None."""
+        end = self._clock.now + wait
+        told = yield from self._at_leader(Ask(0, b""), wait, True)
+        if told is None:
+            return None
+        reached = Signal(self._clock)
+        self.put("at", told.index, _Reached(reached))
+        found = yield reached, max(0.0, end - self._clock.now)
+        return told.index if found else None
+
+    def _at_leader(self, ask: Ask, wait: float, again: bool) -> Step:
+        end, pause = self._clock.now + wait, ASK_AGAIN[0]
+        while (left := end - self._clock.now) > 1e-9:
+            leader, sent = self.core.leader, False
+            if leader:
+                told = yield from self._try(leader, ask, min(left, LEADER_WAIT) if again else left, again)
+                if told is not None and told.word == "ok":
+                    return told
+                sent = told is None or told.word == "lost"
+            if sent and not again:
+                return None
+            yield min(pause * self._random.uniform(0.5, 1.0), max(0.0, end - self._clock.now))
+            pause = min(ASK_AGAIN[1], 2 * pause)
+        return None
+
+    def _try(self, leader: str, ask: Ask, wait: float, again: bool) -> Step:
+        number, signal = next(self._numbers), Signal(self._clock)
+        found: list[Told] = []
+        ask = Ask(number, ask.command)
+        self._asked[number] = signal, found
+        if leader == self.host.name:
+            self.put("ask", ask, self._hear_told)
+        else:
+            self.host.send(leader, self.name, "forward", ask)
+        end = self._clock.now + wait
+        while not found and (left := end - self._clock.now) > 1e-9:
+            yield signal, min(left, LEADER_LOOK) if again else left
+            if again and not found and self.core.leader != leader:
+                break
+        del self._asked[number]
+        return found[0] if found else None
+
+    def _hear_told(self, told: Told) -> None:
+        if told.number in self._asked:
+            signal, found = self._asked[told.number]
+            found.append(told)
+            signal.set()
+
+    def _hear_forwarded(self, source: str, word: Ask | Told) -> None:
+        self.host.spend(self.host.wires.costs.message)
+        if isinstance(word, Told):
+            self._hear_told(word)
+        else:
+            self.put("ask", word, lambda told: self.host.send(source, self.name, "forward", told))
+
+    # The member's thread
+
+    def _due(self) -> None:
+        due = min(self.core.next_deadline(), self._reading.due())
+        if due < self._timer - 1e-9:
+            self._timer = due
+            self._clock.at(due, self._tick, due)
+
+    def _tick(self, due: float) -> None:
+        if self._timer == due:
+            self._timer = float("inf")
+            self.put("tick")
+
+    def _turn(self) -> None:
+        if self.host.free > self._clock.now:  # another thread of the process was first
+            self._clock.at(self.host.free, self._turn)
+            return
+        now = self._clock.now
+        for _ in range(min(len(self._inbox), MOST_AT_ONCE)):
+            self._take(now, self._inbox.popleft())
+        self.core.tick(now)
+        self._reading.begin(now)
+        self._work()
+
+    def _take(self, now: float, item: tuple[Any, ...]) -> None:
+        match item[0]:
+            case "message":
+                self.host.spend(self.host.wires.costs.message)
+                self.core.step(now, item[1], item[2])
+            case "ask":
+                self._ask(now, item[1], item[2])
+            case "at":
+                self._waiting.at(item[1], item[2])
+                self._waiting.reached(self.shot.index)
+            case "hurry":
+                self.core.hurry(now)
+
+    def _ask(self, now: float, ask: Ask, answer: Callable[[Told], None]) -> None:
+        try:
+            if ask.command:
+                index, term = self.core.propose(now, ask.command)
+                self._waiting.propose(index, term, Answering(ask.number, answer))
+            else:
+                self._reading.ask(Answering(ask.number, answer))
+        except NotLeader:
+            answer(Told(ask.number, "not-leader", b"", 0))
+        except Busy:
+            answer(Told(ask.number, "busy", b"", 0))
+
+    def _work(self) -> None:
+        """What the core wants, piece by piece; the disk before what rests on it."""
+        if not self.core.has_ready():
+            self._end()
+            return
+        ready = self.core.ready()
+        wires = self.host.wires
+        sync = wires.costs.disk(wires.random) if ready.hard or ready.entries else 0.0
+        self._clock.at(max(self.host.free, self._clock.now) + sync, self._done, ready)
+
+    def _done(self, ready: Ready) -> None:
+        now = self._clock.now
+        if ready.entries:
+            self.core.saved(now, ready.entries[-1].index, ready.entries[-1].term)
+        for name, message in ready.messages:
+            self.host.send(name, self.name, "log", message)
+        if ready.committed:
+            self._clock.at(max(self.host.free, now), self._apply, ready, 0)
+        else:
+            self._answer(ready)
+
+    def _apply(self, ready: Ready, place: int) -> None:
+        costs = self.host.wires.costs
+        entry = ready.committed[place]
+        self.shot = self._copies.apply(entry)
+        self._waiting.applied(entry, self.shot.result)
+        for told in self.applied:
+            told(self.shot)
+        at = self.host.spend(costs.entry + costs.entry_member * len(self.shot.tables["rule_members"]))
+        if place + 1 < len(ready.committed):
+            self._clock.at(at, self._apply, ready, place + 1)
+        else:
+            self._clock.at(at, self._answer, ready)
+
+    def _answer(self, ready: Ready) -> None:
+        if ready.committed:
+            self._waiting.reached(self.shot.index)
+        for number in ready.failed_reads:
+            self._reading.failed(number)
+        for number, index in ready.reads:
+            self._reading.done(number, index)
+        self._work()
+
+    def _end(self) -> None:
+        leads = self.core.role is Role.LEADER and self.core.commit >= self.core.settled
+        if leads != self.leads:
+            self.leads = leads
+            for told in self.led:
+                told(leads)
+        self._turning = False
+        if self._inbox:
+            self._turning = True
+            self._clock.at(self.host.free, self._turn)
+        else:
+            self._due()
