--- a/tealwing/rollout/permit.py
+++ b/tealwing/rollout/permit.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import copy
+from collections.abc import Hashable
+
 from tealwing.peers.bounds import RENEW_SHARE, Bounds
 from tealwing.rollout.actions import FOREVER, Token
 from tealwing.rollout.view import View
@@ -24,6 +27,10 @@
         """Whether it counts now."""
         return now < self.until
 
+    def trust(self) -> None:
+        """It counts for good, without a read."""
+        self.until = self._renew_at = FOREVER
+
     def wants(self, now: float) -> bool:
         """Whether a read should be sent; counts as asked for if so."""
         if self._asked is not None and now - self._asked < LOST or self._pending or now < self._renew_at:
@@ -48,17 +55,23 @@
             me = view.me
             if token.start != start or me is None or me.lapsed or me.start != member:
                 continue
-            until = token.sent + self._bounds.holder_may(min(lasts, self._lasts)) if self._lapses else FOREVER
-            if until > self.until:
+            until = token.sent + self._bounds.holder_may(min(lasts, self._lasts))
+            if not self._lapses:
+                self.trust()
+            elif until > self.until:
                 self.until, self._renew_at = until, token.sent + RENEW_SHARE * min(lasts, self._lasts)
-                if not self._lapses:
-                    self._renew_at = FOREVER
 
     def drop(self) -> None:
         """Nothing read before counts any more."""
         self.until, self._renew_at, self._asked = 0.0, 0.0, None
         self._pending.clear()
 
-    def key(self) -> tuple[object, ...]:
-        """All of it, for the model check."""
-        return (self.until, self._renew_at, self._asked, tuple(self._pending))
+    def clone(self) -> Permit:
+        """One like this that goes its own way: for the model check."""
+        twin = copy.copy(self)
+        twin._pending = list(self._pending)
+        return twin
+
+    def key(self) -> tuple[Hashable, ...]:
+        """All that allows something now or later: for the model check."""
+        return (self.until, *((token.sent, token.start, index) for token, index in self._pending))
--- a/tealwing/rules/members.py
+++ b/tealwing/rules/members.py
@@ -10,14 +10,14 @@
 from tealwing.rules.kept import Tables, no, yes
 from tealwing.rules.records import Begin, Forget, Member
 
-MOST = 128  # members
+MOST = 256  # members: as many as the section `peers` takes
 
 
 def begin(tables: Tables, index: int, body: Begin) -> Result:
     """A member's new start; what was said and closed in the one before counts no more.
 
-    `hold`: it decides nothing until it has applied this very entry, and sees then what is closing: it counts as closed.
-    `serve`: what its disk says held it back meanwhile; it says anew that it has closed.
+    It says anew that it has closed, whatever its mode: this entry may come late, from a process that is no more, and
+    the one that decides now may have a permit that was given before it.
     """
     table = kept.members(tables)
     before = table.get(body.member)
@@ -29,13 +29,11 @@
     if before is None and len(table) >= MOST:
         return no(index, f"{MOST} members already; forget those that are gone")
     flying = kept.in_flight(tables)
-    closing = flying is not None and flying.phase in ("preparing", "agreed")
     for found in (kept.active(tables), flying):
         if found is not None and found.phase != "proposed" and found.needs > body.build:  # to a proposed one it says no
             return no(index, f"version {found.number} of the rules needs build {found.needs}, and {body.member} is"
                              f" build {body.build}: install that one or a newer one", present)  # fmt: skip
-    closed = flying.number if flying is not None and closing and body.lost_touch == "hold" else 0
-    table[body.member] = Member(body.start, body.lost_touch, body.build, body.permit, index, closed)
+    table[body.member] = Member(body.start, body.lost_touch, body.build, body.permit, index)
     _unsay(tables, body.member)
     settle(tables, index)
     return yes(index, index)
