--- a/tealwing/replica/service.py
+++ b/tealwing/replica/service.py
@@ -12,6 +12,7 @@
 from tealwing.replica import commands as c
 from tealwing.replica.node import Replica, Unavailable, Unknown
 from tealwing.replica.storage import verify
+from tealwing.rules import records
 
 WAIT = 5.0  # s that a call waits where it does not say
 
@@ -90,6 +91,8 @@
             body = msgspec.msgpack.decode(field(fields, "body", bytes), type=c.Body)
         except msgspec.DecodeError as error:
             raise Denied(f"body: {error}") from None
+        if isinstance(body, records.Body):  # a member's word must be that member's own
+            raise Denied("body: a command on versions of the rules; allowed: the calls rules.*")
         fence = None
         if "token" in fields:
             fence = c.Fence(field(fields, "lease", str), field(fields, "token", int))
--- a/tests/test_rollout_processes.py
+++ b/tests/test_rollout_processes.py
@@ -9,12 +9,14 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
 
 from tealwing.lab.faults import scenario
 from tealwing.lab.rig.configuration import Layout
 from tealwing.lab.rig.trial import Trial
 from tealwing.peers.control import Turned, ask
+from tealwing.rules import records
 from tests.test_peers import until
 
 pytestmark = pytest.mark.trial
@@ -92,7 +94,7 @@
     misfit.write_text("[classes.nothing]\naim-ms = 5\n")
     long.write_bytes(b"#" * (300 * 1024))
     with fleet("serve") as trial:
-        code, text = run(trial, "n1", "propose", str(good), "--why", "less haste", "--who", "anna")
+        code, text = run(trial, "n1", "propose", str(good), "--why", "less haste", "--who", "ops-a")
         assert (code, text) == (0, "version 1 is in force on every gateway\n")
         until(lambda: in_force(trial, 1))
         for name in trial.names:
@@ -103,13 +105,13 @@
         code, text = run(trial, "n0", "propose", str(misfit), "--why", "x")
         assert code == 1 and "NO" in text and "classes.nothing" in text and "what to do" in text
         code, text = run(trial, "n2", "propose", str(good), "--why", "x", "--parent", "9")
-        assert code == 1 and "refused: made from version 9" in text and "by anna" in text
+        assert code == 1 and "refused: made from version 9" in text and "by ops-a" in text
         for path, says in ((long, "at most"), (tmp_path / "none.toml", "No such file")):
             code, text = run(trial, "n0", "propose", str(path), "--why", "x")
             assert code == 1 and says in text
-        code, text = run(trial, "n0", "withdraw", "1", "--who", "anna")
+        code, text = run(trial, "n0", "withdraw", "1", "--who", "ops-a")
         assert code == 1 and "version 1 is active" in text
-        code, text = run(trial, "n0", "withdraw", "77", "--who", "anna")
+        code, text = run(trial, "n0", "withdraw", "77", "--who", "ops-a")
         assert code == 1 and "version 77 is unknown" in text
         code, text = run(trial, "n0", "status", "--json")
         told = json.loads(text)
@@ -119,6 +121,8 @@
             call(trial, "n0", "rules.show", number=5)
         with pytest.raises(Turned, match="propose a version"):
             call(trial, "n0", "replica.settings", text=b"{}")
+        with pytest.raises(Turned, match="allowed: the calls rules"):  # nobody says a member's word for it
+            call(trial, "n0", "replica.do", body=msgspec.msgpack.encode(records.Closed(2, "n1", 1)))
         with pytest.raises(Turned, match="member"):
             call(trial, "n0", "rules.forget", off=True)
         assert call(trial, "n0", "rules.forget", member="n9", off=True)["word"] == "refused"
@@ -149,7 +153,7 @@
         number = propose(trial, "n0", 660)["number"]
         flight = call(trial, "n0", "rules.status")["in_flight"]
         assert flight["number"] == number and lost in flight["waits_for"]
-        assert run(trial, "n0", "withdraw", str(number), "--who", "anna", "--why", "a gateway is away")[0] == 0
+        assert run(trial, "n0", "withdraw", str(number), "--who", "ops-a", "--why", "a gateway is away")[0] == 0
         number = propose(trial, "n0", 670)["number"]
         until(lambda: call(trial, "n0", "rules.show", number=number)["phase"] == "aborted")
         found = call(trial, "n0", "rules.show", number=number)
