--- a/tealwing/commands/root.py
+++ b/tealwing/commands/root.py
@@ -96,7 +96,7 @@
 
 def main() -> int:
     """Run the command line; the exit code."""
-    from tealwing.commands import demo, fleet, gossip, lease, levels, load, peers, replica
+    from tealwing.commands import demo, fleet, gossip, lease, levels, load, peers, replica, rules
 
     tealwing.add_command(levels.levels)
     tealwing.add_command(gossip.gossip)
@@ -106,6 +106,7 @@
     tealwing.add_command(peers.peers)
     tealwing.add_command(replica.replica)
     tealwing.add_command(lease.lease)
+    tealwing.add_command(rules.rules)
     try:
         tealwing.main(prog_name="tealwing")
     except SystemExit as end:
--- /dev/null
+++ b/tealwing/commands/rules.py
@@ -0,0 +1,156 @@
+"""`tealwing rules`: versions of the rules, which take hold on every gateway or on none."""
+
+from __future__ import annotations
+
+import getpass
+import time
+from pathlib import Path
+from typing import Any
+
+import click
+import orjson
+
+from tealwing.commands.peers import CONTROL, JSON, asked
+from tealwing.commands.root import FILE, Finding
+
+LARGEST = 256 * 1024  # bytes of a bundle's file
+LONGEST_WAIT = 600.0  # s that a call may wait for the outcome
+POLL = 0.1  # s between two looks at what has become of a version
+OPEN = ("proposed", "checked", "preparing", "agreed")  # phases that are not the last
+WHO = click.option("--who", metavar="NAME", help="Who proposes it; else the name of the user.")
+REMEDIES = {
+    "rejected": "put right what they name, and propose again",
+    "aborted": "see `tealwing rules status` for who is missing; bring it back or take it out, and propose again",
+    "withdrawn": "nothing has changed; propose again if it is still wanted",
+    "superseded": "it was in force, and a later one is now",
+}
+
+
+@click.group()
+def rules() -> None:
+    """The rules by which gateways decide: one version at a time, on all gateways or on none."""
+
+
+def _user(who: str | None) -> str:
+    if who:
+        return who
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        raise click.UsageError("--who: this user has no name; say whose change it is") from None
+
+
+def _bundle(path: str) -> bytes:
+    try:
+        with Path(path).open("rb") as file:
+            data = file.read(LARGEST + 1)
+    except OSError as error:
+        raise Finding(f"{path}: {error.strerror}; allowed: a bundle of rules that can be read") from None
+    if len(data) > LARGEST:
+        raise Finding(f"{path}: more than {LARGEST} bytes; allowed: at most {LARGEST}")
+    return data
+
+
+def _told(version: dict[str, Any]) -> str:
+    """A version and what was said of it, a line each."""
+    lines = [f"version {version['number']}: {version['phase']}, on {version['parent']}; proposed by {version['who']}"
+             + (f": {version['why']}" if version["why"] else "")]  # fmt: skip
+    if version["outcome"]:
+        lines.append(f"  {version['outcome']}")
+    for name, said in sorted(version["said"].items()):
+        lines.append(f"  {name:32} {'yes' if said['yes'] else 'NO'}" + (f": {said['reason']}" if said["reason"] else ""))
+    return "\n".join(lines)
+
+
+@rules.command()
+@CONTROL
+@JSON
+@WHO
+@click.option("--why", required=True, metavar="TEXT", help="For what reason; it stays with the version.")
+@click.option("--parent", type=click.IntRange(0), help="The version that it was made from; else the one in force.")
+@click.option("--wait", default=30.0, show_default=True, type=click.FloatRange(0, LONGEST_WAIT), metavar="S",
+              help="Seconds to wait for the outcome.")  # fmt: skip
+@click.argument("file", type=FILE)
+def propose(
+    control: str, as_json: bool, who: str | None, why: str, parent: int | None, wait: float, file: str
+) -> None:
+    """Propose the bundle in FILE as the next version, and wait for what comes of it.
+
+    Exit code 0 only where it is in force; else who said no, and why. Stopping the command does not stop the change:
+    `withdraw` does, as long as no gateway has closed for it.
+
+    Example: tealwing rules propose --control 127.0.0.1:7951 --why "loads to upington" rules.toml
+    """
+    text, end = _bundle(file), time.monotonic() + wait
+    fields: dict[str, Any] = {} if parent is None else {"parent": parent}
+    found = asked(control, "rules.propose", 15.0, text=text, why=why, who=_user(who), wait_s=10.0, **fields)
+    if found["word"] != "ok":
+        raise Finding(f"{found['word']}: {found['why']}")
+    number = found["number"]
+    version: dict[str, Any] = {"number": number, "phase": "proposed"}
+    while True:
+        try:
+            version = asked(control, "rules.show", number=number)
+        except Finding as error:  # the gateway may be on its way back, and the change goes on without it
+            if time.monotonic() >= end:
+                raise Finding(f"version {number}: the outcome is not known here: {error}; see status") from None
+        if version["phase"] not in OPEN or time.monotonic() >= end:
+            break
+        time.sleep(POLL)
+    if as_json:
+        click.echo(orjson.dumps(version).decode())
+    elif version["phase"] == "active":
+        click.echo(f"version {number} is in force on every gateway")
+    if version["phase"] == "active":
+        return
+    if as_json:
+        raise SystemExit(1)
+    if version["phase"] in OPEN:
+        raise Finding(f"{_told(version)}\nnot decided in {wait:g} s, and it goes on; see status, or withdraw it")
+    raise Finding(f"{_told(version)}\nwhat to do: {REMEDIES[version['phase']]}")
+
+
+@rules.command()
+@CONTROL
+@JSON
+def status(control: str, as_json: bool) -> None:
+    """Show the version in force, a change under way and for what it waits, the members, and this gateway's gate.
+
+    Example: tealwing rules status --control 127.0.0.1:7951
+    """
+    found = asked(control, "rules.status")
+    if as_json:
+        click.echo(orjson.dumps(found).decode())
+        return
+    gate, flight = found["gate"], found["in_flight"]
+    click.echo(f"version {found['active']} is in force, {found['in_force']} here; gate {gate['mode']}"
+               + (f": {gate['reason']}" if gate["reason"] else ""))  # fmt: skip
+    if found["permit_left_s"] is not None:
+        click.echo(f"permit: {found['permit_left_s']:.1f} s left")
+    if found["broken"]:
+        click.echo(f"OUT OF ORDER: {found['broken']}")
+    if flight is not None:
+        click.echo(f"under way for {flight['for_s']:.1f} s: {_told(flight)}")
+        if flight["waits_for"]:
+            click.echo(f"  waits for {', '.join(flight['waits_for'])}")
+    for member in found["members"]:
+        lapsed = f"; lapsed{', over' if member['over'] else ''}" if member["lapsed"] else ""
+        click.echo(f"  {member['name']:32} {member['lost_touch']}, build {member['build']}; closed for"
+                   f" {member['closed'] or 'none'}{lapsed}")  # fmt: skip
+
+
+@rules.command()
+@CONTROL
+@JSON
+@WHO
+@click.option("--why", default="", metavar="TEXT", help="For what reason.")
+@click.argument("number", type=click.IntRange(1))
+def withdraw(control: str, as_json: bool, who: str | None, why: str, number: int) -> None:
+    """Take version NUMBER back before any gateway closes for it.
+
+    Example: tealwing rules withdraw --control 127.0.0.1:7951 7
+    """
+    found = asked(control, "rules.withdraw", 15.0, number=number, who=_user(who), why=why, wait_s=10.0)
+    if found["word"] != "ok":
+        raise Finding(f"{found['word']}: {found['why']}")
+    click.echo(orjson.dumps(found).decode() if as_json else f"version {number} is withdrawn")
--- /dev/null
+++ b/tealwing/rollout/errands.py
@@ -0,0 +1,41 @@
+"""Calls that may wait, done one after another on a thread of their own."""
+
+from __future__ import annotations
+
+import traceback
+from collections.abc import Callable
+from queue import SimpleQueue
+
+from tealwing import log, threads
+
+MOST = 16  # errands that wait: more are turned away, and asked for again when they are due
+
+
+class Errands:
+    """One thread; what waits for it is bounded."""
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._queue: SimpleQueue[Callable[[], None] | None] = SimpleQueue()
+
+    def start(self) -> None:
+        """Begin; threads.NoThread where the system has none."""
+        threads.start(self._run, self._name)
+
+    def stop(self) -> None:
+        """End after the errand that is being done."""
+        self._queue.put(None)
+
+    def do(self, errand: Callable[[], None]) -> bool:
+        """Have it done once those before it are; False where too many wait."""
+        if self._queue.qsize() >= MOST:
+            return False
+        self._queue.put(errand)
+        return True
+
+    def _run(self) -> None:
+        while (errand := self._queue.get()) is not None:
+            try:
+                errand()
+            except Exception:  # one errand's fault must not silence the gateway: the machine asks again
+                log.event("rules_errand_failed", thread=self._name, trace=traceback.format_exc(limit=-3))
--- /dev/null
+++ b/tealwing/rollout/service.py
@@ -0,0 +1,117 @@
+"""The calls of the control address about versions of the rules."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+from tealwing.peers.control import Control, Denied, Fields, field, wait_of
+from tealwing.replica import commands as c
+from tealwing.replica.node import Replica, Unavailable, Unknown
+from tealwing.rollout.shell import Shell
+from tealwing.rules import bundle, records
+
+WAIT = 5.0  # s that a call waits where it does not say
+LOOK = 0.05  # s between two looks whether a member has gone
+
+
+class Service:
+    """Answers for one gateway."""
+
+    def __init__(self, shell: Shell, replica: Replica, control: Control) -> None:
+        self._shell, self._replica = shell, replica
+        self._lock, self._sequence = threading.Lock(), 0
+        calls: dict[str, Callable[[Fields], Fields]] = {
+            "rules.propose": self._propose,
+            "rules.status": lambda _: shell.status(),
+            "rules.show": self._show,
+            "rules.withdraw": self._withdraw,
+            "rules.forget": self._forget,
+        }
+        for name, call in calls.items():
+            control.serve(name, call)
+
+    def _propose(self, fields: Fields) -> Fields:
+        """Propose a bundle; what is wrong with it here is told at once, and nothing is proposed."""
+        text, who = field(fields, "text", bytes), field(fields, "who", records.Word)
+        why = field(fields, "why", records.Text, "")
+        parent = field(fields, "parent", records.Big) if "parent" in fields else None
+        if len(text) > records.LARGEST:
+            raise Denied(f"text: {len(text)} bytes; allowed: {records.LARGEST}")
+        faults = self._shell.faults(text)
+        if faults:
+            raise Denied("text: " + "; ".join(faults))
+
+        def propose(wait: float) -> Fields:
+            end = time.monotonic() + wait
+            made_from = parent
+            if made_from is None:
+                self._replica.read_index(wait)
+                made_from = self._shell.facts().active
+            body = records.Propose(made_from, bundle.digest(text), text, who, int(time.time() * 1e3), why)
+            told = self._write(body, max(0.0, end - time.monotonic()))
+            return told | {"number": told.pop("version")}
+
+        return self._outcome(propose, fields)
+
+    def _show(self, fields: Fields) -> Fields:
+        number = field(fields, "number", records.Big)
+        version = self._shell.version(number)
+        if version is None:
+            raise Denied(f"number: no version {number} is kept here; allowed: {self._shell.numbers() or 'none yet'}")
+        return told(version) | {"text": version.text.decode("utf-8", "replace")}
+
+    def _withdraw(self, fields: Fields) -> Fields:
+        body = records.Withdraw(
+            field(fields, "number", records.Big), field(fields, "who", records.Word),
+            field(fields, "why", records.Text, ""),
+        )  # fmt: skip
+        return self._outcome(lambda wait: self._write(body, wait), fields)
+
+    def _forget(self, fields: Fields) -> Fields:
+        """Take a member out; waits until every permit that it may have is over."""
+        body = records.Forget(field(fields, "member", records.Word), bool(field(fields, "off", bool, False)))
+
+        def forget(wait: float) -> Fields:
+            end = time.monotonic() + wait
+            told = self._write(body, wait)
+            while told["word"] == "ok" and body.member in self._shell.members():
+                if time.monotonic() >= end:
+                    return told | {"word": "unknown", "why": f"{body.member} goes once its permits are over; see status"}
+                time.sleep(LOOK)
+            return told
+
+        return self._outcome(forget, fields)
+
+    def _write(self, body: records.Body, wait: float) -> dict[str, Any]:
+        """Have it applied once, however often it is sent."""
+        with self._lock:
+            self._sequence += 1
+            number = self._sequence
+        client = f"{self._replica.core.me}/{self._replica.start_number}/rules/{number % 8}"  # calls come at once
+        result = self._replica.write(c.Command(client, number, body), wait)
+        word = "ok" if result.ok else "refused"
+        return {"word": word, "index": result.index, "version": result.version, "why": result.why}
+
+    def _outcome(self, run: Callable[[float], Fields], fields: Fields) -> Fields:
+        """What came of it, in a word: ok, refused (by the state), unavailable (surely not done), unknown."""
+        try:
+            return {"word": "ok"} | run(wait_of(fields, WAIT))
+        except Unavailable as error:
+            return {"word": "unavailable", "why": f"{error}; nothing was changed: try again, or at another gateway"}
+        except Unknown as error:
+            return {"word": "unknown", "why": f"{error}; see rules.status for whether it was taken"}
+        except ValueError as error:
+            raise Denied(str(error)) from None
+
+
+def told(version: records.Version) -> Fields:
+    """A version for operators, without its text."""
+    return {
+        "number": version.number, "parent": version.parent, "phase": version.phase, "digest": version.digest,
+        "who": version.who, "when_ms": version.when, "why": version.why, "outcome": version.outcome,
+        "federated": version.federated, "needs": version.needs, "index": version.index, "changed": version.changed,
+        "said": {name: {"yes": said.yes, "reason": said.reason} for name, said in version.said.items()},
+    }  # fmt: skip
