--- /dev/null
+++ b/tealwing/rollout/seen.py
@@ -0,0 +1,61 @@
+"""The registry's tables as they were after one entry: copied as it is applied, read by any thread."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from tealwing.replica.state import State
+from tealwing.rollout.view import View, view
+from tealwing.rules import kept
+from tealwing.rules.cover import uncovered, unheard
+from tealwing.rules.records import Facts, Member, Version
+
+TABLES = ("rules", "rule_members", "rule_facts")
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """All that is known of versions here. Records are immutable, so copies of the tables are enough."""
+
+    index: int
+    tables: dict[str, dict[str, Any]]
+    me: View
+
+    @property
+    def facts(self) -> Facts:
+        """What holds of all versions."""
+        return kept.facts(self.tables)
+
+    @property
+    def members(self) -> dict[str, Member]:
+        """All members by name."""
+        return kept.members(self.tables)
+
+    def version(self, number: int) -> Version | None:
+        """A version that is kept."""
+        return kept.version(self.tables, number)
+
+    def text(self, number: int) -> bytes:
+        """A version's bundle; empty for 0. LookupError where it is not kept here."""
+        found = self.version(number)
+        if number and found is None:
+            raise LookupError(f"version {number} of the rules is not kept here")
+        return found.text if found is not None else b""
+
+    def phase(self, number: int) -> str:
+        """A version's phase, or `unknown`."""
+        return self.me.known(number) or "unknown"
+
+    def waits_for(self) -> list[str]:
+        """Names of the members whose word the version in flight waits for."""
+        flight = self.me.flight
+        if flight is None:
+            return []
+        return uncovered(self.tables, flight.number) if self.me.closing else unheard(self.tables, flight)
+
+
+def seen(state: State, name: str) -> Seen:
+    """The tables as they are now, for the member of that name; on the thread that applies."""
+    tables = {table: dict(state.tables[table]) for table in TABLES}
+    return Seen(state.applied, tables, view(tables, state.applied, name))
