--- a/tealwing/rollout/__init__.py
+++ b/tealwing/rollout/__init__.py
@@ -1,1 +1,1 @@
-"""One version of the rules on every gateway or on none: read plan, mark, shell, service."""
+"""How a change of rules takes hold everywhere or nowhere; read plan, view, retry, member, conductor, witnesses, gate, steering, shell."""
--- a/tealwing/rollout/steering.py
+++ b/tealwing/rollout/steering.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 from typing import Protocol
 
 from tealwing import log
@@ -69,7 +70,6 @@
             self._opened(outcome)
             self._closed = wanted.closing, time.monotonic()
             log.event("rules_closed", number=wanted.closing, under=wanted.number, reason=wanted.reason)
-        self.gate.permit(wanted.until)
         if wanted.mode == "shut":
             self._set(("shut", wanted.reason), lambda: self.gate.shut(wanted.reason))
         elif wanted.number != self.in_force:  # nobody is let in under another one: they wait until it is
@@ -77,17 +77,19 @@
         elif wanted.mode == "closed":
             touch = self._touches.get((wanted.number, wanted.closing), EVERYTHING)
             self._set(("closed", touch), lambda: self.gate.close(touch))
+            self.gate.permit(wanted.until)  # after it has closed
         else:
             if not wanted.closing:
                 self._opened(outcome)
+            self.gate.permit(wanted.until)
             self._set(("open",), self.gate.open)
         if before is None or (before.mode == "shut") != (wanted.mode == "shut"):
             self._say(wanted)
 
-    def _set(self, state: tuple[object, ...], change: object) -> None:
+    def _set(self, state: tuple[object, ...], change: Callable[[], None]) -> None:
         if state != self._state:
             self._state = state
-            change()  # type: ignore[operator]
+            change()
 
     def _opened(self, outcome: str) -> None:
         if self._closed is not None:
