--- a/tealwing/commands/rules.py
+++ b/tealwing/commands/rules.py
@@ -58,7 +58,8 @@
     if version["outcome"]:
         lines.append(f"  {version['outcome']}")
     for name, said in sorted(version["said"].items()):
-        lines.append(f"  {name:32} {'yes' if said['yes'] else 'NO'}" + (f": {said['reason']}" if said["reason"] else ""))
+        word = "yes" if said["yes"] else "NO"
+        lines.append(f"  {name:32} {word}" + (f": {said['reason']}" if said["reason"] else ""))
     return "\n".join(lines)
 
 
--- a/tealwing/rollout/__init__.py
+++ b/tealwing/rollout/__init__.py
@@ -1,1 +1,4 @@
-"""How a change of rules takes hold everywhere or nowhere; read plan, view, retry, member, conductor, witnesses, gate, steering, shell."""
+"""A change of rules takes hold everywhere or nowhere.
+
+Read view, actions, retry, permit, member, witnesses, conductor (pure); then gate, mark, steering, shell, service.
+"""
--- a/tealwing/rollout/service.py
+++ b/tealwing/rollout/service.py
@@ -9,7 +9,9 @@
 
 from tealwing.peers.control import Control, Denied, Fields, field, wait_of
 from tealwing.replica import commands as c
+from tealwing.replica.messages import Big
 from tealwing.replica.node import Replica, Unavailable, Unknown
+from tealwing.rollout.outcomes import version
 from tealwing.rollout.shell import Shell
 from tealwing.rules import bundle, records
 
@@ -37,10 +39,10 @@
         """Propose a bundle; what is wrong with it here is told at once, and nothing is proposed."""
         text, who = field(fields, "text", bytes), field(fields, "who", records.Word)
         why = field(fields, "why", records.Text, "")
-        parent = field(fields, "parent", records.Big) if "parent" in fields else None
+        parent = field(fields, "parent", Big) if "parent" in fields else None
         if len(text) > records.LARGEST:
             raise Denied(f"text: {len(text)} bytes; allowed: {records.LARGEST}")
-        faults = self._shell.faults(text)
+        faults = self._shell.here.faults(text)
         if faults:
             raise Denied("text: " + "; ".join(faults))
 
@@ -49,7 +51,7 @@
             made_from = parent
             if made_from is None:
                 self._replica.read_index(wait)
-                made_from = self._shell.facts().active
+                made_from = self._shell.seen.facts.active
             body = records.Propose(made_from, bundle.digest(text), text, who, int(time.time() * 1e3), why)
             told = self._write(body, max(0.0, end - time.monotonic()))
             return told | {"number": told.pop("version")}
@@ -57,15 +59,16 @@
         return self._outcome(propose, fields)
 
     def _show(self, fields: Fields) -> Fields:
-        number = field(fields, "number", records.Big)
-        version = self._shell.version(number)
-        if version is None:
-            raise Denied(f"number: no version {number} is kept here; allowed: {self._shell.numbers() or 'none yet'}")
-        return told(version) | {"text": version.text.decode("utf-8", "replace")}
+        number = field(fields, "number", Big)
+        found = self._shell.seen.version(number)
+        if found is None:
+            kept = ", ".join(sorted(self._shell.seen.tables["rules"], key=int)) or "none yet"
+            raise Denied(f"number: no version {number} is kept here; allowed: {kept}")
+        return version(found) | {"text": found.text.decode("utf-8", "replace")}
 
     def _withdraw(self, fields: Fields) -> Fields:
         body = records.Withdraw(
-            field(fields, "number", records.Big), field(fields, "who", records.Word),
+            field(fields, "number", Big), field(fields, "who", records.Word),
             field(fields, "why", records.Text, ""),
         )  # fmt: skip
         return self._outcome(lambda wait: self._write(body, wait), fields)
@@ -77,9 +80,9 @@
         def forget(wait: float) -> Fields:
             end = time.monotonic() + wait
             told = self._write(body, wait)
-            while told["word"] == "ok" and body.member in self._shell.members():
+            while told["word"] == "ok" and body.member in self._shell.seen.members:
                 if time.monotonic() >= end:
-                    return told | {"word": "unknown", "why": f"{body.member} goes once its permits are over; see status"}
+                    return told | {"word": "unknown", "why": f"{body.member} goes once its permits are over: ask again"}
                 time.sleep(LOOK)
             return told
 
@@ -105,13 +108,3 @@
             return {"word": "unknown", "why": f"{error}; see rules.status for whether it was taken"}
         except ValueError as error:
             raise Denied(str(error)) from None
-
-
-def told(version: records.Version) -> Fields:
-    """A version for operators, without its text."""
-    return {
-        "number": version.number, "parent": version.parent, "phase": version.phase, "digest": version.digest,
-        "who": version.who, "when_ms": version.when, "why": version.why, "outcome": version.outcome,
-        "federated": version.federated, "needs": version.needs, "index": version.index, "changed": version.changed,
-        "said": {name: {"yes": said.yes, "reason": said.reason} for name, said in version.said.items()},
-    }  # fmt: skip
--- /dev/null
+++ b/tealwing/rollout/shell.py
@@ -0,0 +1,262 @@
+"""The shell round a gateway's machine and the leader's duties: the threads, the log, the disk and the gate.
+
+The gate closes on the replica's own thread as an entry is applied, before anybody is told. All that may wait is done
+elsewhere: the disk, checks and putting in force on one thread, words to the log on a second, reads on a third.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+import traceback
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+from tealwing import log, threads
+from tealwing.coordinator.backoff import Backoff
+from tealwing.peers.link import Link
+from tealwing.replica import commands as c
+from tealwing.replica.node import Replica
+from tealwing.rollout import gate, outcomes
+from tealwing.rollout.actions import HELD, Action, Check, Read, Restart, Say, WriteMark
+from tealwing.rollout.leading import Leading
+from tealwing.rollout.mark import Mark, MarkDamaged
+from tealwing.rollout.member import Machine
+from tealwing.rollout.plan import Plan
+from tealwing.rollout.seen import Seen, seen
+from tealwing.rollout.steering import EVERYTHING, Here, Steering
+from tealwing.rollout.talk import Talk
+from tealwing.rules import records
+
+BUILD = 1  # what this program can put in force: a version may need a later one
+TICK = 0.02  # s between two looks at the clock
+STEPS = 3  # looks in a row at most: what was done may be what the next step waits for
+AGAIN = (0.1, 2.0)  # s between two tries to put a version in force, least and most
+SHUT_AFTER = 1.0  # s of waiting for an outcome after which the gateway says that it is not ready
+
+
+class Shell:
+    """One gateway's part in changes of the rules."""
+
+    def __init__(self, plan: Plan, replica: Replica, link: Link, here: Here, gate_: gate.Gate) -> None:
+        """Before the replica starts. OSError where the mark can't be read for another reason than damage."""
+        self.plan, self._replica, self._link, self._here = plan, replica, link, here
+        self.name, self._clock = link.plan.name, replica.clock
+        self._seen = seen(replica.state, self.name)  # set on the replica's thread alone
+        self._mark = Mark(Path(replica.plan.folder), replica.disk)
+        me = self._seen.members.get(self.name)
+        self._machine = Machine(
+            self.name, plan.lost_touch, max(int(time.time() * 1e3), me.start + 1 if me else 0), plan.permit,
+            mark=self._read_mark(), build=BUILD, seed=replica.start_number, disk=self._seen.me,
+            sabotage=frozenset({plan.sabotage} - {""}),
+        )  # fmt: skip
+        self._lock = threading.Lock()  # round the machine, the witness and what steers the gate
+        self._wake, self._stopped = threading.Event(), threading.Event()
+        self._talk = Talk(self._machine, self._clock, replica, self._lock, self._wake.set)
+        self._leading = Leading(plan, replica, link)
+        self.steering = Steering(gate_, plan.lost_touch)
+        self._due: list[Action] = []  # what the machine wants and nobody does yet
+        self._again, self._next_try = Backoff(*AGAIN), 0.0  # of putting in force what could not be
+        self._mark_failed = False
+        self.outcomes = outcomes.Outcomes(self._seen)
+        replica.watch(self._applied)
+        replica.on_installed(self._installed)
+        replica.on_led(self._led)
+
+    # Start and end
+
+    def begin(self) -> None:
+        """Put in force what the disk says, and set the gate by it: before any client is taken."""
+        with self._lock:
+            self._look()
+        self._put_in_force()
+
+    def start(self) -> None:
+        """Take part from now on; threads.NoThread where the system has none."""
+        self._talk.start()
+        threads.start(self._run, "rules")
+
+    def stop(self) -> None:
+        """Take part no more; the gate stays as it is, and a permit runs out."""
+        self._stopped.set()
+        self._wake.set()
+        self._talk.stop()
+
+    def _read_mark(self) -> int:
+        try:
+            return self._mark.read()
+        except MarkDamaged as error:
+            log.event("rules_mark_damaged", error=str(error), remedy=error.remedy)
+            return HELD  # nothing is decided from this disk before the log has told what there is
+
+    # For others
+
+    @property
+    def seen(self) -> Seen:
+        """The registry as it is applied here."""
+        return self._seen
+
+    @property
+    def here(self) -> Here:
+        """What versions are to this gateway."""
+        return self._here
+
+    def readiness(self) -> str:
+        """Why clients should not be sent here; empty where they may be."""
+        shown = self.steering.shown
+        if shown is None or shown.mode == "shut":
+            return shown.reason if shown else "the rules are not known here yet"
+        if self.steering.closed_for > SHUT_AFTER:
+            return shown.reason
+        return self.steering.gate.why_not
+
+    def status(self) -> dict[str, Any]:
+        """What operators ask for."""
+        with self._lock:
+            now = self._clock.now()
+            wanted, mark, start = self._machine.gate(now), self._machine.mark, self._machine.start
+        holds = self.plan.lost_touch == "hold"
+        left = max(0.0, wanted.until - now) if wanted.mode != "shut" else 0.0
+        return self.outcomes.status(self._seen) | {
+            "name": self.name, "lost_touch": self.plan.lost_touch, "start": start, "in_force": self.steering.in_force,
+            "gate": {"mode": wanted.mode, "number": wanted.number, "closing": wanted.closing, "reason": wanted.reason},
+            "permit_left_s": round(left, 3) if holds else None, "mark": "held" if mark == HELD else mark,
+            "figures": outcomes.figures(self.steering.gate.figures()), "broken": self._replica.broken,
+            "leads": self._leading.leads, "refusal": self._talk.refusal,
+        }  # fmt: skip
+
+    # The replica's thread: quick, and it waits for nobody but our own quick looks
+
+    def _applied(self, index: int, command: c.Command | None, result: c.Result | None) -> None:
+        body = command.body if command is not None else None
+        if not isinstance(body, records.Body):
+            me = replace(self._seen.me, index=index)
+            self._seen = replace(self._seen, index=index, me=me)
+            return
+        self._seen = seen(self._replica.state, self.name)
+        with self._lock:
+            self._look()
+            self._leading.applied(self._clock.now(), index, body, result is not None and result.ok)
+        self.outcomes.tell(self._seen)
+        self._wake.set()
+
+    def _installed(self) -> None:
+        self._seen = seen(self._replica.state, self.name)
+        with self._lock:
+            self._look()
+        self.outcomes.tell(self._seen)
+        self._wake.set()
+
+    def _led(self, leads: bool) -> None:
+        self._leading.leads = leads
+        self._wake.set()
+
+    # Under the lock
+
+    def _look(self) -> None:
+        """Have the machine look at the state, and the gate follow it."""
+        now = self._clock.now()
+        self._due += [action for action in self._machine.look(now, self._seen.me) if action not in self._due]
+        self._follow(now)
+
+    def _follow(self, now: float) -> None:
+        self.steering.follow(self._machine.gate(now), self._seen.phase)
+
+    # Our thread
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            self._wake.wait(self._clock.real(TICK))
+            self._wake.clear()
+            try:
+                self._turn()
+            except Exception:  # what holds holds by the gate; the machine asks again for what was not done
+                log.event("rules_fault", trace=traceback.format_exc(limit=-4))
+                self._stopped.wait(AGAIN[0])
+
+    def _turn(self) -> None:
+        for _ in range(STEPS):
+            self._put_in_force()
+            with self._lock:
+                self._look()
+                due, self._due = self._due, []
+            if not due:
+                break
+            for action in due:
+                self._do(action)
+        self._learn_touch()
+        with self._lock:
+            words = self._leading.due(self._clock.now(), self._seen)
+        for word in words:
+            self._talk.say(Say(word))
+        self._leading.conduct(self._clock.now(), self._seen)
+
+    def _do(self, action: Action) -> None:
+        match action:
+            case WriteMark(number):
+                self._write_mark(number)
+            case Say():
+                self._talk.say(action)
+            case Check(number):
+                self._check(number)
+            case Read():
+                self._talk.read(action)
+            case Restart(start):
+                log.event("rules_begin_anew", start=start)
+
+    def _write_mark(self, number: int) -> None:
+        try:
+            self._mark.write(number)
+        except OSError as error:  # the machine asks for it again, and nothing is told meanwhile
+            if not self._mark_failed:
+                log.event("rules_mark_failed", number=number, error=str(error))
+            self._mark_failed = True
+            return
+        self._mark_failed = False
+        with self._lock:
+            self._machine.marked(number)
+
+    def _check(self, number: int) -> None:
+        found = self._seen.version(number)
+        if found is None:
+            return
+        try:
+            yes, reason = self._here.verdict(self._seen.text(self._seen.facts.active), found.text)
+        except Exception as error:  # what it can't read it can't put in force
+            yes, reason = False, f"{type(error).__name__}: {error}"[:500]
+        log.event("rules_verdict", number=number, yes=yes, reason=reason)
+        with self._lock:
+            self._machine.checked(number, yes, reason)
+
+    def _put_in_force(self) -> None:
+        """Decide under the version that the machine names; until that is done the gate lets nobody in."""
+        with self._lock:
+            wanted = self._machine.gate(self._clock.now()).number
+        if wanted == self.steering.in_force or time.monotonic() < self._next_try:
+            return
+        try:
+            self._here.put_in_force(wanted, self._seen.text(wanted))
+        except Exception as error:  # whatever it is: the gateway must not open under another version
+            self._next_try = time.monotonic() + self._again.next()
+            log.event("rules_unusable", number=wanted, error=str(error), remedy="install the build that took it, or"
+                      " propose a version that this gateway can put in force")  # fmt: skip
+            return
+        self._again.heard()
+        with self._lock:
+            self.steering.in_force = wanted
+            self._follow(self._clock.now())
+
+    def _learn_touch(self) -> None:
+        """Narrow what is closed to what the change touches; worked out as soon as the version is proposed."""
+        seen_, flight = self._seen, self._seen.me.flight
+        if flight is None or self.steering.knows(seen_.facts.active, flight.number):
+            return
+        try:
+            touch = self._here.touch(seen_.text(seen_.facts.active), flight.text)
+        except Exception as error:  # another build's, perhaps: then all of it waits
+            log.event("rules_touch_unknown", number=flight.number, error=str(error))
+            touch = EVERYTHING
+        with self._lock:
+            self.steering.learn(seen_.facts.active, flight.number, touch)
+            self._follow(self._clock.now())
--- a/tealwing/rollout/steering.py
+++ b/tealwing/rollout/steering.py
@@ -63,11 +63,11 @@
         """What a change touches; those before it are over."""
         self._touches = {(before, after): touch}
 
-    def follow(self, wanted: Gate, outcome: str) -> None:
-        """Show what the machine says. outcome is the phase of the version that the gate was last closed for."""
+    def follow(self, wanted: Gate, phase: Callable[[int], str]) -> None:
+        """Show what the machine says; phase gives that of a version."""
         before, self.shown = self.shown, wanted
         if wanted.closing and (self._closed is None or self._closed[0] != wanted.closing):
-            self._opened(outcome)
+            self._opened(phase)
             self._closed = wanted.closing, time.monotonic()
             log.event("rules_closed", number=wanted.closing, under=wanted.number, reason=wanted.reason)
         if wanted.mode == "shut":
@@ -80,7 +80,7 @@
             self.gate.permit(wanted.until)  # after it has closed
         else:
             if not wanted.closing:
-                self._opened(outcome)
+                self._opened(phase)
             self.gate.permit(wanted.until)
             self._set(("open",), self.gate.open)
         if before is None or (before.mode == "shut") != (wanted.mode == "shut"):
@@ -91,10 +91,10 @@
             self._state = state
             change()
 
-    def _opened(self, outcome: str) -> None:
+    def _opened(self, phase: Callable[[int], str]) -> None:
         if self._closed is not None:
             held = (time.monotonic() - self._closed[1]) * 1e3
-            log.event("rules_opened", number=self._closed[0], outcome=outcome, held_ms=round(held, 2))
+            log.event("rules_opened", number=self._closed[0], outcome=phase(self._closed[0]), held_ms=round(held, 2))
             self._closed = None
 
     def _say(self, wanted: Gate) -> None:
