--- /dev/null
+++ b/tealwing/gateway/versions.py
@@ -0,0 +1,126 @@
+"""Which module of decisions holds which request, where settings change under load; under its owner's lock."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+from tealwing import interface as api
+from tealwing import log
+from tealwing.exchange import Outdated
+from tealwing.policy import Gateway
+
+if TYPE_CHECKING:  # what the operators' file does not switch on is not imported
+    from tealwing.routing.table import Table
+
+OWN = (api.Request, api.Outcome, api.StreamStarted, api.Note, api.HungUp)  # events of one request: to its module
+
+
+class Module(Protocol):
+    """The decision module, or what stands before it."""
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        """The actions on one event."""
+
+
+@dataclass(frozen=True, slots=True)
+class InForce:
+    """What binds a new request, one version in whole: who reads this once can't mix two."""
+
+    settings: api.Settings
+    table: Table | None = None
+    number: int = 0  # of the version of the rules; 0: none is in force
+
+
+Wrap = Callable[[Gateway], Module]  # what stands before a new module
+
+
+class Versions:
+    """The module that takes new requests, and those of earlier settings that still hold some."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        self.module: Module = Gateway(settings, seed)  # of the settings below; it takes new requests
+        self.force, self.version = InForce(settings), 0
+        self.ready: frozenset[int] = frozenset()  # zones with a ready engine
+        self._seed = seed
+        self._older: dict[int, tuple[api.Settings, Module]] = {}  # by version: modules that still hold requests
+        self._owners: dict[int, int] = {}  # request id: the version of the module that decides it
+        self._held: dict[int, int] = {}  # version: its requests still open
+        self._listed: dict[int, api.ListEntry] = {}  # the engine list as the modules know it, for a new one
+        self._list_version = 0
+        self._beliefs: api.Beliefs | None = None  # the last ones, for a new module
+
+    @property
+    def settings(self) -> api.Settings:
+        """Those of the module that takes new requests."""
+        return self.force.settings
+
+    @property
+    def listed(self) -> tuple[api.ListEntry, ...]:
+        """The engine list as it was last heard."""
+        return tuple(self._listed.values())
+
+    def of(self, settings: api.Settings) -> int:
+        """The version of those very settings; Outdated where no module of them is left."""
+        if settings is self.settings:
+            return self.version
+        for version, (older, _) in self._older.items():
+            if older is settings:
+                return version
+        raise Outdated(self.settings)
+
+    def at(self, version: int) -> Module | None:
+        """The module of a version, while there is one."""
+        if version == self.version:
+            return self.module
+        older = self._older.get(version)
+        return older[1] if older is not None else None
+
+    def take(self, number: int, version: int) -> None:
+        """The request is the version's from now on."""
+        self._owners[number] = version
+        self._held[version] = self._held.get(version, 0) + 1
+
+    def forget(self, number: int) -> None:
+        """Nothing more comes of the request: a module of earlier settings goes with its last."""
+        version = self._owners.pop(number)
+        self._held[version] -= 1
+        if not self._held[version]:
+            del self._held[version]
+            if self._older.pop(version, None) is not None:
+                log.event("settings_retired", version=version)
+
+    def renew(self, force: InForce, wrap: Wrap | None = None) -> list[api.Event]:
+        """A new module takes new requests, the old keeps what it holds; gives what the new one is to be told."""
+        if self._held.get(self.version):
+            self._older[self.version] = self.settings, self.module
+        self.version += 1
+        gateway = Gateway(force.settings, self._seed + self.version)
+        self.force, self.module = force, wrap(gateway) if wrap is not None else gateway
+        told: list[api.Event] = [api.EngineList(api.ListKind.FULL, self._list_version, self.listed)]
+        return told + ([self._beliefs] if self._beliefs is not None else [])
+
+    def concerned(self, event: api.Event) -> tuple[int, ...]:
+        """The versions whose modules an event is for: a request's own to its module, else all."""
+        if isinstance(event, OWN):
+            return (self._owners.get(event.id, self.version),)
+        if isinstance(event, api.EngineList):
+            self._note_list(event)
+        elif isinstance(event, api.Beliefs):
+            self._beliefs = event
+        return self.version, *self._older
+
+    def _note_list(self, event: api.EngineList) -> None:
+        """Keep the list that a module made now would need."""
+        if event.kind is api.ListKind.FAILED:
+            return
+        if event.kind is not api.ListKind.DELTA:
+            self._listed.clear()
+        for entry in event.entries:
+            if entry.health is api.Health.GONE:
+                self._listed.pop(entry.engine, None)
+            else:
+                self._listed[entry.engine] = entry
+        self._list_version = event.version
+        self.ready = frozenset(entry.zone for entry in self._listed.values() if entry.health is api.Health.READY)
