--- a/tealwing/conf/reader.py
+++ b/tealwing/conf/reader.py
@@ -17,6 +17,7 @@
     "peers": "tealwing.peers.section",
     "replica": "tealwing.replica.section",
     "rules": "tealwing.rollout.section",
+    "federation": "tealwing.federation.section",
 }
 MOST_FILES = 64  # files that one file may include, in all
 LARGEST = 1 << 20  # bytes of one file
