--- a/tealwing/fleet/peering.py
+++ b/tealwing/fleet/peering.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from tealwing import log
 from tealwing.leases import sweep
@@ -22,6 +22,12 @@
 from tealwing.replica.service import Service
 from tealwing.replica.storage import StorageError
 
+if TYPE_CHECKING:  # what the operators' file does not switch on is not imported
+    from tealwing.rollout.gate import Gate
+    from tealwing.rollout.here import Gateway
+    from tealwing.rollout.plan import Plan as RulesPlan
+    from tealwing.rollout.shell import Shell
+
 MOST_RATE, LEAST_RATE = 2.0, 0.5  # of a clock that the laboratory skews
 
 
@@ -37,6 +43,8 @@
         LinkFault where an address can't be had, or a disk can't be trusted.
         """
         self.plan, self.replica_plan = plan, replica
+        self.rules_plan: RulesPlan | None = None
+        self.rules: Shell | None = None
         self.clock = Clock()
         self.link = Link(plan)
         self.echo = Echo(self.link)
@@ -75,11 +83,29 @@
             if self.keeper is not None:
                 LeaseService(self.keeper, self.control, plan.faults)
 
+    def follow_rules(self, plan: RulesPlan, gateway: Gateway) -> Gate:
+        """Take part in changes of the rules; before the start. What requests pass from now on.
+
+        LinkFault where the mark of changes can't be read.
+        """
+        from tealwing.rollout import joining  # only where it is on
+
+        assert self.replica is not None  # the section needs it
+        self.rules_plan = plan
+        try:
+            self.rules = joining.join(plan, self.replica, self.link, gateway, self.control)
+        except OSError as error:
+            self.stop()
+            raise LinkFault(f"rules: {error}; allowed: a folder of the section replica that can be read") from None
+        return self.rules.gate
+
     def start(self) -> None:
         """Speak, listen and answer from now on."""
         if self.replica is not None:
             self.replica.start()
         self.link.start()
+        if self.rules is not None:
+            self.rules.start()
         if self.keeper is not None and self.replica is not None:
             self.keeper.start()
             sweep.begin(self.keeper, self.replica)
@@ -98,6 +124,8 @@
             self.feed.stop()
         if self.keeper is not None:
             self.keeper.stop()
+        if self.rules is not None:
+            self.rules.stop()
         if self.replica is not None:
             self.replica.stop()
         self.link.stop()
@@ -117,6 +145,8 @@
         if self.replica is None:
             return True, "", 0
         back = self.replica.back
+        if back.ready and self.rules is not None and (why := self.rules.readiness()):
+            return False, why, list(Phase).index(back.phase) + 1
         return back.ready, back.reason(self.replica.seen()), list(Phase).index(back.phase) + 1
 
     def status(self) -> dict[str, Any]:
--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -29,6 +29,8 @@
     from tealwing.levels.plan import Plan
     from tealwing.peers.plan import Plan as PeersPlan
     from tealwing.replica.plan import Plan as ReplicaPlan
+    from tealwing.rollout.gate import Gate
+    from tealwing.rollout.plan import Plan as RulesPlan
     from tealwing.routing.table import Table
 
 
@@ -41,6 +43,8 @@
         self.on_settings: Callable[[api.Settings], None] = lambda settings: None  # the server's side of a change
         self._link: Link | None = None  # where gossip is on
         self._peering: Peering | None = None  # where the section `peers` is
+        self.gate: Gate | None = None  # where the section `rules` is: what requests pass first
+        self.sections: frozenset[str] = frozenset()  # of the operators' file, that are on
         self._vitals: Vitals | None = None  # measured where service levels are on
         self._levels_file: Plan | None = None  # of the operators' file, and of the rules: the second goes before
         self._levels_rules: Plan | None = None
@@ -115,6 +119,11 @@
         """What the configuration says, before any version of the rules."""
         return self._from_file
 
+    @property
+    def listed(self) -> tuple[api.ListEntry, ...]:
+        """The engine list as it was last heard."""
+        return self._decisions.listed
+
     def put_in_force(
         self, settings: api.Settings | None, table: Table | None, levels: Plan | None, version: int
     ) -> None:
@@ -198,7 +207,8 @@
         if levels is not None:
             levels.measures(self._settings)  # may not fit; what comes after it can't fail on the levels
         self._gossip(records.get("gossip"))
-        self._peers(records.get("peers"), records.get("replica"))
+        self.sections = frozenset(records)
+        self._peers(records.get("peers"), records.get("replica"), records.get("rules"))
         with self._changing:
             self._levels_file = levels
             if self._levels_rules is None:  # else those of the rules go before it
@@ -211,7 +221,7 @@
         if self._peering is not None:
             self._peering.stop()
 
-    def _peers(self, plan: PeersPlan | None, replica: ReplicaPlan | None) -> None:
+    def _peers(self, plan: PeersPlan | None, replica: ReplicaPlan | None, rules: RulesPlan | None) -> None:
         """Begin the link to the peers, and the replicated state; a LinkFault leaves it as it is."""
         if plan is None and self._peering is None:
             if replica is not None:
@@ -221,13 +231,16 @@
         from tealwing.peers.link import LinkFault  # only where it is on
 
         if self._peering is not None:
-            if (plan, replica) != (self._peering.plan, self._peering.replica_plan):
-                raise LinkFault("peers, replica: a section changed; allowed: a restart")
+            if (plan, replica, rules) != (self._peering.plan, self._peering.replica_plan, self._peering.rules_plan):
+                raise LinkFault("peers, replica, rules: a section changed; allowed: a restart")
             return
         assert plan is not None
         if not self._settings.limits.peers:
             raise LinkFault("peers: the platform's settings forbid talk among gateways (Allowed.Peers)")
-        self._peering = Peering(plan, replica, self._fleet_settings)
+        peering = Peering(plan, replica, self._fleet_settings)
+        if rules is not None:
+            self.gate = peering.follow_rules(rules, self)
+        self._peering = peering
         self._peering.start()
         if self._peering.feed is not None:
             self._peering.feed.engines(self._decisions.listed, self._settings.rules)
--- a/tealwing/rollout/leading.py
+++ b/tealwing/rollout/leading.py
@@ -26,7 +26,7 @@
     def applied(self, now: float, index: int, body: records.Body, ok: bool) -> None:
         """An entry was applied; on the replica's thread, and with `due` never at once."""
         if self.leads and ok and isinstance(body, HURRY):
-            self._replica.hurry()  # followers learn that it is committed at once, not with the next beat
+            self._replica.hurry()  # followers learn it at once, not with the next beat
         self._witnesses.applied(now, index, body)
 
     def due(self, now: float, seen: Seen) -> list[records.Witness]:
--- a/tealwing/rollout/service.py
+++ b/tealwing/rollout/service.py
@@ -16,6 +16,7 @@
 from tealwing.rules import bundle, records
 
 WAIT = 5.0  # s that a call waits where it does not say
+SOON = 0.005  # s between two looks whether an entry has been applied here
 LOOK = 0.05  # s between two looks whether a member has gone
 
 
@@ -31,6 +32,7 @@
             "rules.show": self._show,
             "rules.withdraw": self._withdraw,
             "rules.forget": self._forget,
+            "replica.settings": self._settings,
         }
         for name, call in calls.items():
             control.serve(name, call)
@@ -54,10 +56,16 @@
                 made_from = self._shell.seen.facts.active
             body = records.Propose(made_from, bundle.digest(text), text, who, int(time.time() * 1e3), why)
             told = self._write(body, max(0.0, end - time.monotonic()))
+            while self._shell.seen.index < told["index"] and time.monotonic() < end:  # who asks for it next finds it
+                time.sleep(SOON)
             return told | {"number": told.pop("version")}
 
         return self._outcome(propose, fields)
 
+    def _settings(self, _: Fields) -> Fields:
+        raise Denied("replica.settings: the section rules is on here, and settings are part of the rules;"
+                     " propose a version: tealwing rules propose FILE --control HOST:PORT --why TEXT")  # fmt: skip
+
     def _show(self, fields: Fields) -> Fields:
         number = field(fields, "number", Big)
         found = self._shell.seen.version(number)
--- a/tealwing/rollout/shell.py
+++ b/tealwing/rollout/shell.py
@@ -28,8 +28,8 @@
 from tealwing.rollout.steering import EVERYTHING, Here, Steering
 from tealwing.rollout.talk import Talk
 from tealwing.rules import records
+from tealwing.rules.check import BUILD
 
-BUILD = 1  # what this program can put in force: a version may need a later one
 TICK = 0.02  # s between two looks at the clock
 STEPS = 3  # looks in a row at most: what was done may be what the next step waits for
 AGAIN = (0.1, 2.0)  # s between two tries to put a version in force, least and most
@@ -97,6 +97,11 @@
         """The registry as it is applied here."""
         return self._seen
 
+    @property
+    def gate(self) -> gate.Gate:
+        """What requests pass."""
+        return self.steering.gate
+
     @property
     def here(self) -> Here:
         """What versions are to this gateway."""
@@ -222,7 +227,7 @@
         if found is None:
             return
         try:
-            yes, reason = self._here.verdict(self._seen.text(self._seen.facts.active), found.text)
+            yes, reason = self._here.verdict(self._seen.text(self._seen.facts.active), found.text, found.needs)
         except Exception as error:  # what it can't read it can't put in force
             yes, reason = False, f"{type(error).__name__}: {error}"[:500]
         log.event("rules_verdict", number=number, yes=yes, reason=reason)
--- a/tealwing/rollout/steering.py
+++ b/tealwing/rollout/steering.py
@@ -29,8 +29,8 @@
     def faults(self, text: bytes) -> list[str]:
         """What is wrong with a bundle, whoever runs it."""
 
-    def verdict(self, before: bytes, text: bytes) -> tuple[bool, str]:
-        """Whether this gateway can put it in force, and why not."""
+    def verdict(self, before: bytes, text: bytes, needs: int) -> tuple[bool, str]:
+        """Whether this gateway can put it in force in place of the one before, and why not."""
 
     def touch(self, before: bytes, after: bytes) -> gates.Touch:
         """What a change touches."""
--- a/tealwing/service.py
+++ b/tealwing/service.py
@@ -94,6 +94,7 @@
     except ValueError as error:  # what it says is wrong, or does not fit the platform's settings
         raise FileUnusable(str(error)) from error
     server.unread = daemon.unread if "levels" in read.records else None
+    server.gate = daemon.gate
     log.event("operators_file", path=conf, sections=sorted(read.records))
 
 
