--- a/tealwing/replica/state.py
+++ b/tealwing/replica/state.py
@@ -14,6 +14,7 @@
 
 from tealwing.replica import commands as c
 from tealwing.replica.messages import Record
+from tealwing.rules import records, registry
 
 MOST_SESSIONS = 1024  # clients remembered: the one that has been quiet longest by index goes first
 KEPT_SETTINGS = 16  # versions of settings kept, and the last good one
@@ -63,6 +64,9 @@
     "leases": Lease,
     "fences": int,
     "sessions": Session,
+    "rules": records.Version,  # these three: see tealwing.rules.registry
+    "rule_members": records.Member,
+    "rule_facts": records.Facts,
 }
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -91,12 +95,15 @@
     # Commands
 
     def apply(self, index: int, data: bytes) -> c.Result:
-        """Apply the entry at an index, once, in order."""
-        self.applied = index
+        """Apply the entry at an index, once, in order. c.NewerEntry, with nothing changed, where it can't be known."""
         try:
             command = c.decode(data)
+        except c.NewerEntry:
+            raise
         except ValueError as error:  # the same at every member
+            self.applied = index
             return c.Result(False, index, why=str(error))
+        self.applied = index
         sessions = self.tables["sessions"]
         if command.sequence:
             known: Session | None = sessions.get(command.client)
@@ -148,6 +155,8 @@
                 if lease is None or lease.renewed != renewed:  # renewed meanwhile: it has not run out
                     return c.Result(False, index, why=f"{name} is renewed or another's")
                 return self._end(index, name, token)
+            case _:
+                return registry.apply(self.tables, index, body)
 
     def _put(self, index: int, key: str, value: bytes, expect: int | None) -> c.Result:
         before: Value | None = self.tables["values"].get(key)
@@ -233,7 +242,7 @@
             yield bytes(piece)
 
     def load(self, applied: int, pieces: Iterable[bytes]) -> None:
-        """Be what a snapshot's body says. ValueError where it can't be read."""
+        """Be what a snapshot's body says. ValueError where it can't be read; c.NewerEntry where it has other tables."""
         fresh: dict[str, dict[str, Any]] = {name: {} for name in TABLES}
         data = bytearray()
         for piece in pieces:
@@ -245,8 +254,10 @@
                     break
                 try:
                     item = _items.decode(bytes(data[at + 4 : end]))
+                    if item.table not in fresh:
+                        raise c.NewerEntry(f"a snapshot with a table {item.table[:40]}")
                     fresh[item.table][item.key] = _decoders[item.table].decode(item.value)
-                except (msgspec.DecodeError, KeyError) as error:
+                except msgspec.DecodeError as error:
                     raise ValueError(f"an item that can't be read: {error}") from None
                 at = end
             del data[:at]
