--- a/tealwing/lab/rig/loads/rules/traffic.py
+++ b/tealwing/lab/rig/loads/rules/traffic.py
@@ -42,15 +42,16 @@
             except OSError:  # nobody was asked
                 session = None
                 continue
-            pause = PAUSE
-            if not self._ask(session, name, start, rng.randrange(MOVED) if moves else rng.randrange(MOVED, GROUPS)):
+            away = self._ask(session, name, start, rng.randrange(MOVED) if moves else rng.randrange(MOVED, GROUPS))
+            if away is None:
                 session.close()
                 session = None
+            pause = max(PAUSE, away or 0.0)
         if session is not None:
             session.close()
 
-    def _ask(self, session: Session, name: str, start: int, group: int) -> bool:
-        """One query into the history; whether the session can go on."""
+    def _ask(self, session: Session, name: str, start: int, group: int) -> float | None:
+        """One query into the history; for how many s its answer asks to stay away, None if the session is over."""
         history, process = self._trial.history, self._trial.processes[name]
         call = f"{self._trial.seed & 0xFFFF:04x}{next(self._calls):012x}"
         head = f"/* op=lookup,call={call},ttl={TTL_MS},org=graan-koop,work=2.0,heap_mb=4 */"
@@ -59,6 +60,6 @@
             answer = session.ask(f"{head} SELECT a FROM sales_{group}.t".encode(), LIMIT)
         except OSError as error:
             history.complete(number, "unknown", why=str(error), lives=process.running)
-            return False
+            return None
         history.complete(number, "ok", word=answer.word, site=answer.site, text=answer.text)
-        return True
+        return answer.pushback
