--- a/tealwing/replica/__init__.py
+++ b/tealwing/replica/__init__.py
@@ -1,1 +1,4 @@
-"""State that all gateways share, in a replicated log: read raft, state, storage, member, node."""
+"""State that gateways share, in a replicated log.
+
+In this order: messages, raft/, commands, state, storage, then member and node.
+"""
--- a/tealwing/replica/messages.py
+++ b/tealwing/replica/messages.py
@@ -7,13 +7,11 @@
 
 import msgspec
 
+from tealwing.record import Big as Big
+from tealwing.record import Record as Record
+
 CHANNEL = 2  # of the peer link
 CHUNK = 256 * 1024  # bytes of a snapshot in one message
-Big = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
-
-
-class Record(msgspec.Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
-    """The base of all that is sent and stored."""
 
 
 class Kind(IntEnum):
@@ -21,7 +19,7 @@
 
     NOOP = 0  # a leader's first: with it what came before is committed too
     DATA = 1  # a command to the state
-    MEMBERS = 2  # the members from here on, as msgpack of their names in order
+    MEMBERS = 2  # the members from here on: see `members_data`
 
 
 class Entry(Record, frozen=True):
@@ -115,11 +113,18 @@
     term: Big
 
 
+class Names(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Voters and learners in the data of an entry, where there are learners."""
+
+    voters: list[str]
+    learners: list[str]
+
+
 Message = VoteAsk | VoteReply | Append | AppendReply | Snap | SnapReply | Sure | Hand
 
 _encode = msgspec.msgpack.Encoder().encode
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
-_members = msgspec.msgpack.Decoder(list[str])
+_members: msgspec.msgpack.Decoder[list[str] | Names] = msgspec.msgpack.Decoder(list[str] | Names)
 
 
 def encode(message: Message) -> bytes:
@@ -135,11 +140,18 @@
         raise ValueError(f"no message of the replicated log: {error}") from None
 
 
-def members_data(names: tuple[str, ...]) -> bytes:
-    """The data of an entry that says who the members are."""
-    return _encode(list(names))
+def members_data(voters: tuple[str, ...], learners: tuple[str, ...] = ()) -> bytes:
+    """The data of an entry that says who the members are: without learners a plain list of names, as it always was."""
+    return _encode(Names(list(voters), list(learners)) if learners else list(voters))
 
 
 def members_of(entry: Entry) -> tuple[str, ...]:
-    """The members that an entry says."""
-    return tuple(_members.decode(entry.data))
+    """The voters that an entry says."""
+    names = _members.decode(entry.data)
+    return tuple(names.voters if isinstance(names, Names) else names)
+
+
+def learners_of(entry: Entry) -> tuple[str, ...]:
+    """The learners that an entry says."""
+    names = _members.decode(entry.data)
+    return tuple(names.learners) if isinstance(names, Names) else ()
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -17,7 +17,6 @@
 from tealwing.peers.plan import MANY, Address, Times
 from tealwing.peers.plan import Plan as PeersPlan
 from tealwing.replica import commands as c
-from tealwing.replica import roles
 from tealwing.replica.group import FEDERATION, SITE, Group
 from tealwing.replica.node import Replica, Unavailable
 from tealwing.replica.outcomes import Answering, Told
@@ -25,6 +24,7 @@
 from tealwing.replica.promotion import Change, NextChange, Promotion
 from tealwing.replica.raft import NotLeader, Raft, Role
 from tealwing.replica.reading import PACE, Reading
+from tealwing.replica.roster import next_change
 from tests.peers import LIMIT
 from tests.test_peers import until
 from tests.test_replica import Fleet
@@ -39,13 +39,18 @@
 class Process:
     """What one process has: a link, and a member of each of its groups."""
 
-    def __init__(self, folder: Path, name: str, members: tuple[tuple[str, Address], ...], groups: list[Group]) -> None:
-        self.link = Link(PeersPlan("f", name, members, QUICK))
+    def __init__(
+        self, folder: Path, name: str, members: tuple[tuple[str, Address], ...], groups: list[Group],
+        learners: tuple[str, ...] = (), replace_after: float = 0.0,
+    ) -> None:  # fmt: skip
+        self.link = Link(PeersPlan("f", name, members, QUICK, learners=learners))
         self.of = {}
         for group in groups:
             plan = Plan(str(folder / name / group.name), beat=0.05, election=0.4)
             self.of[group.name] = Replica(plan, self.link, Clock(), group=group)
         for replica in self.of.values():
+            if replace_after:
+                Promotion(replica, next_change, replace_after, 3)
             replica.start()
         self.link.start()
 
@@ -94,9 +99,9 @@
     follower = next(m for m in fleet.members.values() if m is not leader)
     fleet.propose(leader, b"decisive")
     assert leader.commit > follower.commit  # no time has passed: it would learn it with the next beat
-    roles.hurry(follower, fleet.now)  # who does not lead has nothing to say
+    follower.hurry(fleet.now)  # who does not lead has nothing to say
     assert not follower.has_ready()
-    roles.hurry(leader, fleet.now)
+    leader.hurry(fleet.now)
     fleet.settle(leader.me)
     fleet.pass_on()
     assert follower.commit == leader.commit and fleet.applied[follower.me][-1][1] == b"decisive"
@@ -234,3 +239,26 @@
     stand.tick(20.1)
     stand.tick(20.2)  # too early to look again
     assert len(stand.asked) == 2
+
+
+def test_a_learner_that_links_to_voters_only_votes_in_the_place_of_one_that_is_gone(tmp_path: Path) -> None:
+    members = tuple((name, ("127.0.0.1", free_port())) for name in "abcde")
+    processes = {name: Process(tmp_path, name, members, [SITE], tuple("de"), 2.0) for name in "abcde"}
+    replicas = {name: process.of["site"] for name, process in processes.items()}
+    try:
+        assert replicas["d"].write(put("k", b"v"), LIMIT).ok
+        until(lambda: all(r.state.tables["values"].keys() == {"k"} for r in replicas.values()))
+        assert replicas["d"].core.members == ("a", "b", "c") and replicas["d"].core.learners == ("d", "e")
+        states = {peer["name"]: peer["state"] for peer in processes["d"].link.status()}
+        assert states == {"a": "alive", "b": "alive", "c": "alive", "e": "unlinked"}
+        gone = next(name for name in "abc" if replicas[name].core.leader != name)
+        processes.pop(gone).stop()
+        replicas.pop(gone)
+        until(lambda: all(gone in r.core.learners and len(r.core.members) == 3 for r in replicas.values()))
+        promoted = next(name for name in "de" if name in replicas[name].core.members)
+        other = "d" if promoted == "e" else "e"  # it and the promoted one now speak to each other
+        until(lambda: {p["name"]: p["state"] for p in processes[other].link.status()}[promoted] == "alive")
+        assert replicas[other].write(put("l", b"on"), LIMIT).ok
+    finally:
+        for process in processes.values():
+            process.stop()
