--- a/tealwing/lab/judges/rules_versions.py
+++ b/tealwing/lab/judges/rules_versions.py
@@ -26,9 +26,11 @@
             what = f"version {event['number']} is {event['digest']} at {event['process']}"
             found.append(Violation("changed", event["t"], f"{what}, and was {known['digest']} at {known['process']}"))
     for number, version in shown(events).items():
-        if version.in_force and version.phases & set(NEVER):
-            found.append(Violation("divergent", _when(events, number), f"version {number} is said to be"
-                                   f" {', '.join(sorted(version.phases & {*NEVER, *IN_FORCE}))}"))  # fmt: skip
+        if version.in_force and any(phase in NEVER for phase in version.phases):
+            said = [f"{phase} by {', '.join(sorted(who))}" for phase, who in sorted(version.phases.items())
+                    if phase in (*NEVER, *IN_FORCE)]  # fmt: skip
+            what = f"version {number} is said to be {'; '.join(said)}"
+            found.append(Violation("divergent", _when(events, number), what))
     return found
 
 
--- a/tealwing/lab/judges/versions.py
+++ b/tealwing/lab/judges/versions.py
@@ -19,7 +19,7 @@
     number: int
     site: str  # to which it sends the groups that move
     proposed: float = 0.0  # s: not before this, as far as is known
-    phases: set[str] = field(default_factory=set)
+    phases: dict[str, set[str]] = field(default_factory=dict)  # with the processes that said so
 
     @property
     def in_force(self) -> bool:
@@ -36,7 +36,7 @@
             one = found.setdefault(
                 event["number"], Shown(event["number"], event["site"], begun.get(event.get("mark"), 0.0))
             )  # fmt: skip
-            one.phases.add(event["phase"])
+            one.phases.setdefault(event["phase"], set()).add(event["process"])
     return dict(sorted(found.items()))
 
 
