--- a/tealwing/federation/__init__.py
+++ b/tealwing/federation/__init__.py
@@ -1,1 +1,1 @@
-"""Several sites that change their rules together: plan, section, delegate (pure), shell."""
+"""Several sites that change their rules together: plan, section, delegate (pure), shell, joining."""
