--- a/tealwing/lab/rig/acts.py
+++ b/tealwing/lab/rig/acts.py
@@ -100,7 +100,7 @@
             self._ledger.span(("link", "power", ""), "link", source="some", target="some", drop=step.drop_on_return)
         lost = time.monotonic()
         for name in sorted(waits, key=lambda name: waits[name]):
-            if trial.stopping.wait(max(0.0, lost + waits[name] - time.monotonic())):
+            if trial.calm.wait(max(0.0, lost + waits[name] - time.monotonic())):
                 return
             self._history.add("power", what="back", who=[name], old=name in old)
             self.start(name, "old" if name in old else "kept")
--- a/tealwing/lab/rig/loads/base.py
+++ b/tealwing/lab/rig/loads/base.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import traceback
 from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING, Any, Protocol
 
@@ -42,10 +43,19 @@
     def __init__(self) -> None:
         self.stopped = threading.Event()
         self.threads: list[threading.Thread] = []
+        self.failed: list[str] = []  # what they raised: a fault of the laboratory
 
     def spawn(self, run: Callable[[], None], name: str) -> None:
         """One more client."""
-        thread = threading.Thread(target=run, name=name, daemon=True)
+
+        def work() -> None:
+            try:
+                run()
+            except Exception:
+                self.failed.append(f"{name}: {traceback.format_exc(limit=-4)}")
+                raise
+
+        thread = threading.Thread(target=work, name=name, daemon=True)
         self.threads.append(thread)
         thread.start()
 
--- a/tealwing/lab/rig/loads/rules/load.py
+++ b/tealwing/lab/rig/loads/rules/load.py
@@ -78,8 +78,11 @@
 
     def finish(self, trial: Trial) -> None:
         """Wait until nothing is under way; then what every process holds, its gate's log, and all copies' hashes."""
+        trial.problems += self._clients.failed
         lines = [Line(trial, name) for name in trial.names]
-        if self._watch is not None:
+        if self._watch is not None and self._operators is not None:
+            self._settle(trial, self._watch, lines)
+            self._last(trial, self._operators)
             self._settle(trial, self._watch, lines)
             for line in lines:
                 self._watch.end(line)
@@ -94,6 +97,15 @@
         if self._operators is not None:
             self._operators.close()
 
+    def _last(self, trial: Trial, operators: Operators) -> None:
+        """A change that must come into force, as all is healed; it frees who could not do the one before, too."""
+        end, rng, phase = time.monotonic() + QUIET, random.Random(trial.seed), ""
+        while phase != "active":
+            if time.monotonic() > end:
+                trial.history.add("rules-stuck", why=f"not within {QUIET:g} s; the last was {phase or 'not decided'}")
+                return
+            phase = operators.change(operators.anyone(rng), "move", "last", rng, None)
+
     def _settle(self, trial: Trial, watch: Watch, lines: Sequence[Line]) -> None:
         """Until all hold the same and nothing is under way, or the time for that is over."""
         end = time.monotonic() + QUIET
--- a/tealwing/lab/rig/loads/rules/watch.py
+++ b/tealwing/lab/rig/loads/rules/watch.py
@@ -57,10 +57,12 @@
                     continue
                 self._told[line.name, number] = version["phase"]
             mark, site = read(version["text"])
+            log = self._trial.layout.site_of(line.name)  # each site of a federation has one
             self.sites[number] = site
             self._trial.history.add(
                 "version", process=line.name, number=number, digest=version["digest"], phase=version["phase"],
                 parent=version["parent"], mark=mark, site=site, outcome=version["outcome"],
+                **({"log": log} if log else {}),
             )  # fmt: skip
         return found
 
--- a/tealwing/lab/rig/trial.py
+++ b/tealwing/lab/rig/trial.py
@@ -61,6 +61,7 @@
         self.coordinator = Coordinator(self.engines.members())
         self.processes: dict[str, Process] = {}
         self.stopping = threading.Event()
+        self.calm = threading.Event()  # no fault is begun any more
         self.samples = Samples(self.processes, self.history, self.caller, layout.site_of)
         self.ledger = Ledger(self.history, self.leader)
         self.acts = Acts(self, layout.stale)
@@ -99,6 +100,7 @@
     def close(self) -> None:
         """End every process, thread and listener that this trial started, and its folder if it is its own."""
         self.stopping.set()
+        self.calm.set()
         for process in self.processes.values():
             process.kill()
         for thread in self._threads:
@@ -112,8 +114,8 @@
         if self._own is not None:
             self._own.cleanup()
 
-    def spawn(self, run: Any, name: str) -> None:
-        """A thread of the trial; what it raises is a problem of the rig."""
+    def spawn(self, run: Any, name: str) -> threading.Thread:
+        """A thread of the trial, started; what it raises is a problem of the rig."""
 
         def work() -> None:
             try:
@@ -124,6 +126,7 @@
         thread = threading.Thread(target=work, name=name, daemon=True)
         self._threads.append(thread)
         thread.start()
+        return thread
 
     def start(self) -> None:
         """Start all, and wait until each hears all others."""
@@ -164,9 +167,11 @@
         self.begun = time.monotonic()
         self.history.add("begin", procs=len(self.names), seconds=self.seconds, scenario=self.scenario.title)
         load.start(self)
-        self.spawn(Director(self).play, "scenario")
+        director = self.spawn(Director(self).play, "scenario")
         self.stopping.wait(self.seconds)
+        self.calm.set()
         load.stop()
+        director.join(30.0)  # what it had begun
         self.history.add("load-over")
         with self.proxy.lock:
             self.weather.heal()
--- a/tests/test_rules_judges.py
+++ b/tests/test_rules_judges.py
@@ -114,6 +114,7 @@
         ([last("c", in_force=2)], "divergent"),
         ([last("c", digests={"3": "other"})], "divergent"),
         ([last("c", in_flight=4)], "undecided"),
+        ([{"t": 8.0, "kind": "rules-stuck", "why": "aborted"}], "stuck"),
         ([*change(4, 5.0), version(4, "aborted")], "lost"),
         ([version(3, "active", mark="other")], "lost"),
     ],
@@ -122,6 +123,15 @@
     assert rule in rules(rules_versions.judge([*ENDED, *more], 9.0))
 
 
+def test_only_the_no_of_a_lost_sites_own_log_may_come_after_a_federation_went_on_without_it() -> None:
+    late = version(2, "rejected", "c", log="elsewhere")
+    assert "divergent" in rules(rules_versions.judge([*ENDED, late], 9.0))
+    hold = [event | {"lost_touch": "hold"} if event is RULES else event for event in ENDED]
+    assert rules_versions.judge([*hold, late], 9.0) == []
+    assert "divergent" in rules(rules_versions.judge([*hold, version(2, "rejected", "c")], 9.0))
+    assert "divergent" in rules(rules_versions.judge([*hold, late | {"phase": "aborted"}], 9.0))
+
+
 def test_a_change_that_was_acknowledged_and_is_gone_is_lost() -> None:
     back = [*GOOD, last("a", active=2, in_force=2), last("b", active=2, in_force=2)]
     assert rules(rules_versions.judge(back, 9.0)) == ["lost"]
