--- a/tealwing/lab/rig/acts.py
+++ b/tealwing/lab/rig/acts.py
@@ -21,11 +21,13 @@
         """stale: how many may come back with an older disk from a power loss."""
         self._trial, self._stale = trial, stale
         self._ledger, self._history = trial.ledger, trial.history
+        self.failing: set[str] = set()  # processes whose disk failed, and which have not been ended since
 
     def kill(self, name: str, gently: bool = False) -> None:
         """End it, by SIGTERM first if gently."""
         self._ledger.over(("stop", name))
         process = self._trial.processes[name]
+        self.failing.discard(name)
         if process.running:
             self._ledger.span(("down", name), "kill", who=name, gently=gently)
             if gently:
@@ -74,6 +76,8 @@
             finally:
                 caller.close()
             self._ledger.fault(call.removeprefix("fault."), who=name, **fields)
+            if call == "fault.disk":
+                self.failing.add(name)
         except (OSError, Turned) as error:
             self._history.add("fault-not-taken", who=name, call=call, why=str(error))
 
--- a/tealwing/lab/rig/trial.py
+++ b/tealwing/lab/rig/trial.py
@@ -178,6 +178,8 @@
         self.ledger.all_over()
         for name, process in self.processes.items():
             process.signal(signal.SIGCONT)
+            if name in self.acts.failing and process.running:  # its scenario ended before it had it started anew
+                self.acts.kill(name)
             if not process.running:
                 self.acts.start(name, "kept")
         for process in self.processes.values():
