--- a/tealwing/rollout/shell.py
+++ b/tealwing/rollout/shell.py
@@ -60,7 +60,7 @@
         self._lock = threading.Lock()  # round the machine, the witness and what steers the gate
         self._wake, self._stopped = threading.Event(), threading.Event()
         other = outside.replica if outside is not None else None
-        self._talk = Talk(self._machine, self._clock, replica, self._lock, self._wake.set, other)
+        self._talk = Talk(self._machine, self._clock, replica, self._lock, self._wake.set, other, plan.permit)
         self._leading = Leading(plan, replica, link)
         self.steering = Steering(gate_, plan.lost_touch)
         self._deeds = deeds.Deeds(self._machine, mark, here, self.steering, self._lock, self._follow)
--- a/tealwing/rollout/talk.py
+++ b/tealwing/rollout/talk.py
@@ -21,7 +21,7 @@
 
 SAY_WAIT = 1.0  # s that one word to the log may take before it is said again
 PASSED = (records.Verdict, records.Closed, records.Witness)
-READ_WAIT = 1.0  # s that a read may take
+READ_WAIT, READ_SHARE = 1.0, 0.25  # s that a read may take, and share of a permit: one lost frame must not cost it
 
 
 class Log(Protocol):
@@ -42,11 +42,14 @@
 
     def __init__(
         self, machine: Machine, clock: Clock, site: Log, lock: threading.Lock, changed: Callable[[], None],
-        federation: Log | None = None,
+        federation: Log | None = None, permit: float = READ_WAIT / READ_SHARE,
     ) -> None:  # fmt: skip
-        """lock is round the machine; changed is told, without it, whenever the machine has heard something."""
+        """permit is s that one lasts. lock is round the machine.
+
+        changed is told, without the lock, whenever the machine has heard something.
+        """
         self._machine, self._clock, self._site, self._lock, self._changed = machine, clock, site, lock, changed
-        self._federation = federation
+        self._federation, self._read_wait = federation, min(READ_WAIT, READ_SHARE * permit)
         self._words, self._reads = Errands("rules-words"), Errands("rules-reads")
         self._outside = Errands("rules-reads-federation") if federation is not None else None
         self._saying: set[records.Body] = set()
@@ -104,7 +107,7 @@
         with self._lock:
             token: Token = self._machine.read_sent(self._clock.now(), action.federation)
         try:
-            index = log_.read_index(READ_WAIT)
+            index = log_.read_index(self._read_wait)
         except Unavailable:
             with self._lock:
                 self._machine.read_failed(self._clock.now(), token)
--- a/tests/test_rollout_shell.py
+++ b/tests/test_rollout_shell.py
@@ -54,6 +54,9 @@
     def propose_here(self, data: bytes) -> None:
         self.write(c.decode(data))
 
+    def pass_on(self, data: bytes) -> None:
+        self.write(c.decode(data))
+
     def read_index(self, wait: float) -> int:
         self.answers.wait(wait)
         return self.state.applied
