--- /dev/null
+++ b/tealwing/mysql/session.py
@@ -0,0 +1,336 @@
+"""One client's connection to the MySQL server: its login, its commands, and its end."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import os
+import socket
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from tealwing import log, threads
+from tealwing.exchange import (
+    Abandoned,
+    Exchange,
+    Failed,
+    Gate,
+    Outdated,
+    Query,
+    Refused,
+    Reply,
+    Served,
+    Turned,
+    Unusable,
+)
+from tealwing.mysql import packets, statements
+from tealwing.sockets import receive, set_limit, silence, stamp
+
+if TYPE_CHECKING:  # the server knows its sessions, and they know it
+    from tealwing.mysql.server import Server
+
+USER, DATABASE = b"app", b"reports"
+COLUMNS = (b"column_1", b"column_2", b"column_3")  # engines send no names
+FIRST_LIMIT = 2.0  # s from its connect in which a client logs in and sends its first command whole
+PACKET_LIMIT = 2.0  # s for the rest of a command that has begun to come
+IDLE_LIMIT = 60.0  # s between commands: usual clients close after 4, some ask once and stay for good
+WRITE_LIMIT = 5  # s that a client may take nothing
+READINGS = 3  # of one request: once more for each change of the rules that it meets
+UNREAD_WAITS = 1.0  # s that a request without a known time may be held
+STILL_CHANGING = 0.2  # s of pushback for one that met a change at each reading
+RESERVE, RESERVE_SHARE = 0.25, 0.5  # of a held request's time, that is kept for what follows: at most s, and a share
+SAMPLED = 4  # of so many sessions one tells how long what it reads has waited: enough for a mean
+
+QUIT, INIT_DB, QUERY, PROCESS_KILL, PING, RESET_CONNECTION = 0x01, 0x02, 0x03, 0x0C, 0x0E, 0x1F
+
+UNKNOWN_COMMAND = packets.error(1047, "08S01", "Unknown command")
+UNKNOWN_THREAD = packets.error(1094, "HY000", "Unknown thread id")
+INTERRUPTED = packets.error(1317, "70100", "Query execution was interrupted")
+FAILED = packets.error(1105, "HY000", "The query failed; it may have run")
+
+
+class Session:
+    """One client connection."""
+
+    def __init__(self, server: Server, sock: socket.socket, number: int) -> None:
+        self.server, self.number = server, number
+        self._sock = sock
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        set_limit(sock, socket.SO_SNDTIMEO, WRITE_LIMIT)
+        self._parser = packets.Parser()
+        self._lock = threading.Lock()
+        self._exchange: Exchange | None = None  # the request that is open, under the lock
+        self._since = time.monotonic()  # when the client was last answered
+        self._first = self._since + FIRST_LIMIT  # until when its first command is due; 0 after that
+        self._rest = 0.0  # until when the rest of a command that has begun is due
+        self._waiting: tuple[float, float] | None = None  # for its client: since when, and until when, under the lock
+        self._stamped = server.unread is not None and number % SAMPLED == 0
+        if self._stamped:
+            stamp(sock)
+        self._greeted = self._in = False
+        self._taken = 0.0  # monotonic, when the last byte of the last message had been read
+        self._late = 0.0  # s that it had waited for a thread by then
+        self._parted = False  # closed to make room or as its time is over: what it still says is sent again elsewhere
+        self._closing = False  # the gateway ends: close once what has come is answered, under the lock
+        self._idle = False  # waiting for a further command, under the lock
+
+    def fileno(self) -> int:
+        """The client's descriptor."""
+        return self._sock.fileno()
+
+    def run(self, buffer: memoryview, short: float = 0.0) -> bool:
+        """Serve what has come; whether the client is waited for again. Else the session is over and closed.
+
+        short is for how many seconds no thread has been free for it, at most.
+        """
+        going = False
+        try:
+            going = self._serve(buffer, short) and self._wait()
+        except packets.PacketError as error:  # malformed input ends this connection only
+            text = packets.error(error.code, error.state, str(error))
+            self._last_words(packets.packet(error.sequence + 1, text))
+        except OSError as error:
+            log.event("client_lost", error=str(error))
+        finally:
+            if not going:
+                self.close()
+        return going
+
+    def close(self) -> None:
+        """It is over."""
+        self.server.ended(self)
+        self._sock.close()
+
+    def kill(self, query_only: bool) -> None:
+        """KILL: give the open request up, and end the session unless only the query was meant."""
+        with self._lock:
+            exchange = self._exchange
+        if exchange is not None:
+            exchange.abandon()
+        if not query_only:
+            with self._lock:
+                self._closing = True
+            self._shut()
+
+    def stop(self) -> None:
+        """Take no more from the client than has come: a session between commands ends now, others after one.
+
+        A session that has just begun, or whose command is under way, answers it first: a shutdown of
+        its reading side would end it before the command that its client is sending.
+        """
+        with self._lock:
+            self._closing = True
+            idle = self._idle
+        if idle:
+            self._shut()
+
+    def _shut(self) -> None:
+        with contextlib.suppress(OSError):  # it may have gone by itself
+            self._sock.shutdown(socket.SHUT_RD)
+
+    def waited(self, now: float) -> float:
+        """The share of its time that the client has let pass; 0 while it waits for us."""
+        waiting = self._waiting
+        return (now - waiting[0]) / (waiting[1] - waiting[0]) if waiting else 0.0
+
+    def part(self) -> bool:
+        """Close at once, unless something of the client has come; what crosses that it sends again."""
+        with self._lock:
+            if self._waiting is None:
+                return False
+            with contextlib.suppress(OSError):  # nothing has come
+                self._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+                return False
+            self._waiting, self._parted = None, True
+        with contextlib.suppress(OSError):  # it may have gone by itself
+            self._sock.shutdown(socket.SHUT_RDWR)
+        return True
+
+    def _wait(self) -> bool:
+        """Give the client its time to say something; whether it may.
+
+        The limits are on the whole of a command: a client that drips must not stay, nor a silent one.
+        """
+        begun, now = self._parser.begun, time.monotonic()
+        self._rest = (self._rest or now + PACKET_LIMIT) if begun else 0.0
+        limit = self._first or self._since + IDLE_LIMIT
+        with self._lock:
+            if self._closing and not self._first and not begun:
+                return False
+            self._waiting = self._since, min(limit, self._rest) if self._rest else limit
+            self._idle = not self._first and not begun
+        return True
+
+    def _serve(self, buffer: memoryview, short: float) -> bool:
+        """Read once, and answer the messages that are whole; whether the session goes on."""
+        with self._lock:  # from here on it is not parted with: see part
+            self._idle, self._waiting = False, None
+            if self._parted:
+                return False
+        if not self._greeted:
+            self._sock.sendall(packets.packet(0, packets.greeting(self.number, _scramble())))
+            self._greeted = True
+        self._late = min(short, silence(self._sock)) if short else 0.0
+        try:
+            size = self._read(buffer)
+        except BlockingIOError:  # nothing has come yet
+            return True
+        if not size:
+            return False
+        self._parser.feed(buffer[:size])
+        self._taken = time.monotonic()
+        while (message := self._parser.next()) is not None:
+            self._rest = 0.0
+            if not (self._answer(*message) if self._in else self._login(*message)):
+                return False
+            self._since = time.monotonic()
+        return True
+
+    def _answer(self, sequence: int, payload: bytes) -> bool:
+        """One command; whether the session goes on."""
+        self._first = 0.0
+        if sequence != 0:
+            raise packets.PacketError("Got packets out of order", 1156, "08S01", sequence)
+        if payload[:1] == bytes([QUIT]):
+            return False
+        try:
+            reply = self._command(payload)
+        except threads.NoThread:  # a thread the request needed: it gets its whole answer still
+            reply = packets.packet(1, FAILED)
+        self._sock.sendall(reply)
+        return not self._closing
+
+    def _read(self, buffer: memoryview) -> int:
+        """Read what has come; of a sample of sessions, how long it waited for that is told."""
+        if not self._stamped:
+            return self._sock.recv_into(buffer, 0, socket.MSG_DONTWAIT)
+        size, came = receive(self._sock, buffer, socket.MSG_DONTWAIT)
+        unread = self.server.unread
+        if came is not None and unread is not None:
+            unread(max(0.0, time.time() - came))
+        return size
+
+    def _login(self, sequence: int, payload: bytes) -> bool:
+        login = packets.login(payload)
+        answer = packets.ok()
+        if login.user != USER or login.auth:
+            user = login.user.decode("utf-8", "replace")
+            answer = packets.error(1045, "28000", f"Access denied for user '{user}'")
+        elif login.database not in (b"", DATABASE):
+            answer = self._no_database(login.database)
+        self._sock.sendall(packets.packet(sequence + 1, answer))
+        self._in = answer == packets.ok()
+        return self._in
+
+    def _no_database(self, name: bytes) -> bytes:
+        return packets.error(1049, "42000", f"Unknown database '{name.decode('utf-8', 'replace')}'")
+
+    def _command(self, payload: bytes) -> bytes:
+        """The whole answer to one command, as packets."""
+        command, body = payload[0] if payload else 0, payload[1:]
+        if command == QUERY:
+            killed = statements.kill(body)
+            return packets.packet(1, self._kill(killed)) if killed else self._query(body)
+        if command in (PING, RESET_CONNECTION):
+            return packets.packet(1, packets.ok())
+        if command == INIT_DB:
+            return packets.packet(1, packets.ok() if body == DATABASE else self._no_database(body))
+        if command == PROCESS_KILL and len(body) == 4:
+            return packets.packet(1, self._kill(statements.Kill(int.from_bytes(body, "little"), False)))
+        return packets.packet(1, UNKNOWN_COMMAND)
+
+    def _kill(self, killed: statements.Kill) -> bytes:
+        other = self.server.session(killed.connection)
+        if other is None:
+            return UNKNOWN_THREAD
+        other.kill(killed.query_only)
+        return packets.ok()
+
+    def _query(self, text: bytes) -> bytes:
+        try:
+            if self.server.gate is not None:
+                passed = self._pass(text, self.server.gate)
+                if isinstance(passed, Turned):
+                    return answer(Refused(passed.pushback))
+                query, exchange = passed
+            else:
+                settings = self.server.settings  # one version for the reading and the deciding
+                query = statements.query(text, settings, self._taken)
+                if self._late:  # its time has run since it came: past its deadline it is refused at once
+                    query = dataclasses.replace(query, ttl=query.ttl - self._late)
+                exchange = self.server.open(query, settings)
+        except Unusable as error:
+            log.event("request_unusable", error=str(error))
+            return packets.packet(1, packets.error(1210, "HY000", f"Incorrect arguments: {error}"))
+        with self._lock:
+            self._exchange = exchange
+        begun = time.monotonic()
+        try:
+            return answer(exchange.run())
+        finally:
+            took = time.monotonic() - begun
+            if took > query.ttl:
+                log.event("answer_late", call=query.call.decode(), ttl=query.ttl, took=took)
+            with self._lock:
+                self._exchange = None
+
+    def _pass(self, text: bytes, gate: Gate) -> tuple[Query, Exchange] | Turned:
+        """Open a request that the gate lets in, read under the version of the rules that then decides it.
+
+        Raises Unusable; of a request that can't be read, only when it could have passed.
+        """
+        settings, late = self.server.settings, self._late
+        for _ in range(READINGS):
+            now = time.monotonic()
+            try:
+                query = statements.query(text, settings, self._taken)
+                tenant = settings.tenants[query.tenant] if settings.tenants else ""
+                until = now + _patience(query.ttl - late)
+                entered = gate.enter(settings.classes[query.cls].name, tenant, query.tables, until)
+            except Unusable:  # under a version that may be going
+                entered = gate.enter(None, "", 0, now + UNREAD_WAITS)
+                if not (isinstance(entered, Turned) or entered.held):
+                    raise
+            if isinstance(entered, Turned):
+                return entered
+            if entered.held:
+                late += time.monotonic() - now
+                settings = self.server.settings
+                query = statements.query(text, settings, self._taken)
+            if late:  # its time has run since it came: past its deadline it is refused at once
+                query = dataclasses.replace(query, ttl=query.ttl - late)
+            try:
+                return query, self.server.open(query, settings)
+            except Outdated as error:
+                settings = error.settings
+        return Turned(STILL_CHANGING, "the rules change faster than the request can be read")
+
+    def _last_words(self, data: bytes) -> None:
+        with contextlib.suppress(OSError):  # the client may have gone already
+            self._sock.sendall(data)
+            self._sock.shutdown(socket.SHUT_WR)
+
+
+def _patience(ttl: float) -> float:
+    """Seconds that a request with so many left may be held: what is left then must do to refuse or to serve it."""
+    return ttl - min(RESERVE_SHARE * ttl, RESERVE)
+
+
+def answer(reply: Reply) -> bytes:
+    """A reply as packets."""
+    match reply:
+        case Served(pages):
+            rows = (line.split(b"\t") for page in pages for line in page.split(b"\n")[:-1])
+            return packets.result_set(COLUMNS, rows, 1)
+        case Refused(retry_after):
+            text = f"The query was refused, pushback={round(retry_after * 1e3)}"
+            return packets.packet(1, packets.error(1226, "42000", text))
+        case Failed():
+            return packets.packet(1, FAILED)
+        case Abandoned():
+            return packets.packet(1, INTERRUPTED)
+
+
+def _scramble() -> bytes:
+    return bytes(1 + byte % 127 for byte in os.urandom(20))
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -12,7 +12,7 @@
 import pytest
 
 from tealwing.exchange import Abandoned, Exchange, Query, Refused, Reply
-from tealwing.mysql import packets, server, statements
+from tealwing.mysql import packets, server, session, statements
 from tests.build import make_settings
 from tests.peers import LIMIT, Client
 
@@ -69,7 +69,7 @@
     few: server.Server, start: bytes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # guards the threads against silent clients and against bytes that drip in, each before a limit on reads
-    monkeypatch.setattr(server, "FIRST_LIMIT", 0.3)
+    monkeypatch.setattr(session, "FIRST_LIMIT", 0.3)
     with socket.create_connection(few.address, LIMIT) as sock:
         sock.sendall(start)
         ended(sock)
@@ -78,7 +78,7 @@
 def test_a_started_command_has_a_time_for_its_rest(
     few: server.Server, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(server, "PACKET_LIMIT", 0.1)
+    monkeypatch.setattr(session, "PACKET_LIMIT", 0.1)
     client = Client(few.address)
     ping(client)
     client.sock.sendall(packets.packet(0, b"\x03 SELECT")[:5])
@@ -95,7 +95,8 @@
         staying = [Client(few.address) for _ in range(6)]
         for client in staying:
             ping(client)
-        ours = tracemalloc.take_snapshot().filter_traces([tracemalloc.Filter(True, server.__file__)])
+        files = [tracemalloc.Filter(True, str(module.__file__)) for module in (server, session)]
+        ours = tracemalloc.take_snapshot().filter_traces(files)
     finally:
         tracemalloc.stop()
     assert sum(trace.size for trace in ours.traces) < len(staying) * server.READ_SIZE
@@ -176,13 +177,13 @@
     with socket.create_server(("127.0.0.1", 0)) as listener:
         theirs = socket.create_connection(listener.getsockname(), LIMIT)
         ours, _ = listener.accept()
-    session = server.Session(few, ours, 1)
-    session._waiting = 0.0, 1.0
+    client = session.Session(few, ours, 1)
+    client._waiting = 0.0, 1.0
     theirs.send(b"x")
     ours.recv(1, socket.MSG_PEEK)  # it has come
-    assert not session.part()
+    assert not client.part()
     ours.recv(1)
-    assert session.part() and not session.part()  # once
+    assert client.part() and not client.part()  # once
     theirs.settimeout(LIMIT)
     assert theirs.recv(1) == b""
     theirs.close()
