Make an attempt's head right before its bytes go out; resp/fleet.py is resp/engines.py

Cause (by reading): Life wrote the ttl before Engine.send waited for a connect, another thread's connect or the write lock. resp.engine.Head is asked under the write lock, before the first byte; it raises Withdrawn where the attempt must not go. Engines (of resp) no longer share a name with fleet/ (gateways).

--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -20,7 +20,7 @@
 from tealwing.gateway.life import Life, Word
 from tealwing.gateway.versions import InForce
 from tealwing.gateway.vitals import Vitals
-from tealwing.resp.fleet import Fleet
+from tealwing.resp.engines import Engines
 
 if TYPE_CHECKING:  # what the operators' file does not switch on is not imported
     from tealwing.federation.plan import Plan as FederationPlan
@@ -51,8 +51,8 @@
         self._levels_rules: Plan | None = None
         self._allowed: Callable[..., frozenset[int] | None] = lambda *_: None  # routing's, once there is a table
         self._changing = threading.RLock()  # one change of settings or levels at a time, whoever brings it
-        self._fleet = Fleet(config.settings.limits)
-        self._decisions = Decisions(config.settings, config.seed, self._fleet)
+        self._engines = Engines(config.settings.limits)
+        self._decisions = Decisions(config.settings, config.seed, self._engines)
         self.figures = Figures(cls.name for cls in config.settings.classes)
         self.figures.gauges = self._gauges
         self._follower = Follower(config.coordinator, config.index, config.settings, self._news)
@@ -61,7 +61,7 @@
 
     def start(self) -> None:
         """Follow the coordinator and let timers fire."""
-        self._fleet.start()
+        self._engines.start()
         self._decisions.start()
         self._follower.start()
 
@@ -76,7 +76,7 @@
         if force.table is not None:
             zones = self._allowed(force.table, query.tables, force.settings.zones, self._decisions.ready)
         settings = settings or force.settings
-        return Life(query, settings, self._decisions, self._fleet, self._vitals, self.figures, zones)
+        return Life(query, settings, self._decisions, self._engines, self._vitals, self.figures, zones)
 
     def _gauges(self) -> dict[str, int]:
         """Requests open, engines listed, those of them that the module does not send to now, and threads.
@@ -290,7 +290,7 @@
 
     def _news(self, update: Update, cached: bool = False) -> None:
         """The connections first: the module may choose a new engine as soon as it knows of it."""
-        self._fleet.update(update.members, update.complete)
+        self._engines.update(update.members, update.complete)
         kind = api.ListKind.FULL if update.complete else api.ListKind.DELTA
         if cached:
             kind = api.ListKind.CACHED
--- a/tealwing/gateway/decisions.py
+++ b/tealwing/gateway/decisions.py
@@ -15,7 +15,7 @@
 from tealwing.exchange import Unusable
 from tealwing.gateway.timers import Timers
 from tealwing.gateway.versions import InForce, Module, Versions, Wrap
-from tealwing.resp.fleet import Fleet
+from tealwing.resp.engines import Engines
 
 GRAIN = 0.02  # s: timers fire at its multiples, some together; none is due more exactly
 Mailbox = SimpleQueue[Any]  # of the module's actions and the engines' answers for one request
@@ -24,9 +24,9 @@
 class Decisions:
     """Nothing here waits for a socket while it holds the lock; mailboxes and the timers' heap never block."""
 
-    def __init__(self, settings: api.Settings, seed: int, fleet: Fleet) -> None:
+    def __init__(self, settings: api.Settings, seed: int, engines: Engines) -> None:
         self._versions = Versions(settings, seed)
-        self._fleet = fleet
+        self._engines = engines
         self._lock = threading.Lock()
         self._offset = time.time() - time.monotonic()  # Unix time that a step of the clock can't turn back
         self._mailboxes: dict[int, Mailbox] = {}
@@ -136,7 +136,7 @@
             for event in events:
                 idle += self._handle(event, self._versions.concerned(event))
         for engine in idle:
-            self._fleet.close_idle(engine)
+            self._engines.close_idle(engine)
 
     def _fire(self, due: list[tuple[int, int]]) -> None:
         """Timers, each to the module that set it; those of a module let go are dropped."""
@@ -145,7 +145,7 @@
             for token, version in due:
                 idle += self._handle(api.TimerFired(token), (version,))
         for engine in idle:
-            self._fleet.close_idle(engine)
+            self._engines.close_idle(engine)
 
     def _handle(self, event: api.Event, versions: tuple[int, ...]) -> list[int]:
         """Hand one event to the modules of the versions, where they are left, and their actions on.
--- a/tealwing/gateway/life.py
+++ b/tealwing/gateway/life.py
@@ -15,8 +15,8 @@
 from tealwing.gateway.decisions import Decisions, Mailbox
 from tealwing.gateway.vitals import Vitals
 from tealwing.resp import messages
-from tealwing.resp.engine import Answer, Broken, ConnectFailed, Lost, Stream
-from tealwing.resp.fleet import Fleet
+from tealwing.resp.engine import Answer, Broken, ConnectFailed, Lost, Stream, Withdrawn
+from tealwing.resp.engines import Engines
 
 LATENESS = (0.1, 0.25)  # s of a ttl kept for our own: on a crowded core 1 wake in 100 took 0.1 to 0.15 s
 LATENESS_SHARE = 0.5  # of the ttl, kept between these bounds
@@ -66,13 +66,13 @@
         query: Query,
         settings: api.Settings,
         decisions: Decisions,
-        fleet: Fleet,
+        engines: Engines,
         vitals: Vitals | None = None,
         figures: counted.Figures | None = None,
         zones: frozenset[int] | None = None,
     ) -> None:
         """zones has those that may serve it, as long as it lives; None is all."""
-        self._query, self._settings, self._decisions, self._fleet = query, settings, decisions, fleet
+        self._query, self._settings, self._decisions, self._engines = query, settings, decisions, engines
         self._vitals, self._figures, self._zones = vitals, figures, zones
         self._class = settings.classes[query.cls].name
         self._mailbox: Mailbox = SimpleQueue()
@@ -206,16 +206,17 @@
         left = min(attempt.due, self._deadline) - time.monotonic()
         if left <= 0:
             return api.Result.MOOT  # never sent: its time had run out
-        query = self._query
-        fields = b"lane=%b,ttl=%d" % (self._settings.classes[query.cls].name.encode(), ceil(left * 1e3))
-        if query.dedupe:
-            fields += b",dedupe=" + query.dedupe
-        if priority != USUAL_PRIORITY:
-            fields += b",urgency=%d" % priority
         try:
-            attempt.stream = self._fleet.send(
-                attempt.engine, query.call, fields, query.statement, partial(self._hear, attempt), left
+            attempt.stream = self._engines.send(
+                attempt.engine,
+                self._query.call,
+                partial(self._head, attempt, priority),
+                self._query.statement,
+                partial(self._hear, attempt),
+                left,
             )
+        except Withdrawn:
+            return api.Result.MOOT
         except ConnectFailed:
             return api.Result.CONNECT_FAILED
         except Broken:
@@ -224,6 +225,19 @@
             self._figures.count(counted.TRIES, self._class)
         return None
 
+    def _head(self, attempt: Attempt, priority: int) -> bytes:
+        """The fields of a send whose bytes go out next; Withdrawn where its time ran out before them."""
+        left = min(attempt.due, self._deadline) - time.monotonic()
+        if left <= 0:
+            raise Withdrawn("its time ran out before it was sent")
+        query = self._query
+        fields = b"lane=%b,ttl=%d" % (self._settings.classes[query.cls].name.encode(), ceil(left * 1e3))
+        if query.dedupe:
+            fields += b",dedupe=" + query.dedupe
+        if priority != USUAL_PRIORITY:
+            fields += b",urgency=%d" % priority
+        return fields
+
     def _take(self, attempt: Attempt, answer: Answer) -> api.Result | None:
         """What an answer of the engine makes of the attempt; None while it goes on."""
         try:
--- a/tealwing/resp/engine.py
+++ b/tealwing/resp/engine.py
@@ -29,6 +29,10 @@
     """The connection failed after a byte had been written."""
 
 
+class Withdrawn(Exception):
+    """The attempt was taken back before a byte of it left: nothing ran."""
+
+
 @dataclass(frozen=True, slots=True)
 class Answer:
     """One message of the engine for an attempt."""
@@ -47,6 +51,7 @@
 
 
 Sink = Callable[[Answer | Lost], None]
+Head = Callable[[], bytes]  # an attempt's fields, made when its bytes go out next; Withdrawn where they must not
 
 
 @dataclass(eq=False, slots=True)
@@ -113,16 +118,16 @@
         """Attempts out here."""
         return len(self._streams)
 
-    def want(self, stream: Stream, fields: bytes, body: bytes) -> None:
-        """Send the attempt; ConnectFailed where no byte of it left, Broken where some did."""
+    def want(self, stream: Stream, head: Head, body: bytes) -> None:
+        """Send the attempt; ConnectFailed or Withdrawn where no byte of it left, Broken where some did."""
         with self._lock:
             if not self._alive:
                 raise ConnectFailed("the connection has ended")
             log.must_hold(stream.call not in self._streams, "one attempt of an id on a connection")
             self._streams[stream.call] = stream
         try:
-            self._write(messages.encode(b"want", stream.call, fields, body))
-        except (ConnectFailed, Broken):
+            self._write(lambda: messages.encode(b"want", stream.call, head(), body))
+        except (ConnectFailed, Broken, Withdrawn):
             self.forget(stream)
             raise
 
@@ -131,7 +136,7 @@
         size = size or len(parts)
         whole = b"".join(messages.encode(*parts[at : at + size]) for at in range(0, len(parts), size))
         try:
-            self._write(whole)
+            self._write(lambda: whole)
         except (ConnectFailed, Broken):
             log.event("engine_write_failed", word=parts[0].decode())
 
@@ -168,9 +173,10 @@
         with self._writing:
             self._sock.close()
 
-    def _write(self, data: bytes) -> None:
+    def _write(self, make: Callable[[], bytes]) -> None:
+        """Send what make gives at its turn: what it says is then true as the first byte leaves."""
         with self._writing:
-            sent = 0
+            data, sent = make(), 0
             try:
                 while sent < len(data):
                     sent += self._sock.send(data[sent:])
@@ -237,12 +243,12 @@
         self._failures = 0  # connects that failed so far
         self._retired = False
 
-    def send(self, call: bytes, fields: bytes, body: bytes, sink: Sink, limit: float) -> Stream:
-        """Send one attempt; blocks for a connect's time at most."""
+    def send(self, call: bytes, head: Head, body: bytes, sink: Sink, limit: float) -> Stream:
+        """Send one attempt; blocks for a connect's time at most. head is asked right before the bytes go out."""
         connection = self._reserve(call, min(limit, self._connect_limit))
         try:
             stream = Stream(connection, call, sink)
-            connection.want(stream, fields, body)
+            connection.want(stream, head, body)
             return stream
         finally:
             with self._changed:
--- a/tealwing/resp/engines.py
+++ b/tealwing/resp/engines.py
@@ -7,10 +7,10 @@
 from tealwing import interface, log
 from tealwing.coordinator.news import Member
 from tealwing.reader import Reader
-from tealwing.resp.engine import ConnectFailed, Engine, Sink, Stream
+from tealwing.resp.engine import ConnectFailed, Engine, Head, Sink, Stream
 
 
-class Fleet:
+class Engines:
     """The engines at their present addresses; an address or a process that changed gets new connections."""
 
     def __init__(self, limits: interface.Limits) -> None:
@@ -46,13 +46,13 @@
         for engine in retired:
             engine.retire()
 
-    def send(self, number: int, call: bytes, fields: bytes, body: bytes, sink: Sink, limit: float) -> Stream:
+    def send(self, number: int, call: bytes, head: Head, body: bytes, sink: Sink, limit: float) -> Stream:
         """Send one attempt to an engine."""
         with self._lock:
             found = self._engines.get(number)
         if found is None:
             raise ConnectFailed("the engine has been removed")
-        return found[1].send(call, fields, body, sink, limit)
+        return found[1].send(call, head, body, sink, limit)
 
     def close_idle(self, number: int) -> None:
         """Close the engine's idle connections."""
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -18,7 +18,7 @@
 from tealwing.policy import Gateway
 from tealwing.reader import Reader
 from tealwing.resp import engine, messages
-from tealwing.resp.fleet import Fleet
+from tealwing.resp.engines import Engines
 from tests.build import entry, listing, make_settings
 from tests.peers import LIMIT
 
@@ -28,10 +28,10 @@
 def test_a_send_overtaken_by_a_kill_gets_its_outcome() -> None:
     # guards the module's books: a send that nobody carried out counted as out at its engine for ever
     settings = make_settings()
-    fleet = Fleet(settings.limits)
-    decisions = Decisions(settings, 1, fleet)
+    engines = Engines(settings.limits)
+    decisions = Decisions(settings, 1, engines)
     decisions.submit(listing(entry(7)))
-    life = Life(Query(b"1" * 16, 0, 0, 5.0, b"SELECT 1"), settings, decisions, fleet)
+    life = Life(Query(b"1" * 16, 0, 0, 5.0, b"SELECT 1"), settings, decisions, engines)
     life.abandon()  # before the request has met the module
     assert isinstance(life.run(), Abandoned)
     module = decisions.module
@@ -88,7 +88,7 @@
     heard: queue.SimpleQueue[object] = queue.SimpleQueue()
     connection = engine.Connection(ours, lambda _: None)
     Reader().watch(connection)
-    connection.want(engine.Stream(connection, b"1", heard.put), b"-", b"SELECT 1")
+    connection.want(engine.Stream(connection, b"1", heard.put), lambda: b"-", b"SELECT 1")
     note = messages.encode(b"1", b"status", b"-", b"")
     theirs.sendall(note + note[:9])
     for _ in range(5):
@@ -134,10 +134,10 @@
 def test_a_ttl_within_our_own_lateness_is_refused_without_a_send() -> None:
     # guards late tries with a few milliseconds left: sent on, they were answered after their client had gone
     settings = make_settings()
-    fleet = Fleet(settings.limits)
-    decisions = Decisions(settings, 1, fleet)
+    engines = Engines(settings.limits)
+    decisions = Decisions(settings, 1, engines)
     decisions.submit(listing(entry(7)))
-    life = Life(Query(b"1" * 16, 0, 0, 0.05, b"SELECT 1"), settings, decisions, fleet)
+    life = Life(Query(b"1" * 16, 0, 0, 0.05, b"SELECT 1"), settings, decisions, engines)
     assert isinstance(life.run(), Refused)
     module = decisions.module
     assert isinstance(module, Gateway)
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -22,7 +22,7 @@
 from tealwing.gateway.decisions import Decisions
 from tealwing.mysql import packets, server
 from tealwing.policy import Gateway
-from tealwing.resp.fleet import Fleet
+from tealwing.resp.engines import Engines
 from tests.build import entry, listing, make_settings
 from tests.peers import GRADE, LIMIT, SETTINGS, Client, event, member, request, say
 from tests.test_program import PAGE, Site
@@ -249,7 +249,7 @@
 def test_events_of_a_request_reach_the_module_of_its_settings_to_the_end() -> None:
     # guards the outcome of a send that the end overtook: it came after leave, and went to the new module
     old, new = make_settings(), make_settings()
-    decisions = Decisions(old, 1, Fleet(old.limits))
+    decisions = Decisions(old, 1, Engines(old.limits))
     decisions.submit(listing(entry(7)))
     recorder = Recorder()
     decisions.change(lambda module, now: recorder)
--- a/tests/test_threads.py
+++ b/tests/test_threads.py
@@ -119,10 +119,10 @@
     one = Engine((host, int(port)), 8, 1.0, 30.0, reader.watch)
     try:
         with pytest.raises(ConnectFailed, match="nobody reads"):
-            one.send(b"1" * 16, b"-", b"SELECT 1", lambda item: None, 5.0)
+            one.send(b"1" * 16, lambda: b"-", b"SELECT 1", lambda item: None, 5.0)
         threads.refuse = None
         heard: SimpleQueue[object] = SimpleQueue()
-        one.send(b"1" * 16, b"-", b"SELECT 1", heard.put, 5.0)
+        one.send(b"1" * 16, lambda: b"-", b"SELECT 1", heard.put, 5.0)
         sock, parts = engine.next(b"want")
         say(sock, parts[1], b"200", b"sheets=1", PAGE)
         assert isinstance(heard.get(timeout=LIMIT), Answer)
