Make the budget of descriptors explicit in one place

tealwing/descriptors.py (pure) derives every share from the platform's limit: clients a third and a tenth of that more as before, the fixed ones (log, listener, epoll sets, pipe, a watch and the next, files that SIGHUP reads, admin listener and its 8 callers, a margin of 16), and what is left for connections to engines (126 of 256). config.most_clients comes from it and is the same number as before at every limit.

That connections to engines keep to their share is not bounded yet: it must sit in resp/ (the budget names the figure).

--- a/tealwing/admin/server.py
+++ b/tealwing/admin/server.py
@@ -10,9 +10,10 @@
 
 from tealwing import log
 from tealwing.admin import http
+from tealwing.descriptors import ADMIN_THREADS
 from tealwing.sockets import Address, set_limit
 
-THREADS = 8  # callers served at once: the bench's few silent callers leave the others room
+THREADS = ADMIN_THREADS  # callers served at once: the bench's few silent callers leave the others room
 READ_LIMIT = 0.5  # s for a whole request head: a caller that says nothing frees its thread by then
 WRITE_LIMIT = 1.0  # s that a caller may take to read the answer
 BACKLOG = 64
--- a/tealwing/config.py
+++ b/tealwing/config.py
@@ -9,11 +9,10 @@
 
 import orjson
 
-from tealwing import interface, wire
+from tealwing import descriptors, interface, wire
 from tealwing.coordinator import news
 from tealwing.sockets import Address
 
-CLIENT_SHARE = 3  # usual clients hold at most one in so many descriptors
 SOCKETS = 1024  # descriptors, where the file names no limit
 MOST_CORES = 1024  # beyond which a limit is a mistake
 CORES = 1.0  # of the processor, where the file names no limit
@@ -51,10 +50,15 @@
     accept_fd: int | None = None  # the clients' listening socket, handed over by the platform
     admin: Address | None = None  # the operators' second address
 
+    @property
+    def descriptors(self) -> descriptors.Budget:
+        """Who may hold how many descriptors."""
+        return descriptors.budget(self.sockets)
+
     @property
     def most_clients(self) -> int:
-        """Client connections held at once: the clients' share of the descriptors, and a tenth for others."""
-        return self.sockets * 11 // (10 * CLIENT_SHARE)
+        """Client connections held at once."""
+        return self.descriptors.clients
 
     @property
     def most_threads(self) -> int:
@@ -101,8 +105,8 @@
         raise ConfigError(f"seed: {seed!r} is not a hexadecimal number") from None
     limits = _section(data.get("limits", {}), "limits")
     sockets, cores = limits.get("sockets", SOCKETS), limits.get("cores", CORES)
-    if not isinstance(sockets, int) or isinstance(sockets, bool) or sockets < 64:
-        raise ConfigError(f"limits.sockets: {sockets!r} is not a whole number of 64 or more")
+    if not isinstance(sockets, int) or isinstance(sockets, bool) or sockets < descriptors.LEAST:
+        raise ConfigError(f"limits.sockets: {sockets!r} is not a whole number of {descriptors.LEAST} or more")
     if not isinstance(cores, (int, float)) or isinstance(cores, bool) or not 0 < cores <= MOST_CORES:
         raise ConfigError(f"limits.cores: {cores!r} is not a number above 0 and up to {MOST_CORES}")
     facts = _section(data.get("settings"), "settings")
