--- a/tealwing/config.py
+++ b/tealwing/config.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from pathlib import Path
 from typing import Any
 
 import orjson
@@ -84,12 +83,13 @@
     """The configuration; LB_NAME and LB_LISTEN, where set, go before the file."""
     if not environ.get("LB_CONFIG"):
         raise ConfigError("LB_CONFIG: not set")
-    path = Path(environ["LB_CONFIG"])
+    path = environ["LB_CONFIG"]
     inherited = environ.get("LB_ACCEPT_FD") or None
     if inherited is not None and not (inherited.isdecimal() and 3 <= int(inherited) < 65536):
         raise ConfigError(f"LB_ACCEPT_FD: {inherited!r} is not the number of an open descriptor above 2")
     try:
-        data = _section(orjson.loads(path.read_bytes()), "LB_CONFIG")
+        with open(path, "rb") as file:
+            data = _section(orjson.loads(file.read()), "LB_CONFIG")
     except OSError as error:
         raise ConfigError(f"LB_CONFIG: {path}: {error.strerror}") from None
     except orjson.JSONDecodeError as error:
