--- a/tealwing/coordinator/follower.py
+++ b/tealwing/coordinator/follower.py
@@ -126,7 +126,10 @@
 
     def _connect(self, address: Address, moves: int) -> socket.socket:
         """A connection to the address. It begins under the lock, so that a move finds it and shuts it down."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:  # descriptors have run out, though the budget has some for this
+            raise _Ended(End.UNREACHED, str(error)) from None
         try:
             sock.setblocking(False)
             with self._lock:
