Rename news of the list to watch updates; nothing else changes

coordinator/news.py is coordinator/updates.py, NewsError is UpdateError, Daemon._news is _watch_update, two tests are renamed with them. In resp/engines.py only the import and one docstring.

--- a/tealwing/config.py
+++ b/tealwing/config.py
@@ -9,7 +9,7 @@
 import orjson
 
 from tealwing import descriptors, interface, wire
-from tealwing.coordinator import news
+from tealwing.coordinator import updates
 from tealwing.sockets import Address
 
 SOCKETS = 1024  # descriptors, where the file names no limit
@@ -44,7 +44,7 @@
     sockets: int
     cores: float
     settings: interface.Settings
-    known: tuple[news.Update, ...]
+    known: tuple[updates.Update, ...]
     index: int
     accept_fd: int | None = None  # the clients' listening socket, handed over by the platform
     admin: Address | None = None  # the operators' second address
@@ -68,8 +68,8 @@
 def address(text: Any, key: str, least: int = 1) -> Address:
     """HOST:PORT as a pair, the port at least so much."""
     try:
-        return news.address(text, least)
-    except news.NewsError as error:
+        return updates.address(text, least)
+    except updates.UpdateError as error:
         raise ConfigError(f"{key}: {error}") from None
 
 
@@ -115,8 +115,8 @@
     except (ValueError, wire.WireError) as error:
         raise ConfigError(f"settings: {error}") from None
     try:
-        index, updates = news.known(data.get("known"), settings)
-    except news.NewsError as error:
+        index, events = updates.known(data.get("known"), settings)
+    except updates.UpdateError as error:
         raise ConfigError(f"known: {error}") from None
     admin = environ.get("LB_ADMIN") or data.get("admin")
     return Config(
@@ -127,7 +127,7 @@
         sockets=sockets,
         cores=float(cores),
         settings=settings,
-        known=updates,
+        known=events,
         index=index,
         accept_fd=int(inherited) if inherited is not None else None,
         admin=address(admin, "admin", 0) if admin else None,
--- a/tealwing/coordinator/follower.py
+++ b/tealwing/coordinator/follower.py
@@ -15,7 +15,7 @@
 from enum import Enum
 
 from tealwing import interface, log
-from tealwing.coordinator import news
+from tealwing.coordinator import updates
 from tealwing.coordinator.backoff import Backoff
 from tealwing.sockets import Address
 
@@ -43,7 +43,7 @@
         self.end = end
 
 
-class Gap(news.NewsError):
+class Gap(updates.UpdateError):
     """Events between the last one known and this one have not come."""
 
 
@@ -55,7 +55,7 @@
         address: Address,
         index: int,
         settings: interface.Settings,
-        tell: Callable[[news.Update], None],
+        tell: Callable[[updates.Update], None],
         ended: Callable[[str], None] = lambda end: None,
     ) -> None:
         """tell takes an update in whole or raises, and hears it again; ended hears the reason of each watch's end."""
@@ -111,7 +111,7 @@
             trace = traceback.format_exc(limit=-3) if end is End.FAULT else None
         except Gap as error:
             end, why = End.GAP, str(error)
-        except news.NewsError as error:
+        except updates.UpdateError as error:
             end, why = End.MALFORMED, str(error)
         except OSError as error:
             end, why = End.BROKEN, str(error)
@@ -154,7 +154,7 @@
 
     def _follow(self, sock: socket.socket) -> None:
         limit = random.uniform(*SILENCE)
-        lines, until = news.Lines(), time.monotonic() + limit
+        lines, until = updates.Lines(), time.monotonic() + limit
         sock.settimeout(limit)
         sock.sendall(b"follow %d\n" % self.index)
         while True:
@@ -169,11 +169,11 @@
             if not data:
                 return
             for text in lines.feed(data):
-                self.take(news.line(text, self.settings))
+                self.take(updates.line(text, self.settings))
                 self._backoff.heard()  # a connection that tells nothing, or nothing that can be read, is none
                 until = time.monotonic() + limit
 
-    def take(self, item: news.Update | int) -> None:
+    def take(self, item: updates.Update | int) -> None:
         """One line. A repeat is dropped; a gap ends the connection, and the next asks for what is missing."""
         if isinstance(item, int):
             if item > self.index:  # what came before on this connection is not all that there was
--- a/tealwing/coordinator/news.py
+++ b/tealwing/coordinator/updates.py
@@ -1,4 +1,4 @@
-"""The coordinator's lines, read into engine lists; pure. Malformed news is a NewsError."""
+"""The coordinator's lines, read into watch updates; pure. A malformed one is an UpdateError."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 }
 
 
-class NewsError(ValueError):
+class UpdateError(ValueError):
     """A line that can't be read."""
 
 
@@ -56,45 +56,45 @@
     """HOST:PORT as a pair, the port at least so much."""
     host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
     if not colon or not host or not (port.isascii() and port.isdigit()) or not least <= int(port[:6]) < 65536:
-        raise NewsError(f"not HOST:PORT: {text!r}")
+        raise UpdateError(f"not HOST:PORT: {text!r}")
     return host, int(port)
 
 
 def _whole(value: Any, what: str) -> int:
     if not isinstance(value, int) or isinstance(value, bool) or value < 0:
-        raise NewsError(f"{what} is not a whole number: {value!r}")
+        raise UpdateError(f"{what} is not a whole number: {value!r}")
     return value
 
 
 def _number(value: Any, what: str) -> float:
     number = isinstance(value, (int, float)) and not isinstance(value, bool)
     if not number or not math.isfinite(value) or value < 0:
-        raise NewsError(f"{what} is not a number: {value!r}")
+        raise UpdateError(f"{what} is not a number: {value!r}")
     return float(value)
 
 
 def placed(member: Member, settings: interface.Settings) -> Member:
-    """The member as the settings number its zone and kind, which others number otherwise; NewsError without them."""
+    """The member as the settings number its zone and kind, which others number otherwise; UpdateError without them."""
     kinds = [kind.name for kind in settings.kinds]
     if member.zone not in settings.zones:
-        raise NewsError(f"locality is not in the settings: {member.zone!r}")
+        raise UpdateError(f"locality is not in the settings: {member.zone!r}")
     if member.kind not in kinds:
-        raise NewsError(f"flavor is not in the settings: {member.kind!r}")
+        raise UpdateError(f"flavor is not in the settings: {member.kind!r}")
     entry = replace(member.entry, zone=settings.zones.index(member.zone), kind=kinds.index(member.kind))
     return replace(member, entry=entry)
 
 
 def _member(data: Any) -> Member:
     if not isinstance(data, dict):
-        raise NewsError("a member is not an object")
+        raise UpdateError("a member is not an object")
     name, state = data.get("id"), data.get("phase")
     if not isinstance(name, str) or not name:
-        raise NewsError(f"id is not a name: {name!r}")
+        raise UpdateError(f"id is not a name: {name!r}")
     if state not in STATES:
-        raise NewsError(f"phase is unknown: {state!r}")
+        raise UpdateError(f"phase is unknown: {state!r}")
     zone, kind = data.get("locality"), data.get("flavor")
     if not isinstance(zone, str) or not isinstance(kind, str):
-        raise NewsError(f"locality or flavor is not a name: {zone!r}, {kind!r}")
+        raise UpdateError(f"locality or flavor is not a name: {zone!r}, {kind!r}")
     entry = interface.ListEntry(
         engine=engine_number(name),
         zone=-1,
@@ -110,18 +110,18 @@
 def update(data: Any, settings: interface.Settings) -> Update:
     """One event from its JSON object."""
     if not isinstance(data, dict) or not isinstance(data.get("endpoints"), dict):
-        raise NewsError("an event holds no endpoints")
+        raise UpdateError("an event holds no endpoints")
     points = data["endpoints"]
     members = points.get("members")
     if not isinstance(members, list) or not isinstance(points.get("complete"), bool):
-        raise NewsError("endpoints without members or complete")
+        raise UpdateError("endpoints without members or complete")
     usable, unusable, unplaced = [], [], []
     for item in members:
         member = None
         try:
             member = _member(item)
             usable.append(placed(member, settings))
-        except NewsError as error:
+        except UpdateError as error:
             unusable.append(str(error))
             if member is not None:
                 unplaced.append(member)
@@ -140,7 +140,7 @@
     try:
         data = orjson.loads(text)
     except orjson.JSONDecodeError as error:
-        raise NewsError(f"not JSON: {error}") from None
+        raise UpdateError(f"not JSON: {error}") from None
     if isinstance(data, dict) and "endpoints" in data:
         return update(data, settings)
     return _whole(data.get("index") if isinstance(data, dict) else data, "index")
@@ -149,7 +149,7 @@
 def known(data: Any, settings: interface.Settings) -> tuple[int, tuple[Update, ...]]:
     """The last number and the events of the configuration's known."""
     if not isinstance(data, dict) or not isinstance(data.get("updates"), list):
-        raise NewsError("missing, or without updates")
+        raise UpdateError("missing, or without updates")
     return _whole(data.get("index"), "index"), tuple(update(item, settings) for item in data["updates"])
 
 
@@ -163,5 +163,5 @@
         """The whole lines, now that data has come."""
         *whole, self._rest = (self._rest + data).split(b"\n")
         if len(self._rest) > LONGEST_LINE:
-            raise NewsError(f"a line is longer than {LONGEST_LINE} bytes")
+            raise UpdateError(f"a line is longer than {LONGEST_LINE} bytes")
         return [text for text in whole if text.strip()]
--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -14,7 +14,7 @@
 from tealwing.admin.figures import Figures
 from tealwing.config import Config, ConfigError, ConfigRejected
 from tealwing.coordinator.follower import End, Follower
-from tealwing.coordinator.news import Member, Update
+from tealwing.coordinator.updates import Member, Update
 from tealwing.exchange import Outdated, Query
 from tealwing.gateway import standing
 from tealwing.gateway.decisions import Decisions
@@ -65,7 +65,7 @@
         self.figures.gauges = self._gauges
         self._faults = (0, 0)  # the index of the last watch update that could not be taken in whole, and how often
         self._follower = Follower(
-            config.coordinator, config.index, config.settings, self._news, self.figures.watch_ended
+            config.coordinator, config.index, config.settings, self._watch_update, self.figures.watch_ended
         )
         for number, update in enumerate(config.known):
             self._known(update, cached=number == 0)
@@ -318,7 +318,7 @@
         except Exception:
             self._take_apart(update)
 
-    def _news(self, update: Update) -> None:
+    def _watch_update(self, update: Update) -> None:
         """An event of the watch: a fault ends the watch, and the next one tells it again, whole.
 
         One that can't be taken at the third time is taken member by member: it must not hide what comes after it.
--- a/tealwing/gateway/decisions.py
+++ b/tealwing/gateway/decisions.py
@@ -12,7 +12,7 @@
 
 from tealwing import interface as api
 from tealwing import log
-from tealwing.coordinator.news import Member
+from tealwing.coordinator.updates import Member
 from tealwing.exchange import Unusable
 from tealwing.gateway.timers import Timers
 from tealwing.gateway.versions import InForce, Module, Versions, Wrap
--- a/tealwing/gateway/versions.py
+++ b/tealwing/gateway/versions.py
@@ -9,8 +9,8 @@
 
 from tealwing import interface as api
 from tealwing import log
-from tealwing.coordinator import news
-from tealwing.coordinator.news import Member
+from tealwing.coordinator import updates
+from tealwing.coordinator.updates import Member
 from tealwing.exchange import Outdated
 from tealwing.policy import Gateway
 
@@ -149,8 +149,8 @@
     """Their entries as the settings number zones and kinds; those that they do not know are left out."""
     found = []
     for member in members:
-        with contextlib.suppress(news.NewsError):
-            found.append(news.placed(member, settings).entry)
+        with contextlib.suppress(updates.UpdateError):
+            found.append(updates.placed(member, settings).entry)
     return tuple(found)
 
 
--- a/tealwing/resp/engines.py
+++ b/tealwing/resp/engines.py
@@ -5,7 +5,7 @@
 import threading
 
 from tealwing import interface, log
-from tealwing.coordinator.news import Member
+from tealwing.coordinator.updates import Member
 from tealwing.reader import Reader
 from tealwing.resp.engine import ConnectFailed, Engine, Head, Sink, Stream
 
@@ -24,7 +24,7 @@
         self._reader.start()
 
     def update(self, members: tuple[Member, ...], complete: bool) -> None:
-        """Take in news of the list."""
+        """Take in a watch update of the list."""
         retired: list[Engine] = []
         with self._lock:
             named = {member.entry.engine for member in members}
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from tealwing.coordinator import news
+from tealwing.coordinator import updates
 from tealwing.coordinator.follower import Follower
 from tealwing.exchange import Abandoned, Query, Refused
 from tealwing.gateway.decisions import Decisions
@@ -40,33 +40,33 @@
 
 
 def test_events_come_once_and_in_turn() -> None:
-    # guards the engine list: a repeat must not undo later news, and a gap must be asked for again
+    # guards the engine list: a repeat must not undo later updates, and a gap must be asked for again
     told: list[int] = []
     follower = Follower(("127.0.0.1", 1), 4, make_settings(), lambda update: told.append(update.index))
     for index in (4, 5, 5, 6):
-        follower.take(news.Update(index, index, False, ()))
+        follower.take(updates.Update(index, index, False, ()))
     follower.take(6)  # the last number alone
     try:
-        follower.take(news.Update(8, 8, False, ()))
+        follower.take(updates.Update(8, 8, False, ()))
         raise AssertionError("a gap was taken")
-    except news.NewsError:
+    except updates.UpdateError:
         assert told == [5, 6] and follower.index == 6
 
 
 def test_a_last_number_ahead_of_us_asks_again() -> None:
     # seen on the bench: after SIGHUP a drain was not heard of for 5 s, and five requests went to that engine
     follower = Follower(("127.0.0.1", 1), 4, make_settings(), lambda update: None)
-    with pytest.raises(news.NewsError):
+    with pytest.raises(updates.UpdateError):
         follower.take(5)
 
 
-def test_news_that_fail_are_asked_for_again() -> None:
-    # guards the thread that follows the list: a fault of ours ended it, and with it all news
+def test_updates_that_fail_are_asked_for_again() -> None:
+    # guards the thread that follows the list: a fault of ours ended it, and with it all updates
     listener = socket.create_server(("127.0.0.1", 0))
     listener.settimeout(LIMIT)
     heard: queue.SimpleQueue[int] = queue.SimpleQueue()
 
-    def tell(update: news.Update) -> None:
+    def tell(update: updates.Update) -> None:
         heard.put(update.index)
         if heard.qsize() == 1:
             raise ZeroDivisionError
@@ -104,7 +104,7 @@
     # guards a new kind of machine: one that the settings do not name must not blind the gateway to the rest
     member = {"id": "s-1", "host_port": "127.0.0.1:1", "locality": "a", "flavor": "big", "phase": "up"}
     data = {"index": 2, "endpoints": {"complete": False, "members": [member | {"flavor": "new"}, member]}}
-    got = news.update(data, make_settings())
+    got = updates.update(data, make_settings())
     assert [m.name for m in got.members] == ["s-1"] and len(got.unusable) == 1
 
 
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -10,7 +10,7 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
-from tealwing.coordinator import news
+from tealwing.coordinator import updates
 from tealwing.mysql import packets, statements
 from tealwing.resp import messages
 from tests.build import make_settings, request_class
@@ -63,7 +63,7 @@
 
 @given(st.lists(st.binary(min_size=1, max_size=60).map(lambda raw: raw.hex().encode()), max_size=6), cuts)
 def test_coordinator_lines_survive_any_cut(lines: list[bytes], at: list[int]) -> None:
-    assert cut(news.Lines(), b"".join(line + b"\n" for line in lines), at) == lines
+    assert cut(updates.Lines(), b"".join(line + b"\n" for line in lines), at) == lines
 
 
 @given(garbage, cuts)
@@ -89,9 +89,9 @@
 
 @given(garbage | st.from_regex(rb"\{.*\}", fullmatch=True))
 @example(b'{"index":1,"endpoints":{"complete":true,"members":[{"id":7}]}}')
-def test_garbage_is_no_news(data: bytes) -> None:
-    with contextlib.suppress(news.NewsError):
-        news.line(data, make_settings())
+def test_garbage_is_no_update(data: bytes) -> None:
+    with contextlib.suppress(updates.UpdateError):
+        updates.line(data, make_settings())
 
 
 def test_an_oversized_message_is_refused_before_its_bytes_come() -> None:
@@ -204,8 +204,8 @@
     # guards numbers by arrival: two gateways would mean different engines by the same number
     member = {"id": "s-1", "host_port": "127.0.0.1:1", "locality": "a", "flavor": "big", "phase": "up"}
     data = {"index": 1, "endpoints": {"complete": True, "members": [member, member | {"id": "s-2"}]}}
-    one, two = news.update(data, make_settings()).members
+    one, two = updates.update(data, make_settings()).members
     data["endpoints"]["members"].reverse()  # type: ignore[index]
-    line = news.line(orjson.dumps(data), make_settings())
-    assert isinstance(line, news.Update) and line.members == (two, one)
+    line = updates.line(orjson.dumps(data), make_settings())
+    assert isinstance(line, updates.Update) and line.members == (two, one)
     assert one.entry.engine != two.entry.engine
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -23,7 +23,7 @@
 from tealwing.admin.figures import Figures
 from tealwing.config import load
 from tealwing.coordinator import follower as following
-from tealwing.coordinator import news
+from tealwing.coordinator import updates
 from tealwing.coordinator.follower import End, Follower
 from tealwing.gateway import daemon as daemon_module
 from tealwing.gateway.daemon import Daemon
@@ -141,11 +141,11 @@
     coordinator.listener.close()
 
 
-def stay(update: news.Update) -> None:
+def stay(update: updates.Update) -> None:
     """Takes every update."""
 
 
-def fail(update: news.Update) -> None:
+def fail(update: updates.Update) -> None:
     raise OSError("a fault of ours that looks like the connection's")
 
 
@@ -271,7 +271,7 @@
     return {found.name: found.port for found, _ in daemon._engines._engines.values()}
 
 
-ONE, TWO, THREE = (news.engine_number(name) for name in ("s-1", "s-2", "s-3"))
+ONE, TWO, THREE = (updates.engine_number(name) for name in ("s-1", "s-2", "s-3"))
 
 
 @pytest.mark.parametrize("step", ["connections", "module", "after"])
@@ -323,14 +323,14 @@
 
     monkeypatch.setattr(Gateway, "_list", failing)
     daemon.start()
-    updates = [
+    events = [
         event(2, member("s-2", "127.0.0.1:1"), member("s-3", "127.0.0.1:1")),
         event(3, member("s-1", "127.0.0.1:1", phase="draining")),
     ]
     for _ in range(daemon_module.MOST_FAULTS):
         sock, index = coordinator.watch()
         assert index == 1
-        tell(sock, *updates)
+        tell(sock, *events)
     lines.next("watch_update_in_parts")
     assert "s-2" in lines.next("engine_unusable")["why"]
     lines.taken(2)
@@ -478,9 +478,9 @@
     settings = make_settings()
     told = event(2, member("s-1", "127.0.0.1:1", locality="a", flavor="big"), member("s-2", "127.0.0.1:1"))
     data = json.loads(json.dumps(told))
-    found = news.update(data, settings)
+    found = updates.update(data, settings)
     assert [one.name for one in found.members] == ["s-1"] and [one.name for one in found.unplaced] == ["s-2"]
     other = dataclasses.replace(settings, zones=("z",), kinds=(api.Kind("k", 8, 1024.0),))
-    assert news.placed(found.unplaced[0], other).entry.zone == 0
-    with pytest.raises(news.NewsError):
-        news.placed(found.members[0], other)
+    assert updates.placed(found.unplaced[0], other).entry.zone == 0
+    with pytest.raises(updates.UpdateError):
+        updates.placed(found.members[0], other)
