--- a/tealwing/coordinator/news.py
+++ b/tealwing/coordinator/updates.py
@@ -1,10 +1,10 @@
-"""The coordinator's lines, read into engine lists; pure. Malformed news is a NewsError."""
+"""The coordinator's lines, read into watch updates; pure. A malformed one is an UpdateError."""
 
 from __future__ import annotations
 
 import math
 import zlib
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import orjson
@@ -19,7 +19,7 @@
 }
 
 
-class NewsError(ValueError):
+class UpdateError(ValueError):
     """A line that can't be read."""
 
 
@@ -30,7 +30,9 @@
     name: str
     host: str
     port: int
-    entry: interface.ListEntry
+    entry: interface.ListEntry  # numbered by the settings that it was read or placed under; else -1
+    zone: str = ""
+    kind: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +44,7 @@
     complete: bool
     members: tuple[Member, ...]
     unusable: tuple[str, ...] = ()  # why members were left out: one of them must not hide the others
+    unplaced: tuple[Member, ...] = ()  # those of them that other settings may know the zone and kind of
 
 
 def engine_number(name: str) -> int:
@@ -53,68 +56,82 @@
     """HOST:PORT as a pair, the port at least so much."""
     host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
     if not colon or not host or not (port.isascii() and port.isdigit()) or not least <= int(port[:6]) < 65536:
-        raise NewsError(f"not HOST:PORT: {text!r}")
+        raise UpdateError(f"not HOST:PORT: {text!r}")
     return host, int(port)
 
 
 def _whole(value: Any, what: str) -> int:
     if not isinstance(value, int) or isinstance(value, bool) or value < 0:
-        raise NewsError(f"{what} is not a whole number: {value!r}")
+        raise UpdateError(f"{what} is not a whole number: {value!r}")
     return value
 
 
 def _number(value: Any, what: str) -> float:
     number = isinstance(value, (int, float)) and not isinstance(value, bool)
     if not number or not math.isfinite(value) or value < 0:
-        raise NewsError(f"{what} is not a number: {value!r}")
+        raise UpdateError(f"{what} is not a number: {value!r}")
     return float(value)
 
 
-def _member(data: Any, settings: interface.Settings) -> Member:
+def placed(member: Member, settings: interface.Settings) -> Member:
+    """The member as the settings number its zone and kind, which others number otherwise; UpdateError without them."""
+    kinds = [kind.name for kind in settings.kinds]
+    if member.zone not in settings.zones:
+        raise UpdateError(f"locality is not in the settings: {member.zone!r}")
+    if member.kind not in kinds:
+        raise UpdateError(f"flavor is not in the settings: {member.kind!r}")
+    entry = replace(member.entry, zone=settings.zones.index(member.zone), kind=kinds.index(member.kind))
+    return replace(member, entry=entry)
+
+
+def _member(data: Any) -> Member:
     if not isinstance(data, dict):
-        raise NewsError("a member is not an object")
+        raise UpdateError("a member is not an object")
     name, state = data.get("id"), data.get("phase")
     if not isinstance(name, str) or not name:
-        raise NewsError(f"id is not a name: {name!r}")
+        raise UpdateError(f"id is not a name: {name!r}")
     if state not in STATES:
-        raise NewsError(f"phase is unknown: {state!r}")
-    kinds = [kind.name for kind in settings.kinds]
-    if data.get("locality") not in settings.zones:
-        raise NewsError(f"locality is not in the settings: {data.get('locality')!r}")
-    if data.get("flavor") not in kinds:
-        raise NewsError(f"flavor is not in the settings: {data.get('flavor')!r}")
+        raise UpdateError(f"phase is unknown: {state!r}")
+    zone, kind = data.get("locality"), data.get("flavor")
+    if not isinstance(zone, str) or not isinstance(kind, str):
+        raise UpdateError(f"locality or flavor is not a name: {zone!r}, {kind!r}")
     entry = interface.ListEntry(
         engine=engine_number(name),
-        zone=settings.zones.index(data["locality"]),
-        kind=kinds.index(data["flavor"]),
+        zone=-1,
+        kind=-1,
         cell=_whole(data.get("cell", 0), "cell"),
         health=STATES[state],
         weight=_number(data.get("size", 1), "size"),
         started=_number(data.get("up_since_ms", 0), "up_since_ms") / 1e3,
     )
-    return Member(name, *address(data.get("host_port")), entry)
+    return Member(name, *address(data.get("host_port")), entry, zone, kind)
 
 
 def update(data: Any, settings: interface.Settings) -> Update:
     """One event from its JSON object."""
     if not isinstance(data, dict) or not isinstance(data.get("endpoints"), dict):
-        raise NewsError("an event holds no endpoints")
+        raise UpdateError("an event holds no endpoints")
     points = data["endpoints"]
     members = points.get("members")
     if not isinstance(members, list) or not isinstance(points.get("complete"), bool):
-        raise NewsError("endpoints without members or complete")
-    usable, unusable = [], []
-    for member in members:
+        raise UpdateError("endpoints without members or complete")
+    usable, unusable, unplaced = [], [], []
+    for item in members:
+        member = None
         try:
-            usable.append(_member(member, settings))
-        except NewsError as error:
+            member = _member(item)
+            usable.append(placed(member, settings))
+        except UpdateError as error:
             unusable.append(str(error))
+            if member is not None:
+                unplaced.append(member)
     return Update(
         _whole(data.get("index"), "index"),
         _whole(points.get("revision", 0), "revision"),
         points["complete"],
         tuple(usable),
         tuple(unusable),
+        tuple(unplaced),
     )
 
 
@@ -123,7 +140,7 @@
     try:
         data = orjson.loads(text)
     except orjson.JSONDecodeError as error:
-        raise NewsError(f"not JSON: {error}") from None
+        raise UpdateError(f"not JSON: {error}") from None
     if isinstance(data, dict) and "endpoints" in data:
         return update(data, settings)
     return _whole(data.get("index") if isinstance(data, dict) else data, "index")
@@ -132,7 +149,7 @@
 def known(data: Any, settings: interface.Settings) -> tuple[int, tuple[Update, ...]]:
     """The last number and the events of the configuration's known."""
     if not isinstance(data, dict) or not isinstance(data.get("updates"), list):
-        raise NewsError("missing, or without updates")
+        raise UpdateError("missing, or without updates")
     return _whole(data.get("index"), "index"), tuple(update(item, settings) for item in data["updates"])
 
 
@@ -146,5 +163,5 @@
         """The whole lines, now that data has come."""
         *whole, self._rest = (self._rest + data).split(b"\n")
         if len(self._rest) > LONGEST_LINE:
-            raise NewsError(f"a line is longer than {LONGEST_LINE} bytes")
+            raise UpdateError(f"a line is longer than {LONGEST_LINE} bytes")
         return [text for text in whole if text.strip()]
