Play each class and tenant of two customers' sites through the gateway, and its effects

Through the real program against engines that note what they are asked: every class for every tenant is served, under its own name on the engine's wire, with its ttl and its key; an attempt that is lost once it has begun is repeated for a class safe or keyed (same key), and not for one that is unsafe.

Not faults, and kept as tests: figures of a customer's classes leave with its settings; a timer that a module of older settings set reaches no newer one.

--- /dev/null
+++ b/tests/test_sites.py
@@ -0,0 +1,241 @@
+"""Two customers' settings through one gateway: each class of both, and a change from one to the other under load."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import socket
+from collections.abc import Iterator
+from pathlib import Path
+from queue import SimpleQueue
+from typing import Any
+
+import pytest
+
+from tealwing import interface as api
+from tealwing.config import Config, load
+from tealwing.exchange import Query
+from tealwing.gateway import standing, versions
+from tealwing.gateway.daemon import Daemon
+from tealwing.gateway.decisions import Decisions
+from tealwing.gateway.life import Life
+from tealwing.mysql.server import Server
+from tealwing.policy import Gateway
+from tealwing.resp.engines import Engines
+from tests import sites
+from tests.build import make_settings, request_class
+from tests.peers import LIMIT, Client, Coordinator, Program
+
+GAUGE, PARCEL = sites.VARIANTS
+UNKNOWN, FAILED = 1210, 1105  # errors: a request that can't be read; one that failed
+CLIENTS = 6  # under load
+LATENESS = 250  # ms of a client's time that the gateway may keep for its own
+CHANGES = 40  # of settings, under load
+COLD_ASKED = 400  # requests at once, many more than a cold engine may get
+DRAINING = 1.2  # s: longer than a drain whose longest deadline is 0.2 s, much shorter than one of 3 s and more
+CALLS = itertools.count(0xA0)
+
+
+class Customer:
+    """A variant's settings, and an engine in each of its zones."""
+
+    def __init__(self, name: str, **changes: Any) -> None:
+        self.name, self.text = name, sites.settings(name, **changes)
+        self.book = sites.Book()
+        self.places = sites.places(self.text)
+        self.engines = [sites.Noting(self.book) for _ in self.places]
+        self.members = [
+            sites.engine_member(f"{name}-{place[0]}", engine.address, place)
+            for engine, place in zip(self.engines, self.places, strict=True)
+        ]
+        self.names = {grade["Name"] for grade in self.text["Grades"]}
+
+    def requests(self) -> list[dict[str, Any]]:
+        """One request of each class and tenant."""
+        classes, tenants = range(len(self.text["Grades"])), range(len(self.text["Accounts"]))
+        return [sites.fields(self.text, c, t, next(CALLS)) for c in classes for t in tenants]
+
+    def close(self) -> None:
+        for engine in self.engines:
+            engine.listener.close()
+
+
+@pytest.fixture
+def gauge() -> Iterator[Customer]:
+    customer = Customer(GAUGE)
+    yield customer
+    customer.close()
+
+
+@pytest.fixture
+def parcel() -> Iterator[Customer]:
+    customer = Customer(PARCEL)
+    yield customer
+    customer.close()
+
+
+class Site:
+    """The gateway's process with the engines of all customers in its first list."""
+
+    def __init__(self, folder: Path, first: Customer, *others: Customer, **changes: Any) -> None:
+        self.coordinator = Coordinator()
+        members = [member for customer in (first, *others) for member in customer.members]
+        sites.configuration(folder, first.text, members)
+        config = json.loads((folder / "config.json").read_text())
+        self.program = Program(
+            folder, "127.0.0.1:1", self.coordinator.address, settings=first.text, known=config["known"], **changes
+        )
+        self.address = self.program.address()
+
+    def hang_up(self, customer: Customer) -> None:
+        self.program.reload(json.dumps(self.program.config | {"settings": customer.text}))
+
+    def end(self) -> None:
+        assert self.program.end() == ""
+        self.coordinator.listener.close()
+
+
+def answered(client: Client, asked: dict[str, Any]) -> int:
+    """0 once the request has its rows, else the number of the error."""
+    client.ask(**asked)
+    payload = client.read()
+    if payload[:1] == b"\xff":
+        return int.from_bytes(payload[1:3], "little")
+    assert payload == b"\x03"
+    for _ in range(2):  # the columns, the rows
+        while client.read()[:1] != b"\xfe":
+            pass
+    return 0
+
+
+def test_the_variants_differ_in_all_that_could_bleed() -> None:
+    one, other = (sites.read(sites.settings(name)) for name in sites.VARIANTS)
+    assert len({len(one.classes), len(other.classes), 3}) == 3 and len(one.tenants) != len(other.tenants)
+    assert not {c.name for c in one.classes} & {c.name for c in other.classes}
+    assert not set(one.tenants) & set(other.tenants) and not set(one.zones) & set(other.zones)
+    assert {c.effect for c in one.classes} == {c.effect for c in other.classes} == set(api.Effect)
+    for mine, theirs in zip(one.classes, other.classes, strict=False):  # an index that strays changes the effect
+        assert mine.effect is not theirs.effect and mine.deadline != theirs.deadline and mine.worth != theirs.worth
+    assert one.limits.multiplex != other.limits.multiplex and one.limits.max_attempts != other.limits.max_attempts
+    assert one.rules != other.rules and one.prices != other.prices and one.report_fields != other.report_fields
+    for settings in (one, other):
+        assert sum(account.share for account in settings.accounts) == pytest.approx(1.0)
+        assert {kind.name for kind in one.kinds} != {kind.name for kind in other.kinds}
+
+
+@pytest.mark.parametrize("name", sites.VARIANTS)
+def test_each_class_of_each_tenant_is_served_by_its_own_terms(tmp_path: Path, name: str) -> None:
+    customer = Customer(name)
+    site = Site(tmp_path, customer)
+    try:
+        client = Client(site.address)
+        for asked in customer.requests():
+            assert answered(client, asked) == 0
+            (want,) = customer.book.of(asked["call"])
+            assert want.lane == asked["op"] and want.dedupe == asked.get("dedupe", "")
+            assert asked["ttl"] - LATENESS - 1000 <= want.ttl <= asked["ttl"]
+        assert answered(client, sites.fields(customer.text, 0, 0, next(CALLS)) | {"op": "lookup"}) == UNKNOWN
+    finally:
+        site.end()
+        customer.close()
+
+
+@pytest.mark.parametrize("name", sites.VARIANTS)
+def test_each_effect_is_kept_when_an_attempt_that_has_begun_is_lost(tmp_path: Path, name: str) -> None:
+    customer = Customer(name)
+    site = Site(tmp_path, customer)
+    try:
+        client = Client(site.address)
+        for cls, grade in enumerate(customer.text["Grades"]):
+            asked = sites.fields(customer.text, cls, 0, next(CALLS))
+            customer.book.hold(asked["call"])
+            client.ask(**asked)
+            customer.book.attempt(asked["call"]).sock.shutdown(socket.SHUT_RDWR)  # as when its process dies
+            if grade["Effect"] == "once":
+                assert client.error()[0] == FAILED
+                assert len(customer.book.of(asked["call"])) == 1
+                continue
+            customer.book.attempt(asked["call"], 1).answer()
+            assert len(client.rows()) == 1
+            keys = {want.dedupe for want in customer.book.of(asked["call"])}
+            assert keys == {asked.get("dedupe", "")}  # the same for all tries
+    finally:
+        site.end()
+        customer.close()
+
+
+class Gatekeeper:
+    """The gateway within this process: its settings change as a test says, at the very point that it says."""
+
+    def __init__(self, folder: Path, text: dict[str, Any], members: list[dict[str, Any]]) -> None:
+        self.folder, self.members = folder, members
+        self.before_open: list[dict[str, Any]] = []  # settings that come into force as a request has been read
+        first = self._load(text)
+        self.daemon = Daemon(first)
+        self.server = Server(first.listen, first.most_clients, first.settings, self._open, None, first.most_threads)
+        self.daemon.on_settings = lambda settings: setattr(self.server, "settings", settings)
+        self.daemon.start()
+        self.server.start()
+
+    def change(self, text: dict[str, Any]) -> None:
+        self.daemon.reconfigure(self._load(text))
+
+    def module(self) -> Gateway:
+        found = standing.behind(self.daemon._decisions.module)
+        assert found is not None
+        return found
+
+    def close(self) -> None:
+        self.server.stop_listening()
+        self.server.finish(LIMIT)
+
+    def _load(self, text: dict[str, Any]) -> Config:
+        return load({"LB_CONFIG": str(sites.configuration(self.folder, text, self.members))})
+
+    def _open(self, query: Query, settings: api.Settings) -> Life:
+        if self.before_open:
+            self.change(self.before_open.pop())
+        return self.daemon.open(query, settings)
+
+
+def test_figures_of_a_customer_leave_with_its_settings(tmp_path: Path, gauge: Customer, parcel: Customer) -> None:
+    gate = Gatekeeper(tmp_path, gauge.text, gauge.members + parcel.members)
+    try:
+        client = Client(gate.server.address)
+        asked = sites.fields(gauge.text, 0, 0, next(CALLS))
+        assert answered(client, asked) == 0
+        held = sites.fields(gauge.text, 1, 0, next(CALLS))
+        gauge.book.hold(held["call"])
+        client.ask(**held)
+        want = gauge.book.attempt(held["call"])
+        gate.change(parcel.text)
+        want.answer()
+        assert len(client.rows()) == 1
+        served = {line for line in gate.daemon.figures.lines().decode().split() if ".ok." in line}
+        # what was open under older settings counts under no class of the new
+        assert served == {f"app.ok.{name}:0|c" for name in parcel.names}
+        gate.change(gauge.text)
+        assert f"app.ok.{asked['op']}:0|c" in gate.daemon.figures.lines().decode()  # not where it stood before
+    finally:
+        gate.close()
+
+
+def test_a_timer_of_older_settings_reaches_no_module_of_newer_ones(monkeypatch: pytest.MonkeyPatch) -> None:
+    fired: list[tuple[int, int]] = []
+
+    class Noted(Gateway):
+        def handle(self, now: float, event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.TimerFired):
+                fired.append((self.settings.classes[0].threads, event.token))
+            return super().handle(now, event)
+
+    monkeypatch.setattr(versions, "Gateway", Noted)
+    old, new = make_settings(classes=(request_class(threads=1),)), make_settings(classes=(request_class(threads=2),))
+    decisions = Decisions(old, 1, Engines(old.limits))
+    number = decisions.enter(b"a" * 16, SimpleQueue(), old)
+    decisions.renew(new)
+    decisions._fire([(9, 0), (11, 1)])
+    decisions.leave(number, b"a" * 16)
+    decisions.forget(number)
+    decisions._fire([(13, 0), (15, 1)])  # the old module has gone with its last request
+    assert fired == [(1, 9), (2, 11), (2, 15)]
