Serve a request read in the instant of a change of settings by what it was read under

Cause: a session takes the settings in force, reads the request under them, and then opens it. Where SIGHUP changed them between the two and no other request was open, no module of the old settings was left: Versions.of raised Outdated, and the session answered 1210, a failure, to a request that came in time (gateway/versions.py, renew and of; mysql/session.py, _query without a gate). Ruled out: with another request open the old module stays, and the request is decided by it; sessions keep no settings between requests.

Change: settings that were replaced are remembered, four changes back, and a module is made of them anew, told the engine list, where a request read under them is still opened. It goes with its last request, as any module of earlier settings does.

Seen to fail without: test_a_request_read_in_the_instant_of_a_change_is_served_by_what_it_was_read_under, both variants, 'assert answered(client, asked) == 0' (1210). The change comes in a hook right before the opening, for each class and tenant.

--- a/tealwing/gateway/decisions.py
+++ b/tealwing/gateway/decisions.py
@@ -78,7 +78,10 @@
         with self._lock:
             if call in self._calls:
                 raise Unusable("call is that of an open request")
-            version = self._versions.of(settings or self._versions.settings)
+            settings = settings or self._versions.settings
+            if settings is not self._versions.settings:
+                self._recall(settings)
+            version = self._versions.of(settings)
             self._calls.add(call)
             number = next(self._ids)
             self._mailboxes[number] = mailbox
@@ -117,6 +120,13 @@
                     self._handle(event, (self._versions.version,))
             return self._versions.version
 
+    def _recall(self, settings: api.Settings) -> None:
+        """Have a module of settings that were replaced as a request was read under them; under the lock."""
+        if (recalled := self._versions.recall(settings)) is not None:
+            version, told = recalled
+            for event in told:
+                self._handle(event, (version,))
+
     def tell_all(self, word: object) -> int:
         """Put a word into the mailbox of every open request; how many there are."""
         with self._lock:
--- a/tealwing/gateway/versions.py
+++ b/tealwing/gateway/versions.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
@@ -14,6 +16,7 @@
 if TYPE_CHECKING:  # what the operators' file does not switch on is not imported
     from tealwing.routing.table import Table
 
+REPLACED = 4  # changes of settings after which a request that is still being read under the first is turned back
 OWN = (api.Request, api.Outcome, api.StreamStarted, api.Note, api.HungUp)  # events of one request: to its module
 
 
@@ -44,6 +47,8 @@
         self.force, self.version = InForce(settings), 0
         self.ready: frozenset[int] = frozenset()  # zones with a ready engine
         self._seed = seed
+        self._numbers = itertools.count(1)  # of versions
+        self._replaced = deque[api.Settings](maxlen=REPLACED)  # no longer in force, the last at the end
         self._older: dict[int, tuple[api.Settings, Module]] = {}  # by version: modules that still hold requests
         self._owners: dict[int, int] = {}  # request id: the version of the module that decides it
         self._held: dict[int, int] = {}  # version: its requests still open
@@ -95,9 +100,26 @@
         """A new module takes new requests, the old keeps what it holds; gives what the new one is to be told."""
         if self._held.get(self.version):
             self._older[self.version] = self.settings, self.module
-        self.version += 1
+        self._replaced.append(self.settings)
+        self.version = next(self._numbers)
         gateway = Gateway(force.settings, self._seed + self.version)
         self.force, self.module = force, wrap(gateway) if wrap is not None else gateway
+        return self._first()
+
+    def recall(self, settings: api.Settings) -> tuple[int, list[api.Event]] | None:
+        """A module anew for settings of which none is left; its version, and what it is to be told; None: no need.
+
+        They were in force when a request was read, and a change has come between that and its being opened.
+        """
+        held = [self.settings, *(older for older, _ in self._older.values())]
+        if any(one is settings for one in held) or not any(one is settings for one in self._replaced):
+            return None
+        version = next(self._numbers)
+        self._older[version] = settings, Gateway(settings, self._seed + version)
+        return version, self._first()
+
+    def _first(self) -> list[api.Event]:
+        """What a new module is told before anything else."""
         told: list[api.Event] = [api.EngineList(api.ListKind.FULL, self._list_version, self.listed)]
         return told + ([self._beliefs] if self._beliefs is not None else [])
 
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -5,6 +5,8 @@
 import itertools
 import json
 import socket
+import threading
+import time
 from collections.abc import Iterator
 from pathlib import Path
 from queue import SimpleQueue
@@ -198,6 +200,86 @@
         return self.daemon.open(query, settings)
 
 
+@pytest.mark.parametrize("name", sites.VARIANTS)
+def test_a_request_read_in_the_instant_of_a_change_is_served_by_what_it_was_read_under(
+    tmp_path: Path, name: str
+) -> None:
+    mine, other = Customer(name), Customer(GAUGE if name == PARCEL else PARCEL)
+    gate = Gatekeeper(tmp_path, mine.text, mine.members + other.members)
+    try:
+        client = Client(gate.server.address)
+        for asked in mine.requests():
+            gate.before_open.append(other.text)  # nothing is open: no module of the old settings is left
+            assert answered(client, asked) == 0
+            assert [want.lane for want in mine.book.of(asked["call"])] == [asked["op"]]
+            gate.change(mine.text)
+    finally:
+        gate.close()
+        mine.close()
+        other.close()
+
+
+def test_no_index_of_a_class_or_tenant_reaches_a_list_that_it_was_not_made_for(
+    tmp_path: Path, gauge: Customer, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    names = [grade["Name"] for grade in gauge.text["Grades"]]
+    tenants = [account["Name"] for account in gauge.text["Accounts"]]
+    heard: list[tuple[str, str, int, int]] = []
+
+    class Noted(Gateway):
+        """Notes how its settings name what a request's fields say: its memory tells the class, its work the tenant."""
+
+        def handle(self, now: float, event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.Request):
+                cls, tenant = self.settings.classes[event.cls].name, self.settings.tenants[event.tenant]
+                heard.append((cls, tenant, round(event.need), round((event.cost or 0) * 1e3)))
+            return super().handle(now, event)
+
+    monkeypatch.setattr(versions, "Gateway", Noted)
+    family = gauge.text["FamilyInfo"]
+    turned = {name: list(reversed(family[name])) for name in ("WidthByClass", "ClassWaits", "HoldsTables")}
+    other = gauge.text | {
+        "Grades": list(reversed(gauge.text["Grades"])),
+        "Accounts": list(reversed(gauge.text["Accounts"])),
+        "FamilyInfo": family | turned,
+    }
+    gate = Gatekeeper(tmp_path, gauge.text, gauge.members)
+    asked = [
+        sites.fields(gauge.text, cls, tenant, 0) | {"heap_mb": cls + 1, "work": tenant + 1}
+        for cls in range(len(names))
+        for tenant in range(len(tenants))
+    ]
+    errors: list[int] = []
+    stop = threading.Event()
+
+    def ask() -> None:
+        client = Client(gate.server.address)
+        while not stop.is_set():
+            errors.extend(answered(client, one | {"call": f"{next(CALLS):016x}"}) for one in asked)
+
+    threads = [threading.Thread(target=ask, daemon=True) for _ in range(CLIENTS)]
+    try:
+        for thread in threads:
+            thread.start()
+        for change in range(CHANGES):
+            gate.change(gauge.text if change % 2 else other)
+            so_far = len(errors)
+            until = time.monotonic() + LIMIT
+            while len(errors) < so_far + len(asked) and time.monotonic() < until:
+                time.sleep(0.001)
+    finally:
+        stop.set()
+        for thread in threads:
+            thread.join(LIMIT)
+        gate.close()
+    assert errors and not any(errors)  # the names are in both: no request can tell that anything changed
+    assert {(names.index(cls) + 1, tenants.index(tenant) + 1) for cls, tenant, _, _ in heard} == {
+        (cls, tenant) for _, _, cls, tenant in heard
+    }
+    for cls, tenant, need, work in heard:
+        assert (names.index(cls) + 1, tenants.index(tenant) + 1) == (need, work)
+
+
 def test_figures_of_a_customer_leave_with_its_settings(tmp_path: Path, gauge: Customer, parcel: Customer) -> None:
     gate = Gatekeeper(tmp_path, gauge.text, gauge.members + parcel.members)
     try:
