Keep the engines' limits of the settings in force on their connections

Cause: resp/engines.py took Multiplex, ConnectTimeoutNs and ConnIdleNs once, from the settings of the start (Engines.__init__, daemon.py), and each Engine its own copy. After SIGHUP with others a connection carried more attempts than its engines take, was used past the time after which they close it (a request crosses the close, which costs one that is unsafe to repeat), and a connect waited as long as the former settings let it.

Change: a change of settings tells the engines' side of its limits, which hold for all engines and from the next send on; they tell of the engines, so requests still open under earlier settings go by them too. What is out on a connection stays there.

Seen to fail without: test_connections_keep_the_limits_of_the_settings_in_force, 'assert len(second) == 2' (1); test_a_connect_is_given_the_time_of_the_settings_in_force, 'assert time.monotonic() - begun < 5' (15.0).

--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -181,6 +181,7 @@
 
     def _tell_settings(self, settings: api.Settings, version: int) -> None:
         self._settings = settings
+        self._engines.limit(settings.limits)
         self.figures.keep(cls.name for cls in settings.classes)
         classes = {cls.name: cls.effect.name for cls in settings.classes}
         log.event("settings_changed", version=version, classes=classes)
--- a/tealwing/resp/engine.py
+++ b/tealwing/resp/engine.py
@@ -254,6 +254,11 @@
             with self._changed:
                 connection.reserved -= 1
 
+    def limit(self, streams: int, connect_limit: float, idle_limit: float) -> None:
+        """Keep these limits from now on; what is out on a connection already stays there."""
+        with self._changed:
+            self._streams, self._connect_limit, self._idle_limit = streams, connect_limit, idle_limit
+
     def close_idle(self) -> None:
         """Close what no attempt uses."""
         with self._changed:
--- a/tealwing/resp/engines.py
+++ b/tealwing/resp/engines.py
@@ -23,6 +23,14 @@
         """Have the thread that reads all connections before there is a request that needs it."""
         self._reader.start()
 
+    def limit(self, limits: interface.Limits) -> None:
+        """Keep these limits with all engines from now on: those of the settings in force, as they tell of engines."""
+        with self._lock:
+            self._limits = limits
+            engines = [engine for _, engine in self._engines.values()]
+        for engine in engines:
+            engine.limit(limits.multiplex, limits.connect_timeout, limits.idle_time)
+
     def update(self, members: tuple[Member, ...], complete: bool) -> None:
         """Take in news of the list."""
         retired: list[Engine] = []
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -280,6 +280,61 @@
         assert (names.index(cls) + 1, tenants.index(tenant) + 1) == (need, work)
 
 
+def allowed(text: dict[str, Any], **changes: Any) -> dict[str, Any]:
+    return text | {"Allowed": text["Allowed"] | changes}
+
+
+def test_connections_keep_the_limits_of_the_settings_in_force(tmp_path: Path, gauge: Customer) -> None:
+    gate = Gatekeeper(tmp_path, allowed(gauge.text, Multiplex=8), gauge.members[:1])
+    clients = [Client(gate.server.address) for _ in range(2)]
+
+    def together() -> set[socket.socket]:
+        """The connections that two requests go on which are open at once."""
+        asked = [sites.fields(gauge.text, 1, 0, next(CALLS)) for _ in clients]
+        for client, one in zip(clients, asked, strict=True):
+            gauge.book.hold(one["call"])
+            client.ask(**one)
+            gauge.book.attempt(one["call"])
+        wants = [gauge.book.attempt(one["call"]) for one in asked]
+        for client, want in zip(clients, wants, strict=True):
+            want.answer()
+            assert len(client.rows()) == 1
+        return {want.sock for want in wants}
+
+    try:
+        first = together()
+        assert len(first) == 1
+        gate.change(allowed(gauge.text, Multiplex=1))  # an engine of these settings takes one attempt a connection
+        second = together()
+        assert len(second) == 2
+        gate.change(allowed(gauge.text, Multiplex=8, ConnIdleNs=1))  # its engines close what rests so long
+        assert not together() & (first | second)
+    finally:
+        gate.close()
+
+
+def test_a_connect_is_given_the_time_of_the_settings_in_force(tmp_path: Path, gauge: Customer) -> None:
+    deaf = socket.socket()
+    deaf.bind(("127.0.0.1", 0))
+    deaf.listen(0)  # it accepts nobody: once its queue is full no connection comes up
+    queued = [socket.socket() for _ in range(4)]
+    for sock in queued:
+        sock.setblocking(False)
+        sock.connect_ex(deaf.getsockname())
+    host, port = deaf.getsockname()
+    members = [sites.engine_member("deaf", f"{host}:{port}", gauge.places[0])]
+    gate = Gatekeeper(tmp_path, allowed(gauge.text, ConnectTimeoutNs=15_000 * sites.MS), members)
+    try:
+        gate.change(allowed(gauge.text, ConnectTimeoutNs=50 * sites.MS))
+        client, begun = Client(gate.server.address), time.monotonic()
+        assert answered(client, sites.fields(gauge.text, 3, 0, next(CALLS))) not in (0, UNKNOWN)
+        assert time.monotonic() - begun < 5  # a few tries of 0.05 s each; one of the first settings takes 15 s
+    finally:
+        gate.close()
+        for sock in (deaf, *queued):
+            sock.close()
+
+
 def sent(decisions: Decisions, settings: api.Settings) -> int:
     """How many of many requests that come at once are sent. Each ends as usual: only what was sent can bind."""
     cls, count = 1, 0
