Bound the threads that serve clients by the gateways of the settings in force

Cause: the bound on threads is a share of the machine's tasks over the gateways (Siblings); the server had it from the settings of the start for good (service.py, serve; mysql/server.py). After SIGHUP from 3 gateways to 200 each might start 375 threads in place of 40.

Change: Server.renew takes the settings in force with their bound; threads above it end as they find nothing to do.

Seen to fail without: test_threads_are_bounded_by_the_gateways_of_the_settings_in_force, '375 == 40'.

--- a/tealwing/mysql/server.py
+++ b/tealwing/mysql/server.py
@@ -86,6 +86,10 @@
             raise OSError("no thread can be started to serve clients")
         threads.start(self._look, "session-limits")
 
+    def renew(self, settings: interface.Settings, most_threads: int) -> None:
+        """Read what comes under these settings; threads above their number go as they have nothing to do."""
+        self.settings, self._most_threads = settings, min(self._most, most_threads)
+
     @property
     def address(self) -> Address:
         """Where it listens."""
--- a/tealwing/service.py
+++ b/tealwing/service.py
@@ -8,8 +8,9 @@
 import sys
 import threading
 import time
+from dataclasses import replace
 
-from tealwing import log
+from tealwing import interface, log
 from tealwing.admin.server import Admin
 from tealwing.config import Config, ConfigError, ConfigRejected, load
 from tealwing.gateway.daemon import Daemon
@@ -31,7 +32,7 @@
     server = Server(
         config.listen, config.most_clients, config.settings, daemon.open, config.accept_fd, config.most_threads
     )
-    daemon.on_settings = lambda settings: setattr(server, "settings", settings)
+    daemon.on_settings = lambda settings: renew(server, config, settings)
     if conf is not None:
         operate(daemon, server, conf)
     serving = threading.Event()  # what readiness says: set once clients are taken, cleared at the drain
@@ -80,6 +81,11 @@
     log.event("stopped", after=time.monotonic() - stopped)
 
 
+def renew(server: Server, config: Config, settings: interface.Settings) -> None:
+    """Have the server read new requests under the settings, with the threads that they allow."""
+    server.renew(settings, replace(config, settings=settings).most_threads)
+
+
 class FileUnusable(Exception):
     """The operators' file can't be used; the text has a line for each problem."""
 
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -24,6 +24,7 @@
 from tealwing.mysql.server import Server
 from tealwing.policy import Gateway
 from tealwing.resp.engines import Engines
+from tealwing.service import renew
 from tests import sites
 from tests.build import delta, entry, listing, make_settings, request_class
 from tests.peers import LIMIT, Client, Coordinator, Program
@@ -175,7 +176,7 @@
         first = self._load(text)
         self.daemon = Daemon(first)
         self.server = Server(first.listen, first.most_clients, first.settings, self._open, None, first.most_threads)
-        self.daemon.on_settings = lambda settings: setattr(self.server, "settings", settings)
+        self.daemon.on_settings = lambda settings: renew(self.server, first, settings)
         self.daemon.start()
         self.server.start()
 
@@ -421,6 +422,17 @@
         gate.close()
 
 
+def test_threads_are_bounded_by_the_gateways_of_the_settings_in_force(tmp_path: Path, gauge: Customer) -> None:
+    few, many = gauge.text | {"Siblings": 3}, gauge.text | {"Siblings": 200}
+    gate = Gatekeeper(tmp_path, few, gauge.members)
+    try:
+        before = gate.server._most_threads
+        gate.change(many)
+        assert gate.server._most_threads == gate._load(many).most_threads < before
+    finally:
+        gate.close()
+
+
 def test_a_timer_of_older_settings_reaches_no_module_of_newer_ones(monkeypatch: pytest.MonkeyPatch) -> None:
     fired: list[tuple[int, int]] = []
 
