Take in two variants of the site, and what a change of settings left behind

Joined with the watch: a module recalled for replaced settings is told the list numbered by those settings. tests/test_watch.py heard the watches of gateways that earlier tests left in the process (seen once in 4 runs beside test_sites: 'unreached' from another test's follower); it now takes only the lines of threads that began after it.

--- a/tealwing/gateway/versions.py
+++ b/tealwing/gateway/versions.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
@@ -17,6 +19,7 @@
 if TYPE_CHECKING:  # what the operators' file does not switch on is not imported
     from tealwing.routing.table import Table
 
+REPLACED = 4  # changes of settings after which a request that is still being read under the first is turned back
 OWN = (api.Request, api.Outcome, api.StreamStarted, api.Note, api.HungUp)  # events of one request: to its module
 
 
@@ -37,6 +40,13 @@
 
 
 Wrap = Callable[[Gateway], Module]  # what stands before a new module
+Spent = deque[tuple[float, float]]  # times and work of what was sent to a cold engine
+
+
+def behind(module: Module) -> Gateway | None:
+    """The module itself."""
+    gateway = module if isinstance(module, Gateway) else getattr(module, "gateway", None)
+    return gateway if isinstance(gateway, Gateway) else None
 
 
 class Versions:
@@ -47,12 +57,18 @@
         self.force, self.version = InForce(settings), 0
         self.ready: frozenset[int] = frozenset()  # zones with a ready engine
         self._seed = seed
+        # What rules count over the gateway, whichever module made it, and nothing of it by class: the modules share it.
+        self._taken, self._extra = deque[float](), deque[float]()
+        self._spent: dict[tuple[int, float], Spent] = {}  # by engine and its start
+        self._numbers = itertools.count(1)  # of versions
+        self._replaced = deque[api.Settings](maxlen=REPLACED)  # no longer in force, the last at the end
         self._older: dict[int, tuple[api.Settings, Module]] = {}  # by version: modules that still hold requests
         self._owners: dict[int, int] = {}  # request id: the version of the module that decides it
         self._held: dict[int, int] = {}  # version: its requests still open
         self._members: dict[int, Member] = {}  # the engine list by names, as settings number zones and kinds anew
         self._list_version = 0
         self._beliefs: api.Beliefs | None = None  # the last ones, for a new module
+        self.share(0)
 
     @property
     def settings(self) -> api.Settings:
@@ -104,11 +120,42 @@
         """A new module takes new requests, the old keeps what it holds; gives what the new one is to be told."""
         if self._held.get(self.version):
             self._older[self.version] = self.settings, self.module
-        self.version += 1
+        self._replaced.append(self.settings)
+        self.version = next(self._numbers)
         gateway = Gateway(force.settings, self._seed + self.version)
         self.force, self.module = force, wrap(gateway) if wrap is not None else gateway
         self._see_ready()
-        told: list[api.Event] = [api.EngineList(api.ListKind.FULL, self._list_version, self.listed)]
+        return self._first(force.settings)
+
+    def recall(self, settings: api.Settings) -> tuple[int, list[api.Event]] | None:
+        """A module anew for settings of which none is left; its version, and what it is to be told; None: no need.
+
+        They were in force when a request was read, and a change has come between that and its being opened.
+        """
+        held = [self.settings, *(older for older, _ in self._older.values())]
+        if any(one is settings for one in held) or not any(one is settings for one in self._replaced):
+            return None
+        version = next(self._numbers)
+        self._older[version] = settings, Gateway(settings, self._seed + version)
+        return version, self._first(settings)
+
+    def share(self, version: int) -> None:
+        """Have a version's module, which has heard of the engine list, count together with the others."""
+        module = self.at(version)
+        gateway = behind(module) if module is not None else None
+        if gateway is None:
+            return
+        gateway.taken, gateway.extra = self._taken, self._extra
+        for engine in gateway.engines.values():
+            engine.sent = self._spent.setdefault((engine.id, engine.started), engine.sent)
+        if version == self.version:  # what it no longer knows has left the list
+            known = {(engine.id, engine.started) for engine in gateway.engines.values()}
+            self._spent = {key: spent for key, spent in self._spent.items() if key in known}
+
+    def _first(self, settings: api.Settings) -> list[api.Event]:
+        """What a new module of the settings is told before anything else, numbered as they do."""
+        listed = _numbered(self._members.values(), settings)
+        told: list[api.Event] = [api.EngineList(api.ListKind.FULL, self._list_version, listed)]
         return told + ([self._beliefs] if self._beliefs is not None else [])
 
     def concerned(self, event: api.Event) -> tuple[int, ...]:
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -42,8 +42,12 @@
     def __init__(self) -> None:
         super().__init__()
         self.found: queue.Queue[tuple[str, dict[str, Any]]] = queue.Queue()
+        # threads that gateways of tests before this one left in the process: their watches end now and then too
+        self.others = {thread.ident for thread in threading.enumerate()} - {threading.get_ident()}
 
     def emit(self, record: logging.LogRecord) -> None:
+        if record.thread in self.others:
+            return
         self.found.put((record.msg, getattr(record, "fields", {})))
 
     def next(self, name: str, **having: Any) -> dict[str, Any]:
