--- a/tealwing/mysql/server.py
+++ b/tealwing/mysql/server.py
@@ -210,7 +210,7 @@
             self._listen()
             return None
         if crowded:
-            self._make_room()
+            self._evict_one()
         if not full:
             self._listen()
         return session
@@ -252,16 +252,16 @@
         return True
 
     def _look(self) -> None:
-        """Part with the clients whose time is over."""
+        """Evict the clients whose time is over."""
         while not self._over.wait(LOOK):
             now = time.monotonic()
             with self._changed:
                 over = [session for session in self._sessions.values() if session.waited(now) >= 1]
             for session in over:
-                session.part()
+                session.evict()
 
-    def _make_room(self) -> None:
-        """Part with the client that has let most of its time pass: usual ones need the descriptor.
+    def _evict_one(self) -> None:
+        """Evict the client that has let most of its time pass: usual ones need the descriptor.
 
         That is one that says nothing sooner than one that has asked and holds its connection open.
         """
@@ -270,5 +270,5 @@
             waiting = [session for session in self._sessions.values() if session.waited(now) > 0]
         waiting.sort(key=lambda session: session.waited(now), reverse=True)
         for session in waiting:
-            if session.part():
+            if session.evict():
                 return
--- a/tealwing/mysql/session.py
+++ b/tealwing/mysql/session.py
@@ -71,7 +71,7 @@
         self._greeted = self._in = False
         self._taken = 0.0  # monotonic, when the last byte of the last message had been read
         self._late = 0.0  # s that it had waited for a thread by then
-        self._parted = False  # closed to make room or as its time is over: what it still says is sent again elsewhere
+        self._evicted = False  # closed to make room or as its time is over: what it still says is sent again elsewhere
         self._closing = False  # the gateway ends: close once what has come is answered, under the lock
         self._idle = False  # waiting for a further command, under the lock
 
@@ -134,7 +134,7 @@
         waiting = self._waiting
         return (now - waiting[0]) / (waiting[1] - waiting[0]) if waiting else 0.0
 
-    def part(self) -> bool:
+    def evict(self) -> bool:
         """Close at once, unless something of the client has come; what crosses that it sends again."""
         with self._lock:
             if self._waiting is None:
@@ -142,7 +142,7 @@
             with contextlib.suppress(OSError):  # nothing has come
                 self._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
                 return False
-            self._waiting, self._parted = None, True
+            self._waiting, self._evicted = None, True
         with contextlib.suppress(OSError):  # it may have gone by itself
             self._sock.shutdown(socket.SHUT_RDWR)
         return True
@@ -164,9 +164,9 @@
 
     def _serve(self, buffer: memoryview, short: float) -> bool:
         """Read once, and answer the messages that are whole; whether the session goes on."""
-        with self._lock:  # from here on it is not parted with: see part
+        with self._lock:  # from here on it is not evicted: see evict
             self._idle, self._waiting = False, None
-            if self._parted:
+            if self._evicted:
                 return False
         if not self._greeted:
             self._sock.sendall(packets.packet(0, packets.greeting(self.number, _scramble())))
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -172,7 +172,7 @@
     assert one.finish(LIMIT)
 
 
-def test_a_client_that_has_sent_something_is_not_parted_with(few: server.Server) -> None:
+def test_a_client_that_has_sent_something_is_not_evicted(few: server.Server) -> None:
     # guards the rule on one answer: a request read after its connection had closed ran beside its copy
     with socket.create_server(("127.0.0.1", 0)) as listener:
         theirs = socket.create_connection(listener.getsockname(), LIMIT)
@@ -181,9 +181,9 @@
     client._waiting = 0.0, 1.0
     theirs.send(b"x")
     ours.recv(1, socket.MSG_PEEK)  # it has come
-    assert not client.part()
+    assert not client.evict()
     ours.recv(1)
-    assert client.part() and not client.part()  # once
+    assert client.evict() and not client.evict()  # once
     theirs.settimeout(LIMIT)
     assert theirs.recv(1) == b""
     theirs.close()
