Linger after a client's last answer, and take nothing that is read after a shutdown

Seen by forced tests (tests/test_closes.py) on the code before, a thread held at a named point while the other thing is done: - A close over unread bytes (an error, QUIT, a KILL of itself, each with more bytes behind) reset the connection and took along what of the answer before it had not been delivered: a 48 KB result broke off.

Ruled out, and kept as tests: an eviction between its look and its shutdown (`_parted` was set under the lock), a session without a login and a login in one segment with a query at the drain, half a command that has been read, an eviction against the thread that picks the session up. An error that had been delivered before the reset was read whole: Linux keeps what the client's side has.

Now one flag says under the session's lock that it is over (`_linger`), set with the look at what has come and the shutdown in one piece; what is read later is dropped. Where the last answer may still be under way, only the writing side is shut, the session leaves the table of sessions for `mysql/lingering.py`, and the same epoll set and threads drop what comes until the client's end, 0.5 s after its last answer, or 256 KiB. At most as many linger as places are kept free (an eleventh); they count towards the clients' descriptors, go first when these are short, and end with the drain's time. A clean end (FIN, QUIT with nothing behind it) does not linger. An idle connection that was answered over 0.5 s ago is closed as before. Our reading side is never shut under an open request. A closing session ends once nothing more has come.

Cost: none per request; QUIT one read more, a last answer that lingers one read and, at the client's end, one more event. (By reading the code; not measured.)

--- a/tealwing/mysql/server.py
+++ b/tealwing/mysql/server.py
@@ -19,10 +19,11 @@
 
 from tealwing import interface, log, threads
 from tealwing.exchange import Gate, Open
+from tealwing.mysql.lingering import Lingering
 from tealwing.mysql.session import Session
 from tealwing.sockets import Address
 
-SPARE = 11  # one place in so many is kept free for who comes next: what usual clients may not hold
+SPARE = 11  # one place in so many is kept free for who comes next: what usual clients may not hold, and what may linger
 FREE_THREADS = (4, 8)  # least and most that wait for clients: each is a task of a table that all processes share
 BACKLOG = 256
 ACCEPT_PAUSE = 0.05  # s before a failed accept is tried again
@@ -63,14 +64,16 @@
         self.settings, self.open = settings, open_
         self.gate: Gate | None = None  # what requests pass first, where rules are agreed on
         self.unread: Callable[[float], None] | None = None  # hears how long what was read had waited
-        self._most, self._most_threads = most, min(most, most_threads or most)
+        self._most, self._spare = most, max(1, most // SPARE)
+        self._most_threads = min(most, most_threads or most)
         self._numbers = itertools.count(1)
         self._changed = threading.Condition()
         self._sessions: dict[int, Session] = {}
+        self._lingering: Lingering[Session] = Lingering(self._spare)  # whose session is over, but not yet closed
         self._waiting: dict[int, Session] = {}  # by descriptor: those in the epoll set
         self._threads = self._free = 0  # all, and those that wait for something to do
         self._short = 0.0  # monotonic, since when no thread has been free; 0: one has
-        self._full = False  # nobody is accepted until a session ends
+        self._full = False  # nobody is accepted until a descriptor is free
         self._stopping, self._over = threading.Event(), threading.Event()
         self.shared = inherited is not None  # the queue is another process's too
         self._listener = socket.create_server(address, backlog=BACKLOG) if inherited is None else _inherit(inherited)
@@ -101,6 +104,7 @@
         """A session is over; its descriptor is closed next."""
         with self._changed:
             self._sessions.pop(session.number, None)
+            self._lingering.remove(session.number)
             if self._waiting.pop(session.fileno(), None) is not None:
                 self._ready.unregister(session.fileno())
             full, self._full = self._full, False
@@ -108,6 +112,19 @@
         if full:
             self._listen()
 
+    def lingers(self, session: Session, until: float) -> None:
+        """A session is over, and its connection still read until then at most."""
+        with self._changed:
+            if self._sessions.pop(session.number, None) is None:  # closed already, by another thread
+                return
+            oldest = self._lingering.add(session.number, session, until)
+            full, self._full = self._full, False
+            self._changed.notify_all()
+        if oldest is not None:
+            oldest.hasten()
+        if full:  # what lingers goes before a client has to wait
+            self._listen()
+
     def stop_listening(self) -> None:
         """Accept no more; what has connected already is still served."""
         with self._changed:
@@ -127,15 +144,27 @@
         until = time.monotonic() + seconds
         while True:  # a thread may take one more client while it has not yet seen that none is wanted
             with self._changed:
-                if self._changed.wait_for(lambda: not self._sessions, min(LOOK, until - time.monotonic())):
-                    self._end()
-                    return True
+                self._changed.wait_for(self._empty, min(LOOK, until - time.monotonic()))
                 late = [session for session in self._sessions.values() if session not in sessions]
+                left, empty = len(self._sessions), self._empty()
+            if empty or (not left and time.monotonic() >= until):
+                break
             if time.monotonic() >= until:
                 return False
             for session in late:
                 session.stop()
             sessions.extend(late)
+        with self._changed:  # nothing is owed any more
+            lingering = self._lingering.over(float("inf"))
+        for session in lingering:
+            session.hasten()
+        with self._changed:
+            self._changed.wait_for(self._empty, LOOK)
+        self._end()
+        return True
+
+    def _empty(self) -> bool:
+        return not self._sessions and not self._lingering
 
     def _end(self) -> None:
         """Let the threads go."""
@@ -199,20 +228,24 @@
             with self._changed:  # accepting never blocks here; what is taken after the stop would be nobody's
                 if self._stopping.is_set():
                     return None
-                sock, _ = self._listener.accept()
-                session = Session(self, sock, next(self._numbers) & 0xFFFFFFFF)
-                self._sessions[session.number] = session
-                crowded = len(self._sessions) > self._most - self._most // SPARE
-                full = self._full = len(self._sessions) >= self._most
+                full = self._full = self._held() >= self._most
+                if not full:
+                    sock, _ = self._listener.accept()
+                    session = Session(self, sock, next(self._numbers) & 0xFFFFFFFF)
+                    self._sessions[session.number] = session
+                crowded = self._held() > self._most - self._spare
+                log.must_hold(self._held() <= self._most, "clients hold no more descriptors than they may")
         except OSError as error:  # taken by another; or descriptors have run out for now
             if not isinstance(error, BlockingIOError) and not self._stopping.wait(ACCEPT_PAUSE):
                 log.event("accept_failed", error=str(error))
             self._listen()
             return None
+        if full:  # the client that has come waits until a descriptor is closed
+            self._free_one(at_once=True)
+            return None
+        self._listen()
         if crowded:
-            self._evict_one()
-        if not full:
-            self._listen()
+            self._free_one(at_once=False)
         return session
 
     def _listen(self) -> None:
@@ -232,12 +265,13 @@
                     self._ready.register(number, ARMED)
                 else:
                     self._ready.modify(number, ARMED)
-                return
+                why = ""
             except OSError as error:  # the system's room for what is waited for has run out
                 del self._waiting[number]
                 why = str(error)
-        log.event("client_lost", error=why)
-        session.close()
+        if why:
+            log.event("client_lost", error=why)
+            session.close()
 
     def _start_thread(self) -> bool:
         """Whether a further thread waits for clients now; where none can be had, those that are there go on."""
@@ -252,15 +286,34 @@
         return True
 
     def _look(self) -> None:
-        """Evict the clients whose time is over."""
+        """Evict the clients whose time is over, and close what has lingered for long enough."""
         while not self._over.wait(LOOK):
             now = time.monotonic()
             with self._changed:
                 over = [session for session in self._sessions.values() if session.waited(now) >= 1]
+                lingered = self._lingering.over(now)
             for session in over:
                 session.evict()
+            for session in lingered:
+                session.hasten()
+
+    def _held(self) -> int:
+        """Descriptors that clients hold. Under the lock."""
+        return len(self._sessions) + len(self._lingering)
+
+    def _free_one(self, at_once: bool) -> None:
+        """Have one descriptor more free: of what lingers, or else of the longest idle client.
+
+        at_once: a client waits for it already.
+        """
+        with self._changed:
+            oldest = self._lingering.oldest()
+        if oldest is not None:
+            oldest.hasten()
+        else:
+            self._evict_longest(at_once)
 
-    def _evict_one(self) -> None:
+    def _evict_longest(self, at_once: bool) -> None:
         """Evict the client that has let most of its time pass: usual ones need the descriptor.
 
         That is one that says nothing sooner than one that has asked and holds its connection open.
@@ -270,5 +323,5 @@
             waiting = [session for session in self._sessions.values() if session.waited(now) > 0]
         waiting.sort(key=lambda session: session.waited(now), reverse=True)
         for session in waiting:
-            if session.evict():
+            if session.evict(at_once):
                 return
--- a/tealwing/mysql/session.py
+++ b/tealwing/mysql/session.py
@@ -24,7 +24,7 @@
     Turned,
     Unusable,
 )
-from tealwing.mysql import packets, statements
+from tealwing.mysql import lingering, packets, statements
 from tealwing.sockets import receive, set_limit, silence, stamp
 
 if TYPE_CHECKING:  # the server knows its sessions, and they know it
@@ -71,8 +71,11 @@
         self._greeted = self._in = False
         self._taken = 0.0  # monotonic, when the last byte of the last message had been read
         self._late = 0.0  # s that it had waited for a thread by then
-        self._evicted = False  # closed to make room or as its time is over: what it still says is sent again elsewhere
+        self._linger: lingering.Linger | None = None  # it is over: what it still says is dropped, under the lock
+        self._gone = False  # its client has ended its side, and all that it said is read
+        self._quit = False  # its client has said that it says no more
         self._closing = False  # the gateway ends: close once what has come is answered, under the lock
+        self._cut = False  # killed: close once its open request is answered, under the lock
         self._idle = False  # waiting for a further command, under the lock
 
     def fileno(self) -> int:
@@ -86,21 +89,58 @@
         """
         going = False
         try:
-            going = self._serve(buffer, short) and self._wait()
-        except packets.PacketError as error:  # malformed input ends this connection only
-            text = packets.error(error.code, error.state, str(error))
-            self._last_words(packets.packet(error.sequence + 1, text))
-        except OSError as error:
-            log.event("client_lost", error=str(error))
+            going = self._go_on(buffer, short)
         finally:
             if not going:
                 self.close()
         return going
 
+    def _go_on(self, buffer: memoryview, short: float) -> bool:
+        """Serve, or drop what comes after the end."""
+        try:
+            if self._serve(buffer, short):
+                if self._wait():
+                    return True
+            elif self._gone:
+                return False
+        except packets.PacketError as error:  # malformed input ends this connection only
+            text = packets.error(error.code, error.state, str(error))
+            with contextlib.suppress(OSError):  # the client may have gone already
+                self._sock.sendall(packets.packet(error.sequence + 1, text))
+        except OSError as error:
+            log.event("client_lost", error=str(error))
+            return False
+        return self._lingers(buffer)
+
+    def _lingers(self, buffer: memoryview) -> bool:
+        """After its last answer: end our side, and drop what comes; whether more of that is waited for."""
+        with self._lock:
+            new = self._linger is None
+            linger = self._linger = self._linger or lingering.Linger(time.monotonic() + lingering.TIME)
+        before = linger.left
+        if not linger.drop(self._sock, buffer, time.monotonic):
+            return False
+        if new:
+            if self._quit and linger.left == before and not self._parser.begun:
+                return False  # nothing is unread, and no more is to come
+            with contextlib.suppress(OSError):  # it may have gone by itself
+                self._sock.shutdown(socket.SHUT_WR)
+            self.server.lingers(self, linger.until)
+        return True
+
     def close(self) -> None:
         """It is over."""
         self.server.ended(self)
-        self._sock.close()
+        with self._lock:  # no other thread shuts a descriptor that may be another's by then
+            self._sock.close()
+
+    def hasten(self) -> None:
+        """It has lingered for long enough: have its thread close it."""
+        with self._lock:
+            if self._linger is not None:
+                self._linger.until = 0.0
+            with contextlib.suppress(OSError):  # it may have gone by itself
+                self._sock.shutdown(socket.SHUT_RDWR)
 
     def kill(self, query_only: bool) -> None:
         """KILL: give the open request up, and end the session unless only the query was meant."""
@@ -116,37 +156,68 @@
     def stop(self) -> None:
         """Take no more from the client than has come: a session between commands ends now, others after one.
 
-        A session that has just begun, or whose command is under way, answers it first: a shutdown of
-        its reading side would end it before the command that its client is sending.
+        A session that has just begun, or whose command is under way, answers it first, and so does one whose
+        command has come and is not read yet.
         """
         with self._lock:
             self._closing = True
-            idle = self._idle
-        if idle:
-            self._shut()
+            lingers = self._idle and not self._has_come() and self._end_waiting()
+        if lingers:
+            self._hand_over()
 
     def _shut(self) -> None:
-        with contextlib.suppress(OSError):  # it may have gone by itself
-            self._sock.shutdown(socket.SHUT_RD)
+        """Take no more from the client at all: a session that waits ends now, others with their open request."""
+        with self._lock:
+            self._cut = True
+            lingers = self._waiting is not None and self._end_waiting()
+        if lingers:
+            self._hand_over()
 
     def waited(self, now: float) -> float:
         """The share of its time that the client has let pass; 0 while it waits for us."""
         waiting = self._waiting
         return (now - waiting[0]) / (waiting[1] - waiting[0]) if waiting else 0.0
 
-    def evict(self) -> bool:
-        """Close at once, unless something of the client has come; what crosses that it sends again."""
+    def evict(self, at_once: bool = False) -> bool:
+        """End it unless something of the client has come; what crosses that it sends again on a new connection.
+
+        at_once: its descriptor is needed now, so it does not linger.
+        """
         with self._lock:
-            if self._waiting is None:
-                return False
-            with contextlib.suppress(OSError):  # nothing has come
-                self._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            if self._waiting is None or self._has_come():
                 return False
-            self._waiting, self._evicted = None, True
-        with contextlib.suppress(OSError):  # it may have gone by itself
-            self._sock.shutdown(socket.SHUT_RDWR)
+            lingers = self._end_waiting(at_once)
+        if lingers:
+            self._hand_over()
+        return True
+
+    def _has_come(self) -> bool:
+        """Whether there is something to read: bytes, or the client's end. Under the lock."""
+        try:
+            self._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:  # its end too
+            return True
         return True
 
+    def _end_waiting(self, at_once: bool = False) -> bool:
+        """End a session that waits for its client, whichever thread it is that ends it; whether it lingers.
+
+        Under the lock: from here on nothing that is read is taken. An answer of long ago has arrived, so that
+        nothing is lost with a reset: such a session is closed by the thread that this shutdown wakes.
+        """
+        self._idle, self._waiting = False, None
+        linger = self._linger = lingering.Linger(0.0 if at_once else self._since + lingering.TIME)
+        lingers = time.monotonic() < linger.until
+        with contextlib.suppress(OSError):  # it may have gone by itself
+            self._sock.shutdown(socket.SHUT_WR if lingers else socket.SHUT_RDWR)
+        return lingers
+
+    def _hand_over(self) -> None:
+        if self._linger is not None:
+            self.server.lingers(self, self._linger.until)
+
     def _wait(self) -> bool:
         """Give the client its time to say something; whether it may.
 
@@ -156,7 +227,7 @@
         self._rest = (self._rest or now + PACKET_LIMIT) if begun else 0.0
         limit = self._first or self._since + IDLE_LIMIT
         with self._lock:
-            if self._closing and not self._first and not begun:
+            if self._cut or (self._closing and not self._first and not begun and not self._has_come()):
                 return False
             self._waiting = self._since, min(limit, self._rest) if self._rest else limit
             self._idle = not self._first and not begun
@@ -166,7 +237,7 @@
         """Read once, and answer the messages that are whole; whether the session goes on."""
         with self._lock:  # from here on it is not evicted: see evict
             self._idle, self._waiting = False, None
-            if self._evicted:
+            if self._linger is not None:
                 return False
         if not self._greeted:
             self._sock.sendall(packets.packet(0, packets.greeting(self.number, _scramble())))
@@ -177,10 +248,11 @@
         except BlockingIOError:  # nothing has come yet
             return True
         if not size:
+            self._gone = True
             return False
         self._parser.feed(buffer[:size])
         self._taken = time.monotonic()
-        while (message := self._parser.next()) is not None:
+        while not self._cut and (message := self._parser.next()) is not None:
             self._rest = 0.0
             if not (self._answer(*message) if self._in else self._login(*message)):
                 return False
@@ -193,13 +265,14 @@
         if sequence != 0:
             raise packets.PacketError("Got packets out of order", 1156, "08S01", sequence)
         if payload[:1] == bytes([QUIT]):
+            self._quit = True
             return False
         try:
             reply = self._command(payload)
         except threads.NoThread:  # a thread the request needed: it gets its whole answer still
             reply = packets.packet(1, FAILED)
         self._sock.sendall(reply)
-        return not self._closing
+        return True
 
     def _read(self, buffer: memoryview) -> int:
         """Read what has come; of a sample of sessions, how long it waited for that is told."""
@@ -306,11 +379,6 @@
                 settings = error.settings
         return Turned(STILL_CHANGING, "the rules change faster than the request can be read")
 
-    def _last_words(self, data: bytes) -> None:
-        with contextlib.suppress(OSError):  # the client may have gone already
-            self._sock.sendall(data)
-            self._sock.shutdown(socket.SHUT_WR)
-
 
 def _patience(ttl: float) -> float:
     """Seconds that a request with so many left may be held: what is left then must do to refuse or to serve it."""
