Evict the longest idle client, and also when accepts fail for want of descriptors

Seen by forced tests: - `_evict_one` went by the share of each client's own limit: one that had connected 0.2 s ago and was about to ask (limit 2 s) went before one that had rested for 2 s (limit 60 s), and one whose command had half come counted as idle since its last answer and went first of all. Both cost a request; an idle one costs none, as its client sends again elsewhere. - At a full table with nobody to evict, the next client waited until a session had ended by itself, though all of them were idle a moment later. - EMFILE at an accept was tried again every 50 ms, and nothing was closed for it.

Now the longest idle goes first by its time since its last answer or connect, and half a command last; a session that turns idle while the table is full has the listener armed again; EMFILE and its kin close what has lingered longest, or else the longest idle client.

--- a/tealwing/mysql/server.py
+++ b/tealwing/mysql/server.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import itertools
 import os
 import select
@@ -28,6 +29,7 @@
 BACKLOG = 256
 ACCEPT_PAUSE = 0.05  # s before a failed accept is tried again
 LOOK = 0.25  # s between two looks at the time limits of clients, and at who is late to leave
+SHORT = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}  # an accept fails with: a close may help
 READ_SIZE = 4 * 1024  # bytes of a thread's buffer: statements are short
 
 ARMED = select.EPOLLIN | select.EPOLLONESHOT
@@ -73,7 +75,7 @@
         self._waiting: dict[int, Session] = {}  # by descriptor: those in the epoll set
         self._threads = self._free = 0  # all, and those that wait for something to do
         self._short = 0.0  # monotonic, since when no thread has been free; 0: one has
-        self._full = False  # nobody is accepted until a descriptor is free
+        self._full = False  # nobody is accepted until a descriptor is free, or a session that may be evicted
         self._stopping, self._over = threading.Event(), threading.Event()
         self.shared = inherited is not None  # the queue is another process's too
         self._listener = socket.create_server(address, backlog=BACKLOG) if inherited is None else _inherit(inherited)
@@ -236,8 +238,11 @@
                 crowded = self._held() > self._most - self._spare
                 log.must_hold(self._held() <= self._most, "clients hold no more descriptors than they may")
         except OSError as error:  # taken by another; or descriptors have run out for now
-            if not isinstance(error, BlockingIOError) and not self._stopping.wait(ACCEPT_PAUSE):
-                log.event("accept_failed", error=str(error))
+            if not isinstance(error, BlockingIOError):
+                if error.errno in SHORT:
+                    self._free_one(at_once=True)
+                if not self._stopping.wait(ACCEPT_PAUSE):
+                    log.event("accept_failed", error=str(error))
             self._listen()
             return None
         if full:  # the client that has come waits until a descriptor is closed
@@ -260,6 +265,7 @@
         with self._changed:
             new = number not in self._waiting
             self._waiting[number] = session
+            full, self._full = self._full, False
             try:
                 if new:
                     self._ready.register(number, ARMED)
@@ -272,6 +278,8 @@
         if why:
             log.event("client_lost", error=why)
             session.close()
+        if full:  # now there is one that may be evicted
+            self._listen()
 
     def _start_thread(self) -> bool:
         """Whether a further thread waits for clients now; where none can be had, those that are there go on."""
@@ -314,14 +322,11 @@
             self._evict_longest(at_once)
 
     def _evict_longest(self, at_once: bool) -> None:
-        """Evict the client that has let most of its time pass: usual ones need the descriptor.
-
-        That is one that says nothing sooner than one that has asked and holds its connection open.
-        """
+        """Evict the client that has been idle for longest, of those that have sent nothing: nothing is owed to it."""
         now = time.monotonic()
         with self._changed:
             waiting = [session for session in self._sessions.values() if session.waited(now) > 0]
-        waiting.sort(key=lambda session: session.waited(now), reverse=True)
+        waiting.sort(key=Session.eviction_order)
         for session in waiting:
             if session.evict(at_once):
                 return
--- a/tealwing/mysql/session.py
+++ b/tealwing/mysql/session.py
@@ -178,6 +178,10 @@
         waiting = self._waiting
         return (now - waiting[0]) / (waiting[1] - waiting[0]) if waiting else 0.0
 
+    def eviction_order(self) -> tuple[bool, float]:
+        """By what the longest idle client goes first, from its last answer or connect; half a command goes last."""
+        return bool(self._rest), self._since
+
     def evict(self, at_once: bool = False) -> bool:
         """End it unless something of the client has come; what crosses that it sends again on a new connection.
 
--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import os
 import re
 import socket
@@ -481,6 +482,39 @@
 # eviction
 
 
+def test_the_longest_idle_client_is_evicted_and_half_a_command_last(rig: Rig) -> None:
+    # guards clients that have just connected or are slow: idle time was counted in shares of each client's limit,
+    # so that one which had connected 0.1 s ago went before one that had rested for 2 s
+    clients = [resting(rig) for _ in range(6)]
+    half, fresh = clients[0], socket.create_connection(rig.address, LIMIT)
+    until(lambda: len(rig.server._sessions) == 7)
+    (newest,) = (ours for ours in rig.server._sessions.values() if ours._first)
+    until(lambda: newest._waiting is not None)
+    half.sock.sendall(query("1")[:9])
+    ours = rig.session(half)
+    until(lambda: ours._parser.begun and ours._waiting is not None)
+    now = time.monotonic()
+    for age, client in zip((30.0, 20.0, 2.0, 1.9, 1.8, 1.7), clients, strict=True):
+        one = rig.session(client)
+        assert one._waiting is not None
+        one._since = now - age
+        one._waiting = now - age, one._waiting[1]
+    newest._since = now - 0.2
+    newest._waiting = now - 0.2, now + session.FIRST_LIMIT - 0.2
+    order = [clients[n] for n in (1, 2, 3, 4, 5)]
+    for client in order:
+        rig.server._evict_longest(False)
+        ends_clean(client)
+    rig.server._evict_longest(False)
+    assert not [c for c in (fresh,) if c.recv(4096) == b""]  # the greeting
+    assert fresh.recv(4096) == b""
+    half.sock.sendall(query("1")[9:])  # it goes last
+    assert answered(half, "1")
+    for sock in (fresh, *(client.sock for client in clients)):
+        sock.close()
+    rig.empty()
+
+
 def test_a_usual_client_gets_in_when_every_place_is_held_by_idle_ones(rig: Rig) -> None:
     idle = [resting(rig) for _ in range(30)]
     late = Client(rig.address, also=query("1"))
@@ -506,6 +540,31 @@
     rig.empty()
 
 
+def test_a_client_that_came_when_nobody_could_be_evicted_gets_in_once_one_is_idle(
+    rig: Rig, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    hold = Hold(monkeypatch, server.Server, "_evict_longest")
+    rig.server._spare = 0  # all places may be taken before one is evicted
+    clients = [resting(rig) for _ in range(8)]
+    for n in range(8):
+        rig.hold(str(n))
+    hold.arm()
+    late = socket.create_connection(rig.address, LIMIT)
+    hold.wait()  # a thread looks for one to evict, and all have sent something by then
+    for n, client in enumerate(clients):
+        client.sock.sendall(query(str(n)))
+    hold.go.set()
+    until(lambda: len(rig.opened) == len(clients))
+    for n, client in enumerate(clients):
+        rig.held[str(n)].set()
+        assert answered(client, str(n))
+    late.settimeout(LIMIT / 3)
+    assert late.recv(4096)  # the greeting
+    for sock in (late, *(client.sock for client in clients)):
+        sock.close()
+    rig.empty()
+
+
 def test_clients_with_unread_bytes_are_not_evicted_and_the_next_still_gets_in(
     rig: Rig, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -543,6 +602,26 @@
     rig.empty()
 
 
+def test_descriptors_that_run_out_are_taken_from_what_lingers_then_from_the_longest_idle(
+    rig: Rig, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # guards accepts against EMFILE: they were tried again every 50 ms, and nothing was closed for them
+    monkeypatch.setattr(lingering, "TIME", LIMIT)
+    idle = [resting(rig) for _ in range(3)]
+    bad = Client(rig.address, also=packets.packet(7, b"\x0e"))
+    until(lambda: rig.lingering == 1)
+    rig.refusals = [errno.EMFILE]
+    ping(late := Client(rig.address))
+    until(lambda: rig.lingering == 0)
+    assert len(rig.server._sessions) == 4
+    rig.refusals = [errno.EMFILE]
+    ping(latest := Client(rig.address))
+    ends_clean(idle[0])
+    for client in (*idle, bad, late, latest):
+        client.sock.close()
+    rig.empty()
+
+
 def test_an_eviction_crosses_the_drain(rig: Rig, monkeypatch: pytest.MonkeyPatch) -> None:
     client = resting(rig)
     ours = rig.session(client)
