Test sessions under a random order of bytes, ends, KILLs, stops, evictions and answers

tests/test_closes_model.py, a hypothesis stateful test on real sockets (derandomized, 60 runs of 14 steps): commands whole, in part and several at once, the client's end by FIN or reset, KILL of a query or a connection, a stop or an eviction, the engine's answers in any order, then the drain. Each request has exactly one whole answer in its turn, or none is owed; what came in one write is answered whole or not sent on; no session, connection that lingers, epoll entry, descriptor or thread is left.

--- /dev/null
+++ b/tests/test_closes_model.py
@@ -0,0 +1,200 @@
+"""Sessions under a random order of bytes, ends, KILLs, stops, evictions and answers: exactly one answer, or none owed.
+
+Nothing here waits for what crosses: the order of the rules is hypothesis's, that of the threads the machine's, and
+what is claimed holds for each.
+"""
+
+from __future__ import annotations
+
+import os
+import threading
+from dataclasses import dataclass, field
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+
+from tealwing.mysql import session, statements
+from tests.peers import LIMIT, Client
+from tests.test_closes import KILL, QUERY, Rig, query, read_call, reset, until
+
+INTERRUPTED = 1317
+CLIENTS = 4
+
+
+@dataclass(eq=False)
+class Kept:
+    """A client, and what it and others have done."""
+
+    client: Client
+    batches: list[list[str]] = field(default_factory=list)  # calls whose last byte left in one write
+    rest: bytes = b""  # of a command that has begun
+    begun: str = ""  # its call
+    gone: bool = False  # the client has ended it
+    ended: bool = False  # the gateway may have: a stop or an eviction
+    killed: bool = False
+    interrupted: int = 0  # KILL QUERYs
+
+
+class Sessions(RuleBasedStateMachine):
+    def __init__(self) -> None:
+        super().__init__()
+        self.before = len(os.listdir("/proc/self/fd")), threading.active_count()
+        self.patch = pytest.MonkeyPatch()
+        self.patch.setattr(statements, "query", read_call)
+        for name in ("FIRST_LIMIT", "PACKET_LIMIT"):  # no time passes here
+            self.patch.setattr(session, name, LIMIT)
+        self.rig = Rig(32)
+        self.kept: list[Kept] = []
+        self.calls: list[str] = []
+
+    def call(self) -> str:
+        call = f"c{len(self.calls)}e"
+        self.calls.append(call)
+        self.rig.hold(call)
+        return call
+
+    @initialize()
+    def first(self) -> None:
+        self.connect()
+
+    @precondition(lambda self: len(self.kept) < CLIENTS)
+    @rule()
+    def connect(self) -> None:
+        self.kept.append(Kept(Client(self.rig.address)))
+
+    @rule(at=st.integers(0, CLIENTS), commands=st.integers(1, 3), half=st.booleans())
+    def send(self, at: int, commands: int, half: bool) -> None:
+        one = self.kept[at % len(self.kept)]
+        if one.gone:
+            return
+        calls = [self.call() for _ in range(commands)]
+        data = one.rest + b"".join(map(query, calls))
+        one.batches.append(([one.begun] if one.begun else []) + calls)
+        one.rest, one.begun = b"", ""
+        if half:
+            one.begun = self.call()
+            data, one.rest = data + query(one.begun)[:7], query(one.begun)[7:]
+        self.write(one, data)
+
+    def write(self, one: Kept, data: bytes) -> None:
+        try:
+            one.client.sock.sendall(data)
+        except OSError:
+            assert one.ended or one.killed
+
+    @rule(at=st.integers(0, 40))
+    def engine_answers(self, at: int) -> None:
+        if self.calls:
+            self.rig.held[self.calls[at % len(self.calls)]].set()
+
+    @rule(at=st.integers(0, CLIENTS), hard=st.booleans())
+    def client_ends(self, at: int, hard: bool) -> None:
+        one = self.kept[at % len(self.kept)]
+        if one.gone:
+            return
+        one.gone = True
+        if hard:
+            reset(one.client.sock)
+        else:
+            one.client.sock.close()
+
+    @rule(at=st.integers(0, CLIENTS), query_only=st.booleans())
+    def kill(self, at: int, query_only: bool) -> None:
+        one = self.kept[at % len(self.kept)]
+        if query_only:
+            one.interrupted += 1
+        else:
+            one.killed = True
+        killer = Client(self.rig.address)
+        if query_only:
+            killer.send(QUERY, b"KILL QUERY %d" % one.client.id)
+        else:
+            killer.send(KILL, one.client.id.to_bytes(4, "little"))
+        assert killer.read()
+        killer.sock.close()
+
+    @rule(at=st.integers(0, CLIENTS), evict=st.booleans())
+    def gateway_ends(self, at: int, evict: bool) -> None:
+        one = self.kept[at % len(self.kept)]
+        ours = self.rig.server.session(one.client.id)
+        one.ended = True
+        if ours is not None:
+            if evict:
+                ours.evict()
+            else:
+                ours.stop()
+
+    def teardown(self) -> None:
+        try:
+            self.settle()
+        finally:
+            self.patch.undo()
+
+    def settle(self) -> None:
+        """All that is open is answered, then the gateway ends; what each client got is compared with the ledger."""
+        for held in self.rig.held.values():
+            held.set()
+        for one in self.kept:
+            if not (one.batches or one.gone):  # the gateway would wait for its first command
+                one.client.sock.close()
+                one.gone = True
+            if one.begun and not one.gone:
+                self.write(one, one.rest)
+                one.batches.append([one.begun])
+        for one in self.kept:
+            if not (one.gone or one.ended or one.killed):  # then all that it asked is answered
+                asked = {call for batch in one.batches for call in batch}
+                until(lambda asked=asked: asked <= set(self.rig.opened))  # type: ignore[misc]
+        ending = threading.Thread(target=self.rig.end)
+        ending.start()
+        for one in self.kept:
+            if not one.gone:
+                self.check(one)
+        ending.join(LIMIT)
+        assert not ending.is_alive() and self.rig.server._over.is_set()
+        self.rig.empty()
+        assert len(self.rig.opened) == len(set(self.rig.opened))
+        until(lambda: (len(os.listdir("/proc/self/fd")), threading.active_count()) == self.before)
+
+    def check(self, one: Kept) -> None:
+        got, interrupted = self.answers(one.client)
+        asked = [call for batch in one.batches for call in batch]
+        opened = [call for call in asked if call in self.rig.opened]
+        assert [call for call in got if call] == [call for call in asked if call in got]  # each once, in order
+        if not one.killed:
+            assert len(got) >= len(opened)  # what was sent on has an answer
+            assert interrupted <= one.interrupted
+            for batch in one.batches:  # all that came together, or nothing of it
+                if not one.interrupted:
+                    assert all(call in got for call in batch) or (one.ended and not any(c in opened for c in batch))
+        if not (one.killed or one.ended):
+            assert len(got) == len(asked)
+
+    def answers(self, client: Client) -> tuple[list[str], int]:
+        """The calls of the whole answers until the end, "" for one that was interrupted, and the number of those."""
+        got: list[str] = []
+        client.sock.settimeout(LIMIT)
+        try:
+            while True:
+                head = client.read()
+                if head[0] == 0xFF:
+                    assert int.from_bytes(head[1:3], "little") == INTERRUPTED
+                    got.append("")
+                    continue
+                assert head == b"\x03"
+                ends, row = 0, b""
+                while ends < 2:
+                    payload = client.read()
+                    ends += payload[0] == 0xFE
+                    row = payload if ends == 1 and payload[0] != 0xFE else row
+                got.append(row[1 : 1 + row[0]].decode())
+        except (EOFError, ConnectionResetError):
+            assert not client.parser.begun
+        client.sock.close()
+        return got, got.count("")
+
+
+Sessions.TestCase.settings = settings(max_examples=60, stateful_step_count=14, deadline=None, derandomize=True)
+TestSessions = Sessions.TestCase
