--- a/tests/sites.py
+++ b/tests/sites.py
@@ -167,6 +167,10 @@
         with contextlib.suppress(OSError):
             say(self.sock, self.call.encode(), b"200", b"sheets=1", PAGE)
 
+    def fail(self) -> None:
+        """Say that it failed, and may have run."""
+        say(self.sock, self.call.encode(), b"500", b"-", b"")
+
 
 class Book:
     """What some engines were asked, in turn; calls that it is told to hold are answered by the test."""
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -30,7 +30,7 @@
 from tests.peers import LIMIT, Client, Coordinator, Program
 
 GAUGE, PARCEL = sites.VARIANTS
-UNKNOWN, FAILED = 1210, 1105  # errors: a request that can't be read; one that failed
+UNKNOWN, FAILED, INTERRUPTED = 1210, 1105, 1317  # errors: a request that can't be read, failed, was killed
 CLIENTS = 6  # under load
 LATENESS = 250  # ms of a client's time that the gateway may keep for its own
 CHANGES = 40  # of settings, under load
@@ -220,6 +220,56 @@
         other.close()
 
 
+@pytest.mark.parametrize("name", sites.VARIANTS)
+def test_what_is_open_at_a_change_keeps_the_effect_of_its_class(tmp_path: Path, name: str) -> None:
+    # at each index the other customer's class has another effect: an index that strays repeats what must not be
+    mine, other = Customer(name), Customer(GAUGE if name == PARCEL else PARCEL)
+    gate = Gatekeeper(tmp_path, mine.text, mine.members + other.members)
+    try:
+        grades = mine.text["Grades"]
+        asked = [sites.fields(mine.text, at, 0, next(CALLS)) for at in range(len(grades))]
+        clients = [Client(gate.server.address) for _ in grades]
+        for client, one in zip(clients, asked, strict=True):
+            mine.book.hold(one["call"])
+            client.ask(**one)
+            mine.book.attempt(one["call"])
+        gate.change(other.text)
+        for client, one, grade in zip(clients, asked, grades, strict=True):
+            mine.book.attempt(one["call"]).fail()
+            if grade["Effect"] == "once":
+                assert client.error()[0] == FAILED and len(mine.book.of(one["call"])) == 1
+                continue
+            again = mine.book.attempt(one["call"], 1)
+            assert (again.lane, again.dedupe) == (one["op"], one.get("dedupe", ""))
+            again.answer()
+            assert len(client.rows()) == 1
+        assert not other.book.lanes
+    finally:
+        gate.close()
+        mine.close()
+        other.close()
+
+
+def test_a_kill_after_a_change_reaches_the_module_that_holds_the_request(
+    tmp_path: Path, gauge: Customer, parcel: Customer
+) -> None:
+    gate = Gatekeeper(tmp_path, gauge.text, gauge.members + parcel.members)
+    try:
+        client, asked = Client(gate.server.address), sites.fields(gauge.text, 0, 0, next(CALLS))
+        gauge.book.hold(asked["call"])
+        client.ask(**asked)
+        gauge.book.attempt(asked["call"])
+        gate.change(parcel.text)
+        held = gate.daemon._decisions._versions._older
+        assert list(held) == [0]
+        Client(gate.server.address).send(3, b"KILL QUERY %d" % client.id)
+        assert client.error()[0] == INTERRUPTED
+        assert not held  # it heard of that, and went with its last request
+        assert answered(client, sites.fields(parcel.text, 0, 0, next(CALLS))) == 0
+    finally:
+        gate.close()
+
+
 def test_no_index_of_a_class_or_tenant_reaches_a_list_that_it_was_not_made_for(
     tmp_path: Path, gauge: Customer, monkeypatch: pytest.MonkeyPatch
 ) -> None:
