Log settings_changed once requests are read under the new settings

Cause: daemon._tell_settings logged settings_changed before the server had the settings, so who read the line and asked for a new class at once could be told that it is unknown (1210); test_a_dropped_class_finishes_its_open_request_and_a_new_one_binds does just that.

Change: the line comes after. Seen to fail without: test_the_log_tells_of_new_settings_once_requests_are_read_under_them, 'assert [False] == [True]'.

--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -183,9 +183,9 @@
         self._settings = settings
         self._engines.limit(settings.limits)
         self.figures.keep(cls.name for cls in settings.classes)
+        self.on_settings(settings)
         classes = {cls.name: cls.effect.name for cls in settings.classes}
         log.event("settings_changed", version=version, classes=classes)
-        self.on_settings(settings)
 
     def _fleet_settings(self, version: int, text: bytes) -> None:
         """A version of the replicated settings that is good, from the disk or as the fleet has agreed on it."""
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -15,6 +15,7 @@
 import pytest
 
 from tealwing import interface as api
+from tealwing import log
 from tealwing.config import Config, load
 from tealwing.exchange import Query
 from tealwing.gateway import standing, versions
@@ -472,6 +473,26 @@
         gate.close()
 
 
+def test_the_log_tells_of_new_settings_once_requests_are_read_under_them(
+    tmp_path: Path, gauge: Customer, parcel: Customer, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    gate = Gatekeeper(tmp_path, gauge.text, gauge.members)
+    told: list[bool] = []
+    event = log.event
+
+    def heard(name: str, **fields: Any) -> None:
+        if name == "settings_changed":
+            told.append(gate.server.settings.classes[0].name in parcel.names)
+        event(name, **fields)
+
+    monkeypatch.setattr(log, "event", heard)
+    try:
+        gate.change(parcel.text)
+        assert told == [True]
+    finally:
+        gate.close()
+
+
 def test_threads_are_bounded_by_the_gateways_of_the_settings_in_force(tmp_path: Path, gauge: Customer) -> None:
     few, many = gauge.text | {"Siblings": 3}, gauge.text | {"Siblings": 200}
     gate = Gatekeeper(tmp_path, few, gauge.members)
