Keep the limits of new connections by connection: a descriptor may be another's by then

Cause: `Reader.watch` noted the limit of a new connection by its descriptor, for the next look at the limits, up to 0.5 s later. One that ended before, its descriptor given to the next connection, left its older limit to that one. Only peers' connections come with such a limit. Forced: the second of two with one descriptor was ended (`assert ends == [first] and reader._limits == ...`: one item more) on the code before.

--- a/tealwing/reader.py
+++ b/tealwing/reader.py
@@ -48,7 +48,7 @@
         self._lock = threading.Lock()
         self._watched: dict[int, Readable] = {}
         self._limits: dict[int, float] = {}  # monotonic, of those in the midst of a message; the thread's own
-        self._fresh: list[tuple[int, float]] = []  # limits of connections that are new, under the lock
+        self._fresh: list[tuple[int, Readable, float]] = []  # limits of connections that are new, under the lock
         self._started = False
 
     def start(self) -> None:
@@ -68,7 +68,7 @@
         with self._lock:
             self._watched[number] = connection
             if limit is not None:
-                self._fresh.append((number, limit))
+                self._fresh.append((number, connection, limit))
         try:
             self._poll.register(number, select.EPOLLIN)
         except OSError:
@@ -116,8 +116,9 @@
         if self._fresh:
             with self._lock:
                 fresh, self._fresh = self._fresh, []
-            for number, limit in fresh:
-                if number in self._watched:  # what it has said meanwhile counts, not its start
+            for number, connection, limit in fresh:
+                # what it has said meanwhile counts, not its start; and a later one may have its descriptor
+                if self._watched.get(number) is connection:
                     self._limits.setdefault(number, limit)
         if not self._limits:
             return
--- a/tests/test_engine_connections.py
+++ b/tests/test_engine_connections.py
@@ -614,3 +614,36 @@
     assert take(machine.accept()) == []
     engine.send(b"1", head, b"SELECT 1", SimpleQueue[Any]().put, LIMIT).ended()
     engine.retire()
+
+
+def test_a_limit_of_a_connection_that_has_ended_is_not_that_of_the_next_with_its_descriptor() -> None:
+    # was: limits of new connections were kept by descriptor, which another may have when they are looked at
+    reader = Reader("test-reader", limited=True)
+
+    class Same:
+        """A connection whose descriptor is that of the one before."""
+
+        def fileno(self) -> int:
+            return 5
+
+        def read(self, buffer: memoryview) -> float | None:
+            return None
+
+        def ended(self, why: Exception | None) -> None:
+            ends.append(self)
+
+    class Epoll:
+        def register(self, *_: int) -> None:
+            pass
+
+        def unregister(self, number: int) -> None:
+            pass
+
+    first, second, ends, now = Same(), Same(), list[Same](), time.monotonic()
+    vars(reader).update(_poll=Epoll(), _started=True)
+    reader.watch(first, now - 1.0)
+    reader._read(5, memoryview(b""))
+    reader._end(5, first, None)
+    reader.watch(second, now + LIMIT)
+    reader._expire()
+    assert ends == [first] and reader._limits == {5: now + LIMIT}
