Check a send against the newest engine list right before its bytes go out

Cause: `Engines.send` looked the engine up once. What followed may wait for a connect, another thread's connect or the lock of writes, and a drain heard meanwhile was not looked at: the connections knew removals and new processes only. Removals of one event were done after all its starts, so that an engine removed and started in it was gone. Who waited for another's connect to an engine that had gone waited on, to the connect limit.

Change: an engine knows whether the list has it draining, and its check, made right after the head under the lock of writes, covers that; who waits for a connection is woken. News are applied member by member. Nothing ran, so the attempt is a failed connect and the module places it elsewhere, as it does not choose a draining engine either.

A stateful test plays sends, withdrawals, whole, half, second and late answers, give-ups, ends, resets, closes of idle connections and news in any order on real sockets: each attempt hears one end, and no place, stream, descriptor or entry of the reader is left.

--- a/tealwing/resp/engine.py
+++ b/tealwing/resp/engine.py
@@ -350,7 +350,7 @@
         self._open: list[Connection] = []
         self._opening = False
         self._failures = 0  # connects that failed so far
-        self._retired = False
+        self._retired = self._draining = False
 
     def send(self, call: bytes, head: Head, body: bytes, sink: Sink, limit: float) -> Stream:
         """Send one attempt; blocks for a connect's time at most. head is asked right before the bytes go out."""
@@ -371,6 +371,16 @@
                 if fresh:  # an engine that takes connections and ends them is not asked again and again
                     raise
 
+    def drain(self, draining: bool) -> None:
+        """Whether the list has it draining: what is out runs on, and nothing more is sent.
+
+        The rules' grace is not used up. It counts from when the coordinator was told, which may be seconds before we
+        hear of it, and an engine that drains may turn away what still comes.
+        """
+        with self._changed:
+            self._draining = draining
+            self._changed.notify_all()  # who waits for a connection may go elsewhere
+
     def close_idle(self) -> None:
         """Close what no attempt uses."""
         with self._changed:
@@ -383,6 +393,7 @@
         with self._changed:
             self._retired = True
             left = list(self._open)
+            self._changed.notify_all()
         for connection in left:
             connection.retire()
 
@@ -390,6 +401,8 @@
         """ConnectFailed where the newest list allows no send."""
         if self._retired:
             raise ConnectFailed("the engine is gone")
+        if self._draining:
+            raise ConnectFailed("the engine drains")
 
     def _reserve(self, call: bytes, until: float) -> tuple[Connection, bool]:
         """A place on a connection, and whether that was opened for it.
--- a/tealwing/resp/engines.py
+++ b/tealwing/resp/engines.py
@@ -24,25 +24,25 @@
         self._reader.start()
 
     def update(self, members: tuple[Member, ...], complete: bool) -> None:
-        """Take in news of the list."""
+        """Take in news of the list. Once this returns, nothing more is sent to what drains or has gone."""
         retired: list[Engine] = []
         with self._lock:
             named = {member.entry.engine for member in members}
             gone = [number for number in self._engines if complete and number not in named]
-            for member in members:
-                number = member.entry.engine
+            retired += [self._engines.pop(number)[1] for number in gone]
+            for member in members:  # in turn: a removal may stand before a start of the same engine
+                number, health = member.entry.engine, member.entry.health
                 before = self._engines.get(number)
                 alone = before is None or before[0].name == member.name
                 log.must_hold(alone, "no two engines share a number")
-                if member.entry.health is interface.Health.GONE:
-                    gone.append(number)
-                elif before is None or not _same(before[0], member):
+                engine = before[1] if before is not None and _same(before[0], member) else None
+                if before is not None and (engine is None or health is interface.Health.GONE):
                     # a reused address or a new process: the old connections must not serve it
-                    retired += [before[1]] if before else []
-                    self._engines[number] = member, self._engine(member)
-                else:
-                    self._engines[number] = member, before[1]
-            retired += [self._engines.pop(number)[1] for number in gone if number in self._engines]
+                    retired.append(self._engines.pop(number)[1])
+                if health is not interface.Health.GONE:
+                    engine = engine or self._engine(member)
+                    engine.drain(health is interface.Health.DRAINING)
+                    self._engines[number] = member, engine
         for engine in retired:
             engine.retire()
 
--- a/tests/test_engine_connections.py
+++ b/tests/test_engine_connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import os
 import select
 import socket
@@ -13,11 +14,25 @@
 from typing import Any
 
 import pytest
-
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from tealwing import interface as api
+from tealwing.coordinator.news import Member
 from tealwing.reader import Reader, Watch
 from tealwing.resp import engine as engines
 from tealwing.resp import messages
 from tealwing.resp.engine import Answer, ConnectFailed, Connection, Engine, Lost, Stream, Withdrawn
+from tealwing.resp.engines import Engines
+from tests.build import entry, make_settings
 from tests.peers import LIMIT, say
 
 PAGE = b"a\tb\tc\n"
@@ -313,6 +328,132 @@
     assert take(sock) == [b"never_mind", b"first"] and take(sock) == []
 
 
+# The last look before the bytes
+
+
+def member(started: float = 0.0, health: api.Health = api.Health.READY, port: int = 1) -> Member:
+    return Member("s-7", "127.0.0.1", port, entry(7, started=started, health=health))
+
+
+def gone(list_: Engines, port: int) -> None:
+    list_.update((member(health=api.Health.GONE, port=port),), False)
+
+
+def unlisted(list_: Engines, port: int) -> None:
+    list_.update((), True)
+
+
+def replaced(list_: Engines, port: int) -> None:
+    list_.update((member(started=5.0, port=port),), False)
+
+
+def draining(list_: Engines, port: int) -> None:
+    list_.update((member(health=api.Health.DRAINING, port=port),), False)
+
+
+NEWS = pytest.mark.parametrize("news", [gone, unlisted, replaced, draining])
+
+
+def limits(many: int = MANY) -> api.Limits:
+    return dataclasses.replace(make_settings().limits, connect_timeout=LIMIT, multiplex=many)
+
+
+def listed(machine: Machine) -> Engines:
+    list_ = Engines(limits())
+    list_.update((member(port=machine.address[1]),), True)
+    list_.start()
+    return list_
+
+
+def nothing_came(machine: Machine, news: Callable[..., None], list_: Engines, socks: list[socket.socket]) -> None:
+    """Whether the old engine got no byte more, and what is sent after the next news comes first."""
+    if news is draining:
+        replaced(list_, machine.address[1])  # it closes what is unused
+    for sock in socks:
+        assert take(sock) == []
+
+
+@NEWS
+def test_a_connect_that_comes_up_after_the_news_sends_nothing(
+    machine: Machine, monkeypatch: pytest.MonkeyPatch, news: Callable[[Engines, int], None]
+) -> None:
+    list_, port = listed(machine), machine.address[1]
+    connect = Held(socket.create_connection)
+    monkeypatch.setattr(socket, "create_connection", connect)
+    opener = Sender(list_.send, 7, b"1", head, b"SELECT 1", None, LIMIT)
+    assert connect.reached.wait(LIMIT)
+    # another waits for the same connect
+    other = Sender(list_.send, 7, b"2", head, b"SELECT 1", None, LIMIT)
+    engine = list_._engines[7][1]
+    until(lambda: bool(engine._changed._waiters))  # type: ignore[attr-defined]
+    news(list_, port)
+    assert isinstance(other.end(), ConnectFailed)  # at once: nothing that it waits for could help it
+    connect.go.set()
+    assert isinstance(opener.end(), ConnectFailed)
+    nothing_came(machine, news, list_, [machine.accept()])
+    until(lambda: not engine._open)  # nothing is left of it
+
+
+@NEWS
+def test_a_send_that_waited_for_the_write_lock_sees_the_news(
+    machine: Machine, news: Callable[[Engines, int], None]
+) -> None:
+    list_, port = listed(machine), machine.address[1]
+    list_.send(7, b"1", head, b"SELECT 1", SimpleQueue[Any]().put, LIMIT).ended()
+    sock = machine.accept()
+    assert take(sock)[1] == b"1"
+    engine = list_._engines[7][1]
+    connection = engine._open[0]
+    held = Held(head)
+    first = Sender(list_.send, 7, b"2", held, b"SELECT 1", None, LIMIT)
+    assert held.reached.wait(LIMIT)  # it has the lock of writes, and has sent nothing yet
+    waits = threading.Event()
+    vars(connection)["_writing"] = Watched(connection._writing, waits)
+    second = Sender(list_.send, 7, b"3", head, b"SELECT 1", None, LIMIT)
+    assert waits.wait(LIMIT)
+    news(list_, port)
+    held.go.set()
+    assert isinstance(first.end(), ConnectFailed) and isinstance(second.end(), ConnectFailed)
+    assert connection.places == connection.streams == 0
+    nothing_came(machine, news, list_, [sock])
+
+
+def test_an_engine_that_drains_and_returns_is_sent_to_again_on_its_connection(machine: Machine) -> None:
+    list_, port = listed(machine), machine.address[1]
+    list_.send(7, b"1", head, b"SELECT 1", SimpleQueue[Any]().put, LIMIT).ended()
+    sock = machine.accept()
+    draining(list_, port)
+    with pytest.raises(ConnectFailed, match="drains"):
+        list_.send(7, b"2", head, b"SELECT 1", SimpleQueue[Any]().put, LIMIT)
+    list_.update((member(port=port),), False)
+    list_.send(7, b"2", head, b"SELECT 1", SimpleQueue[Any]().put, LIMIT)
+    assert [take(sock)[1] for _ in range(2)] == [b"1", b"2"] and machine.alone()
+    gone(list_, port)
+
+
+def test_attempts_that_are_out_when_the_engine_drains_get_their_answers(machine: Machine) -> None:
+    list_, port = listed(machine), machine.address[1]
+    heard: Sink = SimpleQueue()
+    stream = list_.send(7, b"1", head, b"SELECT 1", heard.put, LIMIT)
+    sock = machine.accept()
+    take(sock)
+    draining(list_, port)
+    gone(list_, port)
+    say(sock, b"1", b"200", b"sheets=1", PAGE)
+    assert isinstance(heard.get(timeout=LIMIT), Answer)
+    stream.ended()
+    assert take(sock) == []
+
+
+def test_a_removal_and_a_start_in_one_event_are_taken_in_turn(machine: Machine) -> None:
+    # was: removals of an event were done after all its starts, so that the engine was gone for good
+    list_, port = listed(machine), machine.address[1]
+    list_.update((member(health=api.Health.GONE, port=port), member(started=5.0, port=port)), False)
+    list_.send(7, b"1", head, b"SELECT 1", SimpleQueue[Any]().put, LIMIT)
+    assert take(machine.accept())[1] == b"1"
+    gone(list_, port)
+
+
 def test_an_attempt_withdrawn_leaves_no_trace(machine: Machine, reader: Reader) -> None:
     # was: its id counted as spent, and the idle time as begun anew, though the engine had heard nothing
     engine = engine_at(machine, reader.watch)
@@ -469,6 +610,30 @@
     assert again.get(timeout=LIMIT) == Lost(second)
 
 
+def test_a_process_that_returns_at_the_same_address_gets_connections_of_its_own(machine: Machine) -> None:
+    list_, port = listed(machine), machine.address[1]
+    heard: Sink = SimpleQueue()
+    later: Sink = SimpleQueue()
+    old = list_.send(7, b"1", head, b"SELECT 1", heard.put, LIMIT)
+    before = machine.accept()
+    take(before)
+    replaced(list_, port)
+    new = list_.send(7, b"1", head, b"SELECT 1", later.put, LIMIT)
+    after = machine.accept()
+    assert take(after)[1] == b"1"
+    say(before, b"1", b"200", b"-", b"old\tb\tc\n")
+    answer = heard.get(timeout=LIMIT)
+    assert isinstance(answer, Answer) and answer.stream is old and answer.body == b"old\tb\tc\n"
+    old.ended()
+    assert take(before) == []  # nothing is out there: it closes
+    say(after, b"1", b"200", b"-", PAGE)
+    answer = later.get(timeout=LIMIT)
+    assert isinstance(answer, Answer) and answer.stream is new and answer.body == PAGE
+    new.ended()
+    gone(list_, port)
+    assert heard.empty() and later.empty()
+
+
 # Writes that fail
 
 
@@ -647,3 +812,233 @@
     reader.watch(second, now + LIMIT)
     reader._expire()
     assert ends == [first] and reader._limits == {5: now + LIMIT}
+
+
+# Any order of it all
+
+
+class Attempt:
+    """One attempt that is out, as the test holds it."""
+
+    def __init__(self, stream: Stream, heard: Sink, sock: socket.socket) -> None:
+        self.stream, self.heard, self.sock = stream, heard, sock
+        self.half = b""  # of its answer, that has still to come
+
+
+IDS = 4  # of attempts that are sent: few, so that each comes again
+
+
+class Connections(RuleBasedStateMachine):
+    """One engine's connections, its processes, and the attempts on them; the reader is the real one."""
+
+    reader = Reader("test-machine-reader")
+
+    @initialize()
+    def start(self) -> None:
+        self.reader.start()
+        self.machine = Machine()
+        self.before = descriptors()
+        self.list = Engines(limits(many=2))
+        vars(self.list)["_reader"] = self.reader
+        self.started, self.health = 1.0, api.Health.READY
+        self.out: dict[int, Attempt] = {}
+        self.over: list[Sink] = []  # of attempts that have heard their end: nothing more may come
+        self.socks: dict[tuple[str, int], socket.socket] = {}
+        self.engines: list[Engine] = []
+        self.had: list[tuple[socket.socket, int]] = []  # ids that a connection has had
+        self.news()
+
+    def news(self) -> None:
+        self.list.update((member(self.started, self.health, self.machine.address[1]),), False)
+        found = self.list._engines.get(7)
+        if found is not None and found[1] not in self.engines:
+            self.engines.append(found[1])
+
+    def side_of(self, connection: Connection) -> socket.socket:
+        """The engine's side of a connection, its messages read so far."""
+        name = socket_of(connection).getsockname()
+        while name not in self.socks:
+            sock = self.machine.accept()
+            self.socks[sock.getpeername()] = sock
+        return self.socks[name]
+
+    def attempt(self, data: Any) -> Attempt:
+        return self.out.pop(data.draw(st.sampled_from(sorted(self.out))))
+
+    def lose(self, sock: socket.socket) -> None:
+        """Its connection has ended: all that is out there hears so, once."""
+        self.socks = {name: other for name, other in self.socks.items() if other is not sock}
+        for call, attempt in list(self.out.items()):
+            if attempt.sock is sock:
+                assert attempt.heard.get(timeout=LIMIT) == Lost(attempt.stream)
+                self.over.append(attempt.heard)
+                del self.out[call]
+
+    @rule(calls=st.permutations(range(IDS)), count=st.integers(1, IDS))
+    def send(self, calls: list[int], count: int) -> None:
+        for call in calls[:count]:
+            if call not in self.out:
+                self.send_one(call)
+
+    def send_one(self, call: int) -> None:
+        heard: Sink = SimpleQueue()
+        try:
+            stream = self.list.send(7, b"%d" % call, head, b"SELECT 1", heard.put, LIMIT)
+        except ConnectFailed:
+            assert self.health is not api.Health.READY
+            self.over.append(heard)
+            return
+        assert self.health is api.Health.READY
+        sock = self.side_of(stream.connection)
+        while (parts := take(sock))[:2] != [b"want", b"%d" % call]:
+            assert parts[0] in (b"want", b"never_mind", b"shut", b"hurry")
+        self.out[call] = Attempt(stream, heard, sock)
+        assert (sock, call) not in self.had  # a late answer to the earlier one would be its own
+        self.had.append((sock, call))
+
+    @rule(call=st.integers(0, IDS - 1))
+    def withdraw(self, call: int) -> None:
+        if call not in self.out:
+            heard: Sink = SimpleQueue()
+            with pytest.raises((Withdrawn, ConnectFailed)):
+                self.list.send(7, b"%d" % call, no_head, b"SELECT 1", heard.put, LIMIT)
+            self.over.append(heard)
+
+    @precondition(lambda self: self.out)
+    @rule(data=st.data(), count=st.integers(1, IDS), twice=st.booleans())
+    def answer(self, data: Any, count: int, twice: bool) -> None:
+        for _ in range(min(count, len(self.out))):
+            self.answer_one(data, twice)
+
+    def answer_one(self, data: Any, twice: bool) -> None:
+        if not self.out:
+            return
+        attempt = self.attempt(data)
+        whole = messages.encode(attempt.stream.call, b"200", b"sheets=1", PAGE)
+        others = [a for a in self.out.values() if a.sock is attempt.sock and a.half]
+        if others:  # one that has begun comes first
+            self.out[int(attempt.stream.call)] = attempt
+            attempt = self.out.pop(int(others[0].stream.call))
+            whole, attempt.half = attempt.half, b""
+        elif attempt.half:
+            whole, attempt.half = attempt.half, b""
+        attempt.sock.sendall(whole)
+        got = attempt.heard.get(timeout=LIMIT)
+        assert isinstance(got, Answer) and got.stream is attempt.stream and got.body == PAGE
+        attempt.stream.ended()
+        self.over.append(attempt.heard)
+        if twice and attempt.stream.connection.alive:
+            try:
+                say(attempt.sock, attempt.stream.call, b"200", b"sheets=1", PAGE)
+            except OSError:  # retired, and closed with its last attempt
+                self.lose(attempt.sock)
+
+    @precondition(lambda self: self.out)
+    @rule(data=st.data(), cut=st.integers(1, 30))
+    def begin_an_answer(self, data: Any, cut: int) -> None:
+        attempt = self.attempt(data)
+        self.out[int(attempt.stream.call)] = attempt
+        if not any(a.half for a in self.out.values() if a.sock is attempt.sock):
+            whole = messages.encode(attempt.stream.call, b"200", b"sheets=1", PAGE)
+            attempt.sock.sendall(whole[:cut])
+            attempt.half = whole[cut:]
+
+    @precondition(lambda self: self.out)
+    @rule(data=st.data(), word=st.sampled_from([Stream.never_mind, Stream.shut]))
+    def give_up(self, data: Any, word: Callable[[Stream], None]) -> None:
+        attempt = self.attempt(data)
+        if attempt.half:  # a message without its end would end the connection later, by the clock
+            self.out[int(attempt.stream.call)] = attempt
+            return
+        word(attempt.stream)
+        self.over.append(attempt.heard)
+
+    @precondition(lambda self: self.out)
+    @rule(data=st.data())
+    def spoil(self, data: Any) -> None:
+        attempt = self.attempt(data)
+        attempt.stream.spoilt()
+        self.over.append(attempt.heard)
+        self.lose(attempt.sock)
+
+    @precondition(lambda self: self.had)
+    @rule(data=st.data())
+    def answer_late(self, data: Any) -> None:
+        """An answer to an attempt that is over."""
+        sock, call = data.draw(st.sampled_from(self.had))
+        here = [attempt for attempt in self.out.values() if attempt.sock is sock]
+        if sock.fileno() < 0 or any(attempt.half or attempt.stream.call == b"%d" % call for attempt in here):
+            return
+        try:
+            say(sock, b"%d" % call, b"200", b"sheets=1", PAGE)
+        except OSError:  # ours has closed it
+            assert not here
+
+    @precondition(lambda self: self.socks)
+    @rule(data=st.data(), end=st.sampled_from([socket.socket.close, reset]))
+    def end(self, data: Any, end: Callable[[socket.socket], None]) -> None:
+        """The engine ends a connection, and the next step comes at once where nothing is out on it."""
+        name = data.draw(st.sampled_from(list(self.socks)))
+        sock = self.socks.pop(name)
+        end(sock)
+        self.lose(sock)
+
+    @rule()
+    def close_idle(self) -> None:
+        self.list.close_idle(7)
+
+    @rule()
+    def replace(self) -> None:
+        """A later process at the same address."""
+        self.started += 1.0
+        self.health = api.Health.READY
+        self.news()
+
+    @rule(health=st.sampled_from([*api.Health, *[api.Health.READY] * 3]))
+    def list_as(self, health: api.Health) -> None:
+        self.health = health
+        self.news()
+
+    @invariant()
+    def nobody_hears_more_than_one_end(self) -> None:
+        assert all(heard.empty() for heard in getattr(self, "over", ()))
+
+    @invariant()
+    def each_attempt_out_has_one_place(self) -> None:
+        if not hasattr(self, "engines"):
+            return
+        held = [c for engine in self.engines for c in list(engine._open)]
+        assert sum(c.places for c in held) == 0
+        assert sum(c.streams for c in held) == len(self.out)
+
+    def teardown(self) -> None:
+        if not hasattr(self, "engines"):
+            return
+        self.health = api.Health.GONE
+        self.news()  # what is unused closes; the rest with its last attempt
+        for attempt in list(self.out.values()):
+            attempt.stream.never_mind()
+            self.over.append(attempt.heard)
+        until(lambda: not any(engine._open for engine in self.engines))
+        until(lambda: not self.reader._watched and not self.reader._limits)
+        while not self.machine.alone():
+            self.machine.accept()
+        for sock in (*self.machine.socks, *self.socks.values()):
+            sock.close()
+        until(lambda: descriptors() == self.before)
+        self.nobody_hears_more_than_one_end()
+        self.machine.close()
+
+
+def test_any_order_of_ends_gives_each_attempt_one_end_and_leaves_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(engines, "MESSAGE_LIMIT", LIMIT)
+    run_state_machine_as_test(
+        Connections,
+        settings=settings(
+            max_examples=60,
+            stateful_step_count=40,
+            deadline=None,
+            derandomize=True,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
