Bound the connections to engines by their share of the descriptors

Cause, seen in a trial: 12 engines that take one attempt a connection had 192 connections of a budget of 126 (resp/engine.py, _reserve: sixteen to each engine, and no bound over all), so a client, the watch or the admin address could meet EMFILE. resp/quota.py gives places before a connect and takes them back at a connection's end; when all are taken, the connection that no attempt has used for longest closes, whichever engine's; where there is none the send is a failed connect, as nothing ran. service.py asks the server for its connections instead of its table. Seen to fail without (the quota always free): 'assert 3 == 2' of the places, and DID NOT RAISE ConnectFailed. Joined after: test_sites and test_engine_connections import watch updates by their new name.

--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -59,7 +59,7 @@
         self._levels_rules: Plan | None = None
         self._allowed: Callable[..., frozenset[int] | None] = lambda *_: None  # routing's, once there is a table
         self._changing = threading.RLock()  # one change of settings or levels at a time, whoever brings it
-        self._engines = Engines(config.settings.limits)
+        self._engines = Engines(config.settings.limits, config.descriptors.engines)
         self._decisions = Decisions(config.settings, config.seed, self._engines)
         self.figures = Figures((cls.name for cls in config.settings.classes), (end.value for end in End))
         self.figures.gauges = self._gauges
--- a/tealwing/mysql/server.py
+++ b/tealwing/mysql/server.py
@@ -101,6 +101,12 @@
         host, port = self._listener.getsockname()
         return host, port
 
+    @property
+    def connections(self) -> int:
+        """Clients' connections that are open, those among them that linger."""
+        with self._changed:
+            return self._held()
+
     def session(self, number: int) -> Session | None:
         """The session of a connection id."""
         with self._changed:
--- a/tealwing/resp/engine.py
+++ b/tealwing/resp/engine.py
@@ -14,6 +14,7 @@
 from tealwing import log, threads
 from tealwing.reader import Watch
 from tealwing.resp import messages
+from tealwing.resp.quota import Quota
 from tealwing.sockets import Address, set_limit
 
 WRITE_LIMIT = 0.25  # s that a write may wait for an engine which takes nothing
@@ -342,9 +343,16 @@
     """One process of one engine, at one address. A later process gets an Engine of its own."""
 
     def __init__(
-        self, address: Address, streams: int, connect_limit: float, idle_limit: float, watch: Watch
+        self,
+        address: Address,
+        streams: int,
+        connect_limit: float,
+        idle_limit: float,
+        watch: Watch,
+        quota: Quota | None = None,
     ) -> None:
-        self.address, self._watch = address, watch
+        """quota bounds the connections of all engines together; None: they are not bounded."""
+        self.address, self._watch, self._quota = address, watch, quota or Quota()
         self._streams, self._connect_limit, self._idle_limit = streams, connect_limit, idle_limit
         self._changed = threading.Condition()
         self._open: list[Connection] = []
@@ -393,6 +401,11 @@
         for connection in all_open:
             connection.close_unused()
 
+    def idle(self) -> list[Connection]:
+        """The connections that no attempt uses."""
+        with self._changed:
+            return [one for one in self._open if not one.streams and not one.places]
+
     def retire(self) -> None:
         """Send nothing more; attempts that are out run to their end."""
         with self._changed:
@@ -429,7 +442,11 @@
                 if not self._changed.wait(until - time.monotonic()) or self._failures != failures:
                     raise ConnectFailed("no connection in time")
         opened: Connection | None = None
+        place = False
         try:
+            place = self._quota.take(until)
+            if not place:
+                raise ConnectFailed("connections to engines hold all the descriptors that they may")
             opened = self._connect(until - time.monotonic())
             opened.reserve(call, self._streams, inf)
             try:
@@ -449,6 +466,8 @@
                     if self._retired:
                         opened.retire()
                 self._changed.notify_all()
+            if place and opened is None:
+                self._quota.give()
 
     def _connect(self, limit: float) -> Connection:
         if limit <= 0:
@@ -466,3 +485,4 @@
         with self._changed:
             if connection in self._open:
                 self._open.remove(connection)
+        self._quota.give()
--- a/tealwing/resp/engines.py
+++ b/tealwing/resp/engines.py
@@ -8,13 +8,16 @@
 from tealwing.coordinator.updates import Member
 from tealwing.reader import Reader
 from tealwing.resp.engine import ConnectFailed, Engine, Head, Sink, Stream
+from tealwing.resp.quota import UNBOUNDED, Quota
 
 
 class Engines:
     """The engines at their present addresses; an address or a process that changed gets new connections."""
 
-    def __init__(self, limits: interface.Limits) -> None:
+    def __init__(self, limits: interface.Limits, most: int = UNBOUNDED) -> None:
+        """most is the number of connections at once, to all engines together."""
         self._limits = limits
+        self._quota = Quota(most, self._close_longest_idle)
         self._lock = threading.Lock()
         self._engines: dict[int, tuple[Member, Engine]] = {}
         self._reader = Reader()
@@ -69,10 +72,20 @@
         if found is not None:
             found[1].close_idle()
 
+    def _close_longest_idle(self) -> None:
+        """Have the connection end that no attempt has used for longest: another engine needs its descriptor."""
+        with self._lock:
+            engines = [engine for _, engine in self._engines.values()]
+        idle = [connection for engine in engines for connection in engine.idle()]
+        if idle:
+            min(idle, key=lambda connection: connection.idle_since).close_unused()
+
     def _engine(self, member: Member) -> Engine:
         limits = self._limits
         address = member.host, member.port
-        return Engine(address, limits.multiplex, limits.connect_timeout, limits.idle_time, self._reader.watch)
+        return Engine(
+            address, limits.multiplex, limits.connect_timeout, limits.idle_time, self._reader.watch, self._quota
+        )
 
 
 def _same(one: Member, other: Member) -> bool:
--- a/tealwing/service.py
+++ b/tealwing/service.py
@@ -87,7 +87,7 @@
         failed=failed,  # with those cut short, and those that their clients gave up
         cut_short=cut_short,
         unanswered=daemon.open_requests,
-        connections=len(server._sessions),
+        connections=server.connections,
     )
 
 
--- a/tests/test_engine_connections.py
+++ b/tests/test_engine_connections.py
@@ -26,7 +26,7 @@
 )
 
 from tealwing import interface as api
-from tealwing.coordinator.news import Member
+from tealwing.coordinator.updates import Member
 from tealwing.reader import Reader, Watch
 from tealwing.resp import engine as engines
 from tealwing.resp import messages
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -17,7 +17,7 @@
 from tealwing import interface as api
 from tealwing import log
 from tealwing.config import Config, load
-from tealwing.coordinator.news import engine_number
+from tealwing.coordinator.updates import engine_number
 from tealwing.exchange import Query
 from tealwing.gateway import standing, versions
 from tealwing.gateway.daemon import Daemon
