Peek where poll does not know the socket: only a told hang-up counts as the engine's end

Cause, by reading: where poll answers POLLNVAL for a descriptor that is open, as a library that stands before the system's calls might, each new connection would pass for ended and every send would fail.

--- a/tealwing/resp/engine.py
+++ b/tealwing/resp/engine.py
@@ -22,7 +22,7 @@
 SPENT = 1000  # ids of the past that a connection remembers, many more than one round trip's
 MESSAGE_LIMIT = 0.5  # s for the rest of a message that has begun: pages are short and engines near
 LAST_END = 2  # bytes of the line end that closes a message: an engine may act before it has them
-OVER = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL  # the peer says nothing more
+OVER = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # the peer says nothing more
 
 
 class ConnectFailed(Exception):
--- a/tests/test_engine_connections.py
+++ b/tests/test_engine_connections.py
@@ -493,20 +493,23 @@
     stream.connection.ended(EOFError())
 
 
-def test_an_end_is_seen_where_poll_can_not_tell_it(machine: Machine) -> None:
+@pytest.mark.parametrize("ends", [True, False])
+@pytest.mark.parametrize("told", [select.POLLIN, select.POLLNVAL])
+def test_an_end_is_told_from_none_where_poll_can_not_tell_it(machine: Machine, told: int, ends: bool) -> None:
     engine = engine_at(machine, unread)
     connection, sock = used(engine, machine)
-    sock.close()
-    wait_for_end(socket_of(connection))
+    if ends:
+        sock.close()
+        wait_for_end(socket_of(connection))
 
     class Plain:
         def poll(self, _: int) -> list[tuple[int, int]]:
-            return [(connection.fileno(), select.POLLIN)]
+            return [(connection.fileno(), told)]
 
     vars(connection)["_look"] = Plain()
     stream = engine.send(b"second", head, b"SELECT 1", SimpleQueue[Any]().put, LIMIT)
-    assert stream.connection is not connection
-    for left in (connection, stream.connection):
+    assert (stream.connection is not connection) == ends
+    for left in {connection, stream.connection}:
         left.ended(EOFError())
 
 
