Hand on whole answers though what follows them in one read is malformed

Cause: resp.messages.Parser.feed raised at the malformed bytes and took the whole arrays before them along, so attempts that were answered heard Lost; one unsafe to repeat then fails. The parser gives what is whole and keeps the fault, which the connection raises after handing on. Seen to fail without: 'assert isinstance(answer, Answer)' saw Lost.

--- a/tealwing/resp/engine.py
+++ b/tealwing/resp/engine.py
@@ -307,6 +307,8 @@
         found = self._parser.feed(buffer[:size])
         for parts in found:
             self._hand_on(parts)
+        if self._parser.fault is not None:
+            raise self._parser.fault
         if not self._parser.begun:
             self._begun = 0.0
             return None
--- a/tealwing/resp/messages.py
+++ b/tealwing/resp/messages.py
@@ -27,6 +27,7 @@
         self._at = 0
         self._want = 0  # strings still missing of the array begun
         self._parts: list[bytes] = []
+        self.fault: RespError | None = None  # of what follows the arrays that `feed` gave last
 
     @property
     def begun(self) -> bool:
@@ -34,11 +35,18 @@
         return bool(self._data or self._want)
 
     def feed(self, data: bytes | memoryview) -> list[list[bytes]]:
-        """The whole arrays, now that data has come."""
+        """The whole arrays, now that data has come; a fault behind some of them must not hide them."""
+        if self.fault is not None:
+            raise self.fault
         self._data += data
         found = []
-        while (parts := self._next()) is not None:
-            found.append(parts)
+        try:
+            while (parts := self._next()) is not None:
+                found.append(parts)
+        except RespError as error:
+            if not found:
+                raise
+            self.fault = error
         del self._data[: self._at]
         self._at = 0
         return found
--- a/tests/test_engine_connections.py
+++ b/tests/test_engine_connections.py
@@ -574,6 +574,21 @@
     assert heard.empty()
 
 
+def test_a_whole_answer_is_heard_though_what_follows_it_is_malformed(machine: Machine) -> None:
+    # was: the answers that came in one read with malformed bytes were lost with them
+    engine = engine_at(machine, unread)
+    heard: Sink = SimpleQueue()
+    streams = [engine.send(name, head, b"SELECT 1", heard.put, LIMIT) for name in (b"1", b"2")]
+    sock = machine.accept()
+    sock.sendall(messages.encode(b"1", b"200", b"-", PAGE) + b"?no message\r\n")
+    assert select.select([socket_of(streams[0].connection)], [], [], LIMIT)[0]
+    read(streams[0].connection)
+    answer = heard.get(timeout=LIMIT)
+    assert isinstance(answer, Answer) and answer.stream is streams[0] and answer.body == PAGE
+    # nobody has said of the first that it is over
+    assert [heard.get(timeout=LIMIT) for _ in streams] == [Lost(stream) for stream in streams]
+
+
 def test_an_answer_that_never_ends_is_a_loss(
     machine: Machine, reader: Reader, monkeypatch: pytest.MonkeyPatch
 ) -> None:
