--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -42,12 +42,8 @@
     def __init__(self) -> None:
         super().__init__()
         self.found: queue.Queue[tuple[str, dict[str, Any]]] = queue.Queue()
-        # threads that gateways of tests before this one left in the process: their watches end now and then too
-        self.others = {thread.ident for thread in threading.enumerate()} - {threading.get_ident()}
 
     def emit(self, record: logging.LogRecord) -> None:
-        if record.thread in self.others:
-            return
         self.found.put((record.msg, getattr(record, "fields", {})))
 
     def next(self, name: str, **having: Any) -> dict[str, Any]:
@@ -109,35 +105,6 @@
     sock.sendall(b"".join(json.dumps(one).encode() + b"\n" for one in events))
 
 
-class Left(BaseException):
-    """Ends a follower's loop; no handler of its own takes it."""
-
-
-@pytest.fixture(autouse=True)
-def followers(monkeypatch: pytest.MonkeyPatch) -> Iterator[None]:
-    """Ends the threads of the followers that a test starts: they would speak into the next one's log."""
-    started: list[tuple[Follower, threading.Thread]] = []
-
-    def start(self: Follower) -> None:
-        def run() -> None:
-            with contextlib.suppress(Left):
-                self._run()
-
-        started.append((self, threading.Thread(target=run, daemon=True)))
-        started[-1][1].start()
-
-    def leave(seconds: float) -> bool:
-        raise Left
-
-    monkeypatch.setattr(Follower, "start", start)
-    yield
-    for one, thread in started:
-        monkeypatch.setattr(one._moved, "wait", leave)
-        one.move(("127.0.0.1", 1))
-        thread.join(LIMIT)
-        assert not thread.is_alive()
-
-
 @pytest.fixture
 def coordinator() -> Iterator[Coordinator]:
     coordinator = Coordinator()
