Start no more session threads than there may be when two are started at once

`_work` looks at the number of threads under the lock and `_start_thread` adds to it under the lock a second time, so that two of them find room for the same last one.

Forced: both threads are held between the two. Without the mend: "assert 4 <= 3" in test_two_that_start_a_thread_at_once_start_no_more_than_there_may_be; with it the test passes. `_start_thread` looks again.

--- a/tealwing/mysql/server.py
+++ b/tealwing/mysql/server.py
@@ -284,6 +284,8 @@
     def _start_thread(self) -> bool:
         """Whether a further thread waits for clients now; where none can be had, those that are there go on."""
         with self._changed:
+            if self._threads >= self._most_threads:  # another has started one since this was looked at
+                return False
             self._threads, self._free = self._threads + 1, self._free + 1
         try:
             threads.start(self._work, "session")
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -139,6 +139,27 @@
         assert many._changed.wait_for(lambda: not many._sessions, LIMIT)
 
 
+def test_two_that_start_a_thread_at_once_start_no_more_than_there_may_be(monkeypatch: pytest.MonkeyPatch) -> None:
+    # guards the limit on threads: both had looked at the count before either of them had added its own
+    both, real = threading.Barrier(2), server.Server._start_thread
+
+    def start(self: server.Server) -> bool:
+        if self._threads == 2:
+            both.wait(LIMIT)  # each has found that there may be one more
+        return real(self)
+
+    monkeypatch.setattr(server.Server, "_start_thread", start)
+    few = server.Server(("127.0.0.1", 0), 8, make_settings(), refuse, most_threads=3)
+    few.start()
+    clients = [socket.create_connection(few.address, LIMIT) for _ in range(3)]
+    for client in clients:
+        assert client.recv(4096)
+        client.close()
+    assert few._threads <= 3
+    few.stop_listening()
+    assert few.finish(LIMIT)
+
+
 def test_what_waited_for_a_thread_past_its_time_is_refused_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     # guards the deadline of what no thread took in time: its whole answer comes at once, not after as long again
     begun, go = threading.Event(), threading.Event()
