--- a/tealwing/mysql/lingering.py
+++ b/tealwing/mysql/lingering.py
@@ -25,6 +25,8 @@
 
     def drop(self, sock: socket.socket, buffer: memoryview, clock: Callable[[], float]) -> bool:
         """Read what has come; whether more is waited for. Never blocks."""
+        if not buffer:  # a read of no bytes looks like the client's end
+            return True
         while self.left > 0 and clock() < self.until:
             try:
                 size = sock.recv_into(buffer, 0, socket.MSG_DONTWAIT)
