Watch a client while its request is open, and have KILL count at any moment

Cause, each seen by a forced test that fails without its mend (tests/test_departures.py; mend taken out on a scratch copy, failing line in brackets): - a session's descriptor was armed between commands only, so nobody saw a client leave under its request: with no watch 13 tests fail [engine.next(b"never_mind") gets nothing, for FIN, RST, a half-close, and a FIN behind a command] - kill() read the exchange alone: a KILL before it was set, under the gate or over a request not yet read was answered OK and lost [client.error() after kill in ..._before_the_exchange_is_there, ..._while_it_is_held[killed], ..._of_what_waits_for_a_thread] - with all session threads busy nobody took events: a KILL waited for the thread that it would have freed [kill() in ..._counts_while_no_thread_is_free, both ways; never_mind in ..._seen_while_no_thread_is_free]

Change: while a request is open the descriptor is armed for EPOLLRDHUP, one-shot, in the one epoll set, with no interest in reading. An event is a hint. Who has the event of a session that is armed for reading takes it out of _armed under the lock, so that an old one serves nobody twice; else the socket is asked under the session's lock while its exchange is set. Our own SHUT_RD does not count (_deaf, set before it). What was left has no answer, and its session ends. KILL marks a command that has come and has no exchange yet; the mark goes with that command, or as the session rests. While no session thread is free for 30 ms the thread of the time limits stands in at the epoll set: it peeks, answers what is whole and can't wait (KILL from its connect on), and puts the rest aside unread for the next free thread. No thread more.

No fault: an answer that crosses the leaving, and an old event on a descriptor that another session has got: kept as forced tests; believing the event, or serving on any event, fails them.

Cost: two system calls a request (epoll_ctl, poll).

--- /dev/null
+++ b/tealwing/mysql/departures.py
@@ -0,0 +1,61 @@
+"""Whether a client has left, asked of its socket; and what of a client can be answered without a request."""
+
+from __future__ import annotations
+
+import select
+import socket
+
+from tealwing.mysql import packets, statements
+
+# What tells that a client has left while its request is open. There is no interest in reading: what it sends ahead
+# waits its turn and wakes nobody. Hang-ups and errors are always told.
+LEAVING = select.EPOLLRDHUP | select.EPOLLONESHOT
+QUERY = 0x03
+
+
+def has_left(sock: socket.socket) -> bool:
+    """Whether the peer has closed or reset the connection, or its sending half, also behind bytes not yet read.
+
+    It never waits. A system that does not tell an end behind unread bytes (POLLRDHUP) tells it once they are read.
+    """
+    found = select.poll()
+    found.register(sock, select.POLLIN | select.POLLRDHUP)
+    events = found.poll(0)
+    if not events:  # an end can be read too, so that this is sure everywhere
+        return False
+    if events[0][1] & (select.POLLRDHUP | select.POLLHUP | select.POLLERR):
+        return True
+    try:
+        return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
+def brief(sock: socket.socket, inside: bool, buffer: memoryview) -> int | None:
+    """How many bytes have come, if all are whole commands that are answered at once, of which KILL is one.
+
+    None where anything else has come, or the client does not take what it is answered: that may have to wait. inside
+    tells whether the client is logged in. Nothing is read. An end, or an error, counts as a byte: reading it says so.
+    """
+    try:
+        size = sock.recv_into(buffer, 0, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return 0
+    except OSError:
+        return 1
+    parser = packets.Parser()
+    parser.feed(buffer[:size])
+    try:
+        while (message := parser.next()) is not None:
+            command, inside = inside, True  # what comes before the commands is the login
+            if command and message[1][:1] == bytes([QUERY]) and statements.kill(message[1][1:]) is None:
+                return None
+    except packets.PacketError:
+        return None
+    taking = select.poll()
+    taking.register(sock, select.POLLOUT)
+    if parser.begun or not taking.poll(0):
+        return None
+    return size or 1
--- a/tealwing/mysql/server.py
+++ b/tealwing/mysql/server.py
@@ -15,10 +15,12 @@
 import threading
 import time
 import traceback
+from collections import deque
 from collections.abc import Callable
 
 from tealwing import interface, log, threads
 from tealwing.exchange import Gate, Open
+from tealwing.mysql.departures import LEAVING
 from tealwing.mysql.session import Session
 from tealwing.sockets import Address
 
@@ -28,6 +30,8 @@
 ACCEPT_PAUSE = 0.05  # s before a failed accept is tried again
 LOOK = 0.25  # s between two looks at the time limits of clients, and at who is late to leave
 READ_SIZE = 4 * 1024  # bytes of a thread's buffer: statements are short
+BRIEF_SIZE = 512  # bytes read at once where no thread is free: a login and a KILL, and answers that never wait
+STAND_IN = 0.03  # s without a free thread before another stands in: most bursts are over by then, a KILL is in time
 
 ARMED = select.EPOLLIN | select.EPOLLONESHOT
 
@@ -68,8 +72,11 @@
         self._changed = threading.Condition()
         self._sessions: dict[int, Session] = {}
         self._waiting: dict[int, Session] = {}  # by descriptor: those in the epoll set
+        self._armed: set[int] = set()  # of these, those armed for reading: who has the event takes its descriptor out
+        self._aside: deque[Session] = deque()  # ready, and taken out of the epoll set by who stands in
         self._threads = self._free = 0  # all, and those that wait for something to do
         self._short = 0.0  # monotonic, since when no thread has been free; 0: one has
+        self._busy = threading.Event()  # no thread is free
         self._full = False  # nobody is accepted until a session ends
         self._stopping, self._over = threading.Event(), threading.Event()
         self.shared = inherited is not None  # the queue is another process's too
@@ -101,6 +108,7 @@
         """A session is over; its descriptor is closed next."""
         with self._changed:
             self._sessions.pop(session.number, None)
+            self._armed.discard(session.fileno())
             if self._waiting.pop(session.fileno(), None) is not None:
                 self._ready.unregister(session.fileno())
             full, self._full = self._full, False
@@ -141,6 +149,7 @@
         """Let the threads go."""
         if not self._over.is_set():
             self._over.set()
+            self._busy.set()
             os.close(self._alive)
 
     def _work(self) -> None:
@@ -162,6 +171,8 @@
                     self._short = time.monotonic()
             if more:
                 self._start_thread()
+            if self._free <= 0:  # each that takes a client looks here: the last free one too
+                self._all_busy()
             try:
                 if session.run(buffer, time.monotonic() - since if since else 0.0):
                     self._await(session)  # from here on it may be another thread's
@@ -171,6 +182,8 @@
                 enough = self._free >= FREE_THREADS[1]
                 self._free += not enough
                 self._threads -= enough
+                if self._busy.is_set():
+                    self._busy.clear()
                 self._changed.notify_all()
             if enough:
                 return
@@ -178,21 +191,34 @@
     def _next(self) -> Session | None:
         """A new client, or one that has said something or gone; None at the end."""
         while not self._over.is_set():
+            if self._aside:
+                with contextlib.suppress(IndexError):  # another thread has had it
+                    return self._aside.popleft()
             short = self._short
             ready = self._ready.poll(0 if short else None, 1)
             if not ready:  # nobody waits for a thread any more
                 self._short = 0.0
                 continue
             number = ready[0][0]
-            if number == self._listener.fileno():
-                session = self._accept()
-            else:
-                with self._changed:
-                    session = self._waiting.get(number)
+            session = self._accept() if number == self._listener.fileno() else self._claim(number)
             if session is not None:
                 return session
         return None
 
+    def _claim(self, number: int) -> Session | None:
+        """The session of a descriptor that is ready, to be served by who has it first.
+
+        A session with a request open is nobody's to take: what is ready of it is its client's end. An event may be
+        an old one, taken before the descriptor was armed anew: so it is a hint, and what holds is asked for.
+        """
+        with self._changed:
+            session, mine = self._waiting.get(number), number in self._armed
+            self._armed.discard(number)
+        if session is None or mine:
+            return session
+        session.look()
+        return None
+
     def _accept(self) -> Session | None:
         """Take a new client, if one is still there, and let the next thread take the next."""
         try:
@@ -224,25 +250,41 @@
     def _await(self, session: Session) -> None:
         """Have the session served when its client says something; another thread may have it at once."""
         number = session.fileno()
-        with self._changed:
-            new = number not in self._waiting
-            self._waiting[number] = session
-            try:
-                if new:
-                    self._ready.register(number, ARMED)
-                else:
-                    self._ready.modify(number, ARMED)
-                return
-            except OSError as error:  # the system's room for what is waited for has run out
-                del self._waiting[number]
-                why = str(error)
-        log.event("client_lost", error=why)
-        session.close()
+        try:
+            with self._changed:
+                self._armed.add(number)
+                self._arm(session, ARMED)
+        except OSError as error:  # the system's room for what is waited for has run out
+            log.event("client_lost", error=str(error))
+            session.close()
+
+    def watch(self, session: Session) -> None:
+        """Hear of it when the client leaves. By the thread that has its request open: the only one to arm it now."""
+        try:
+            self._arm(session, LEAVING)
+        except OSError as error:  # no room: what is asked before each send still holds
+            log.event("client_unwatched", error=str(error))
+
+    def _arm(self, session: Session, events: int) -> None:
+        """Have the next of these events taken, and no other; by the thread that has the session."""
+        number = session.fileno()
+        new = number not in self._waiting
+        self._waiting[number] = session
+        try:
+            if new:
+                self._ready.register(number, events)
+            else:
+                self._ready.modify(number, events)
+        except OSError:
+            del self._waiting[number]
+            raise
 
     def _start_thread(self) -> bool:
         """Whether a further thread waits for clients now; where none can be had, those that are there go on."""
         with self._changed:
             self._threads, self._free = self._threads + 1, self._free + 1
+            if self._busy.is_set():
+                self._busy.clear()
         try:
             threads.start(self._work, "session")
         except threads.NoThread:  # logged there, once an episode
@@ -253,13 +295,54 @@
 
     def _look(self) -> None:
         """Part with the clients whose time is over."""
-        while not self._over.wait(LOOK):
+        while not self._pause(LOOK):
             now = time.monotonic()
             with self._changed:
                 over = [session for session in self._sessions.values() if session.waited(now) >= 1]
             for session in over:
                 session.part()
 
+    def _pause(self, seconds: float) -> bool:
+        """Let time pass, and stand in meanwhile while no thread is free; whether the end has come."""
+        until = time.monotonic() + seconds
+        while not self._over.is_set() and (left := until - time.monotonic()) > 0:
+            if self._busy.wait(left) and not self._over.wait(min(STAND_IN, left)):
+                self._stand_in(until)
+        return self._over.is_set()
+
+    def _stand_in(self, until: float) -> None:
+        """While no session thread is free, take what is ready, and see to what can't wait for one.
+
+        That is a KILL, from its connect on, and the end of a client whose request is open: both may be what frees a
+        thread. They need none of their own: this one has little else to do, and nothing here waits, as commands that
+        may are only peeked at and put aside, unread, for the next session thread that is free.
+        """
+        buffer = memoryview(bytearray(BRIEF_SIZE))
+        while self._free <= 0 and not self._over.is_set() and (left := until - time.monotonic()) > 0:
+            try:
+                for number, _ in self._ready.poll(left, 1):
+                    session = self._accept() if number == self._listener.fileno() else self._claim(number)
+                    if session is not None:
+                        self._serve_brief(session, buffer)
+            except Exception:  # a fault of ours must not end the looking
+                log.must_hold(False, f"standing in goes on: {traceback.format_exc(limit=-3)}")
+                return
+
+    def _serve_brief(self, session: Session, buffer: memoryview) -> None:
+        going = session.run_brief(buffer)
+        if going is None:
+            with self._changed:
+                if self._free <= 0:  # who is free next looks there first
+                    self._aside.append(session)
+                    return
+        if going is not False:
+            self._await(session)
+
+    def _all_busy(self) -> None:
+        with self._changed:
+            if self._free <= 0 and not self._busy.is_set():
+                self._busy.set()
+
     def _make_room(self) -> None:
         """Part with the client that has let most of its time pass: usual ones need the descriptor.
 
--- a/tealwing/mysql/session.py
+++ b/tealwing/mysql/session.py
@@ -24,7 +24,7 @@
     Turned,
     Unusable,
 )
-from tealwing.mysql import packets, statements
+from tealwing.mysql import departures, packets, statements
 from tealwing.sockets import receive, set_limit, silence, stamp
 
 if TYPE_CHECKING:  # the server knows its sessions, and they know it
@@ -74,6 +74,10 @@
         self._parted = False  # closed to make room or as its time is over: what it still says is sent again elsewhere
         self._closing = False  # the gateway ends: close once what has come is answered, under the lock
         self._idle = False  # waiting for a further command, under the lock
+        self._due = False  # a command has come, or may have, and is not yet answered, under the lock
+        self._killed = False  # by a KILL that came before the exchange of what is due was there, under the lock
+        self._deaf = False  # our reading side is shut, by us: from then on the client seems to have left
+        self._left = False  # the client has left under a request: nothing is owed to it
 
     def fileno(self) -> int:
         """The client's descriptor."""
@@ -97,15 +101,42 @@
                 self.close()
         return going
 
+    def run_brief(self, buffer: memoryview) -> bool | None:
+        """As run, and never waits; None, with nothing read, where what has come may have to: a request most of all."""
+        if not self._greeted:
+            return self.run(buffer[:0])
+        size = None if self._parser.begun else departures.brief(self._sock, self._in, buffer)
+        return None if size is None else self.run(buffer[:size])
+
+    def left(self) -> bool:
+        """Whether the client of the open request has left; one that has shut its sending half has too."""
+        if not self._left and departures.has_left(self._sock) and not self._deaf:  # asked last: set before our shutdown
+            self._left = True
+        return self._left
+
+    def look(self) -> None:
+        """The client may have left: if it has, give its open request up.
+
+        What is asked is the socket, not the event that came: that may be older than the request, or our own doing.
+        """
+        with self._lock:  # while there is an exchange its thread does not close the socket
+            exchange = self._exchange if self._exchange is not None and self.left() else None
+        if exchange is not None:
+            exchange.abandon()
+
     def close(self) -> None:
         """It is over."""
         self.server.ended(self)
         self._sock.close()
 
     def kill(self, query_only: bool) -> None:
-        """KILL: give the open request up, and end the session unless only the query was meant."""
+        """KILL: give the open request up, and end the session unless only the query was meant.
+
+        The open request may be one that is still read, held by the gate, or not read yet: it is not sent then.
+        """
         with self._lock:
             exchange = self._exchange
+            self._killed = exchange is None and (self._due or self._unread())
         if exchange is not None:
             exchange.abandon()
         if not query_only:
@@ -125,7 +156,16 @@
         if idle:
             self._shut()
 
+    def _unread(self) -> bool:
+        """Whether the client that is waited for has sent something. Under the lock."""
+        if self._waiting is None:  # it is over, or its thread has not begun
+            return False
+        with contextlib.suppress(OSError):  # nothing has come
+            return self._parser.begun or bool(self._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        return False
+
     def _shut(self) -> None:
+        self._deaf = True
         with contextlib.suppress(OSError):  # it may have gone by itself
             self._sock.shutdown(socket.SHUT_RD)
 
@@ -160,17 +200,20 @@
                 return False
             self._waiting = self._since, min(limit, self._rest) if self._rest else limit
             self._idle = not self._first and not begun
+            self._due, self._killed = False, self._killed and begun
         return True
 
     def _serve(self, buffer: memoryview, short: float) -> bool:
         """Read once, and answer the messages that are whole; whether the session goes on."""
         with self._lock:  # from here on it is not parted with: see part
-            self._idle, self._waiting = False, None
+            self._idle, self._waiting, self._due = False, None, True
             if self._parted:
                 return False
         if not self._greeted:
             self._sock.sendall(packets.packet(0, packets.greeting(self.number, _scramble())))
             self._greeted = True
+        if not buffer:
+            return True
         self._late = min(short, silence(self._sock)) if short else 0.0
         try:
             size = self._read(buffer)
@@ -245,26 +288,50 @@
         if other is None:
             return UNKNOWN_THREAD
         other.kill(killed.query_only)
+        if other is self:  # what this client sends next is no open request
+            with self._lock:
+                self._killed = False
         return packets.ok()
 
     def _query(self, text: bytes) -> bytes:
+        with self._lock:
+            self._due = True
+        try:
+            reply = self._ask(text)
+        finally:
+            with self._lock:  # from here on a KILL, or an event of the descriptor, is not for this request
+                self._exchange, self._due, self._killed = None, False, False
+        if self._left:
+            raise ConnectionAbortedError("it left while its request was open")
+        return reply
+
+    def _ask(self, text: bytes) -> bytes:
+        """The answer to a request."""
         try:
             if self.server.gate is not None:
                 passed = self._pass(text, self.server.gate)
                 if isinstance(passed, Turned):
                     return answer(Refused(passed.pushback))
+                if isinstance(passed, Abandoned):
+                    return answer(passed)
                 query, exchange = passed
             else:
                 settings = self.server.settings  # one version for the reading and the deciding
                 query = statements.query(text, settings, self._taken)
                 if self._late:  # its time has run since it came: past its deadline it is refused at once
                     query = dataclasses.replace(query, ttl=query.ttl - self._late)
+                query.asks(self.left)
+                if self._killed or (self._late and self.left()):
+                    return answer(Abandoned())
                 exchange = self.server.open(query, settings)
         except Unusable as error:
             log.event("request_unusable", error=str(error))
             return packets.packet(1, packets.error(1210, "HY000", f"Incorrect arguments: {error}"))
         with self._lock:
-            self._exchange = exchange
+            self._exchange, killed = exchange, self._killed
+        if killed:
+            exchange.abandon()
+        self.server.watch(self)
         begun = time.monotonic()
         try:
             return answer(exchange.run())
@@ -272,12 +339,11 @@
             took = time.monotonic() - begun
             if took > query.ttl:
                 log.event("answer_late", call=query.call.decode(), ttl=query.ttl, took=took)
-            with self._lock:
-                self._exchange = None
 
-    def _pass(self, text: bytes, gate: Gate) -> tuple[Query, Exchange] | Turned:
+    def _pass(self, text: bytes, gate: Gate) -> tuple[Query, Exchange] | Turned | Abandoned:
         """Open a request that the gate lets in, read under the version of the rules that then decides it.
 
+        One that was given up while it was held is not opened.
         Raises Unusable; of a request that can't be read, only when it could have passed.
         """
         settings, late = self.server.settings, self._late
@@ -298,8 +364,11 @@
                 late += time.monotonic() - now
                 settings = self.server.settings
                 query = statements.query(text, settings, self._taken)
+            if self._killed or (entered.held and self.left()):
+                return Abandoned()
             if late:  # its time has run since it came: past its deadline it is refused at once
                 query = dataclasses.replace(query, ttl=query.ttl - late)
+            query.asks(self.left)
             try:
                 return query, self.server.open(query, settings)
             except Outdated as error:
