--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -168,6 +168,97 @@
         customer.close()
 
 
+class Load:
+    """Clients that ask for both customers' classes in turn, each over a session of its own, until they are stopped."""
+
+    def __init__(self, address: tuple[str, int], *customers: Customer) -> None:
+        self.ended: list[tuple[str, str, float, float, int]] = []  # customer, call, asked, answered, error
+        self.faults: list[BaseException] = []
+        self._stop, self._step = threading.Event(), threading.Condition()
+        self._address, self._customers = address, customers
+        self._threads = [threading.Thread(target=self._run, args=(at,), daemon=True) for at in range(CLIENTS)]
+        for thread in self._threads:
+            thread.start()
+
+    def round(self) -> None:
+        """Wait until some client has asked for each class of each tenant of all customers once more."""
+        with self._step:
+            due = [(c, self._answers(c) + CLIENTS * (len(c.requests()) + 1)) for c in self._customers]
+            done = self._step.wait_for(lambda: self.faults or all(self._answers(c) >= n for c, n in due), LIMIT)
+        assert done and not self.faults, self.faults
+
+    def stop(self) -> None:
+        self._stop.set()
+        for thread in self._threads:
+            thread.join(LIMIT)
+        assert not self.faults
+
+    def _answers(self, customer: Customer) -> int:
+        return sum(1 for name, *_ in self.ended if name == customer.name)
+
+    def _run(self, number: int) -> None:
+        try:
+            client = Client(self._address)
+            while not self._stop.is_set():
+                for customer in self._customers:
+                    for asked in customer.requests():
+                        begun = time.monotonic()
+                        error = answered(client, asked)
+                        with self._step:
+                            self.ended.append((customer.name, asked["call"], begun, time.monotonic(), error))
+                            self._step.notify_all()
+        except BaseException as error:  # noqa: BLE001 - told to the test
+            with self._step:
+                self.faults.append(error)
+                self._step.notify_all()
+
+
+def test_sighup_from_one_customer_to_the_other_and_back_under_load(
+    tmp_path: Path, gauge: Customer, parcel: Customer
+) -> None:
+    site = Site(tmp_path, gauge, parcel)  # the engines of both are listed from the start
+    load_ = Load(site.address, gauge, parcel)
+    try:
+        load_.round()
+        held = [sites.fields(gauge.text, at, 0, next(CALLS)) for at in range(len(gauge.text["Grades"]))]
+        clients = [Client(site.address) for _ in held]
+        for client, asked in zip(clients, held, strict=True):  # open in each class while the settings change
+            gauge.book.hold(asked["call"])
+            client.ask(**asked)
+            gauge.book.attempt(asked["call"])
+        changes = [Change(site, parcel)]
+        load_.round()
+        for client, asked in zip(clients, held, strict=True):
+            gauge.book.attempt(asked["call"]).answer()
+            assert len(client.rows()) == 1  # by the terms it came under
+        site.program.wait_for("settings_retired")  # and nothing is left of them
+        changes.append(Change(site, gauge))
+        load_.round()
+        load_.stop()
+        in_force = [gauge, parcel, gauge]
+        for name, call, begun, ended, error in load_.ended:
+            mine, other = (gauge, parcel) if name == GAUGE else (parcel, gauge)
+            whose = in_force[sum(begun > change.done for change in changes)]
+            crossed = any(begun <= change.done and ended >= change.begun for change in changes)
+            expected = {0, UNKNOWN} if crossed else {0 if whose is mine else UNKNOWN}
+            assert error in expected, (name, call, error)
+            assert len(mine.book.of(call)) == (not error) and not other.book.of(call)
+        assert gauge.book.lanes == gauge.names and parcel.book.lanes == parcel.names
+    finally:
+        load_.stop()
+        site.end()
+
+
+class Change:
+    """One SIGHUP, and the times between which it comes into force."""
+
+    def __init__(self, site: Site, customer: Customer) -> None:
+        self.begun = time.monotonic()
+        site.hang_up(customer)
+        site.program.wait_for("reconfigured")
+        self.done = time.monotonic()
+
+
 class Gatekeeper:
     """The gateway within this process: its settings change as a test says, at the very point that it says."""
 
@@ -332,6 +423,62 @@
         assert (names.index(cls) + 1, tenants.index(tenant) + 1) == (need, work)
 
 
+def test_zones_and_kinds_of_the_list_are_read_anew_under_new_settings(tmp_path: Path, gauge: Customer) -> None:
+    # an index into the old lists sends a class that is confined to a zone, or bound to a kind, to another
+    gate = Gatekeeper(tmp_path, gauge.text, gauge.members)
+    family = gauge.text["FamilyInfo"]
+    turned = {name: list(reversed(family[name])) for name in ("CoresByKind", "RamOfKindMb")}
+    other = gauge.text | {
+        "Zones": list(reversed(gauge.text["Zones"])),
+        "Kinds": list(reversed(gauge.text["Kinds"])),
+        "FamilyInfo": family | turned,
+    }
+    try:
+        for text in (gauge.text, other, gauge.text):
+            gate.change(text)
+            cores = dict(zip(text["Kinds"], text["FamilyInfo"]["CoresByKind"], strict=True))
+            numbers = {told.name: number for number, (told, _) in gate.daemon._engines._engines.items()}
+            for told, (zone, kind) in zip(gauge.members, gauge.places, strict=True):
+                engine = gate.module().engines[numbers[told["id"]]]
+                found = text["Zones"][engine.zone], text["Kinds"][engine.kind], engine.cores
+                assert found == (zone, kind, cores[kind])
+    finally:
+        gate.close()
+
+
+def test_engines_of_a_zone_that_only_new_settings_know_serve_under_them(
+    tmp_path: Path, gauge: Customer, parcel: Customer
+) -> None:
+    site = Site(tmp_path, gauge)
+    try:
+        sock, _ = site.coordinator.next(b"follow")
+        say_event(sock, 2, parcel.members[0])  # told early: no module of these settings can use it
+        site.program.wait_for("engine_unusable")
+        client = Client(site.address)
+        assert answered(client, sites.fields(gauge.text, 0, 0, next(CALLS))) == 0
+        Change(site, parcel)
+        early = sites.fields(parcel.text, 0, 0, next(CALLS))
+        assert answered(client, early) == 0 and parcel.book.of(early["call"])
+        late = parcel.members[1]
+        sock, words = site.coordinator.next(b"follow")  # it connects anew, and asks for what follows
+        assert words[1] == b"2"
+        say_event(sock, 3, late, parcel.members[0] | {"phase": "draining"})  # the list goes on, by the new names
+        assert site.program.wait_for("engine_list")["members"][late["id"]] == "READY"
+        asked = sites.fields(parcel.text, 2, 0, next(CALLS))
+        assert answered(client, asked) == 0
+        (want,) = parcel.book.of(asked["call"])
+        assert want.address == late["host_port"]
+        assert not gauge.book.of(early["call"]) and not gauge.book.of(asked["call"])
+    finally:
+        site.end()
+
+
+def say_event(sock: socket.socket, index: int, *members: dict[str, Any]) -> None:
+    """A further event, to a follower."""
+    points = {"revision": index, "complete": False, "members": members}
+    sock.sendall(json.dumps({"index": index, "endpoints": points}).encode() + b"\n")
+
+
 def allowed(text: dict[str, Any], **changes: Any) -> dict[str, Any]:
     return text | {"Allowed": text["Allowed"] | changes}
 
@@ -451,6 +598,42 @@
     assert sum(extra(decisions, second) for _ in range(5)) == 0
 
 
+def with_deadlines(text: dict[str, Any], ms: int) -> dict[str, Any]:
+    return text | {"Grades": [grade | {"DeadlineNs": ms * sites.MS} for grade in text["Grades"]]}
+
+
+@pytest.mark.parametrize(
+    "deadlines",
+    [(20_000, None, 200), (200, 20_000, None), (200, 20_000, None, 200)],
+    ids=["start", "in force", "between"],
+)
+def test_a_drain_waits_for_the_longest_deadline_that_binds_a_request(
+    tmp_path: Path, gauge: Customer, deadlines: tuple[int | None, ...]
+) -> None:
+    # settings by their longest deadline, in the order in which they come into force; the request comes at None
+    text = gauge.text
+    gauge.text = with_deadlines(text, deadlines[0] or 0)
+    site = Site(tmp_path, gauge)
+    try:
+        client = Client(site.address)
+        asked = sites.fields(text, 0, 0, next(CALLS)) | {"ttl": 20_000}
+        gauge.book.hold(asked["call"])
+        for ms in deadlines[1:]:
+            if ms is None:
+                client.ask(**asked)
+                want = gauge.book.attempt(asked["call"])
+                continue
+            gauge.text = with_deadlines(text, ms)
+            Change(site, gauge)
+        site.program.terminate()
+        site.program.wait_for("draining")
+        time.sleep(DRAINING)  # past the drain of the shorter deadline, within that of the longer
+        want.answer()
+        assert len(client.rows()) == 1
+    finally:
+        site.end()
+
+
 def test_figures_of_a_customer_leave_with_its_settings(tmp_path: Path, gauge: Customer, parcel: Customer) -> None:
     gate = Gatekeeper(tmp_path, gauge.text, gauge.members + parcel.members)
     try:
