Turn settings down that forbid the link to the peers while it is on

Cause: Allowed.Peers is read where the operators' file begins the link (daemon.py, _peers), and no more: after SIGHUP with settings of a customer whose platform forbids talk among gateways the link went on.

Change: such settings are turned down whole, as any change is where gossip or service levels are on: restart.

Seen to fail without: test_settings_that_forbid_the_peers_are_turned_down_where_their_link_is_on, 'DID NOT RAISE ConfigError'.

--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -155,8 +155,9 @@
         """Take what may change under load: the coordinator, and the settings. Its events' numbers go on.
 
         New settings bind new requests; open ones keep theirs. Gives the settings in force. Raises ConfigError,
-        with nothing changed, where the settings change and service levels or gossip are on; and ConfigRejected, with
-        the coordinator taken, where they change and the fleet has agreed on rules.
+        with nothing changed, where the settings change and service levels or gossip are on, or forbid the link to the
+        peers that is on; and ConfigRejected, with the coordinator taken, where they change and the fleet has agreed
+        on rules.
         """
         with self._changing:
             changed = config.settings not in (self._settings, self._from_file)
@@ -168,6 +169,8 @@
                 )
             if changed and (self._vitals is not None or self._link is not None):
                 raise ConfigError("settings: a change of settings needs a restart where levels or gossip are on")
+            if changed and self._peering is not None and not config.settings.limits.peers:
+                raise ConfigError("settings: Allowed.Peers forbids the link to the peers, which is on: restart")
             self._follower.move(config.coordinator)
             if changed:  # else the file says what it said, and the fleet's version may be in force
                 self._take(config.settings)
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -10,14 +10,16 @@
 from collections.abc import Iterator
 from pathlib import Path
 from queue import SimpleQueue
-from typing import Any
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 
 from tealwing import interface as api
 from tealwing import log
-from tealwing.config import Config, load
+from tealwing.config import Config, ConfigError, load
 from tealwing.exchange import Query
+from tealwing.fleet.peering import Peering
 from tealwing.gateway import standing, versions
 from tealwing.gateway.daemon import Daemon
 from tealwing.gateway.decisions import Decisions
@@ -676,6 +678,20 @@
         gate.close()
 
 
+def test_settings_that_forbid_the_peers_are_turned_down_where_their_link_is_on(tmp_path: Path, gauge: Customer) -> None:
+    gate = Gatekeeper(tmp_path, allowed(gauge.text, Peers=True), gauge.members)
+    try:
+        gate.daemon._peering = cast(Peering, SimpleNamespace(feed=None))  # the link, as far as a change asks for it
+        before = gate.server.settings
+        with pytest.raises(ConfigError, match="Allowed.Peers"):
+            gate.change(allowed(gauge.text, Peers=False))
+        assert gate.server.settings is before
+        gate.change(allowed(gauge.text, Peers=True, MaxAttempts=2))
+        assert gate.server.settings.limits.max_attempts == 2
+    finally:
+        gate.close()
+
+
 def test_threads_are_bounded_by_the_gateways_of_the_settings_in_force(tmp_path: Path, gauge: Customer) -> None:
     few, many = gauge.text | {"Siblings": 3}, gauge.text | {"Siblings": 200}
     gate = Gatekeeper(tmp_path, few, gauge.members)
