--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -24,6 +24,8 @@
 from tealwing.gateway.daemon import Daemon
 from tealwing.gateway.decisions import Decisions
 from tealwing.gateway.life import Life
+from tealwing.gateway.vitals import Vitals
+from tealwing.gossip.transport import Link
 from tealwing.mysql.server import Server
 from tealwing.policy import Gateway
 from tealwing.resp.engines import Engines
@@ -692,6 +694,27 @@
         gate.close()
 
 
+@pytest.mark.parametrize("on", ["levels", "gossip", "rules"])
+def test_a_change_is_turned_down_where_what_is_on_is_bound_to_the_settings(
+    tmp_path: Path, gauge: Customer, parcel: Customer, on: str
+) -> None:
+    gate = Gatekeeper(tmp_path, gauge.text, gauge.members + parcel.members)
+    try:
+        if on == "levels":
+            gate.daemon._vitals = cast(Vitals, SimpleNamespace(lagged=lambda seconds: None))
+        elif on == "gossip":
+            gate.daemon._link = cast(Link, object())
+        else:
+            gate.daemon.put_in_force(None, None, None, 3)
+        before = gate.server.settings
+        with pytest.raises(ConfigError, match="rules propose" if on == "rules" else "restart"):
+            gate.change(parcel.text)
+        assert gate.server.settings is before
+        assert answered(Client(gate.server.address), sites.fields(gauge.text, 1, 0, next(CALLS))) == 0
+    finally:
+        gate.close()
+
+
 def test_threads_are_bounded_by_the_gateways_of_the_settings_in_force(tmp_path: Path, gauge: Customer) -> None:
     few, many = gauge.text | {"Siblings": 3}, gauge.text | {"Siblings": 200}
     gate = Gatekeeper(tmp_path, few, gauge.members)
