--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -10,19 +10,22 @@
 from collections.abc import Iterator
 from pathlib import Path
 from queue import SimpleQueue
-from typing import Any
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 
 from tealwing import interface as api
 from tealwing import log
-from tealwing.config import Config, load
-from tealwing.coordinator.updates import engine_number
+from tealwing.config import Config, ConfigError, load
 from tealwing.exchange import Query
+from tealwing.fleet.peering import Peering
 from tealwing.gateway import standing, versions
 from tealwing.gateway.daemon import Daemon
 from tealwing.gateway.decisions import Decisions
 from tealwing.gateway.life import Life
+from tealwing.gateway.vitals import Vitals
+from tealwing.gossip.transport import Link
 from tealwing.mysql.server import Server
 from tealwing.policy import Gateway
 from tealwing.resp.engines import Engines
@@ -438,8 +441,9 @@
         for text in (gauge.text, other, gauge.text):
             gate.change(text)
             cores = dict(zip(text["Kinds"], text["FamilyInfo"]["CoresByKind"], strict=True))
+            numbers = {told.name: number for number, (told, _) in gate.daemon._engines._engines.items()}
             for told, (zone, kind) in zip(gauge.members, gauge.places, strict=True):
-                engine = gate.module().engines[engine_number(told["id"])]
+                engine = gate.module().engines[numbers[told["id"]]]
                 found = text["Zones"][engine.zone], text["Kinds"][engine.kind], engine.cores
                 assert found == (zone, kind, cores[kind])
     finally:
@@ -676,6 +680,41 @@
         gate.close()
 
 
+def test_settings_that_forbid_the_peers_are_turned_down_where_their_link_is_on(tmp_path: Path, gauge: Customer) -> None:
+    gate = Gatekeeper(tmp_path, allowed(gauge.text, Peers=True), gauge.members)
+    try:
+        gate.daemon._peering = cast(Peering, SimpleNamespace(feed=None))  # the link, as far as a change asks for it
+        before = gate.server.settings
+        with pytest.raises(ConfigError, match="Allowed.Peers"):
+            gate.change(allowed(gauge.text, Peers=False))
+        assert gate.server.settings is before
+        gate.change(allowed(gauge.text, Peers=True, MaxAttempts=2))
+        assert gate.server.settings.limits.max_attempts == 2
+    finally:
+        gate.close()
+
+
+@pytest.mark.parametrize("on", ["levels", "gossip", "rules"])
+def test_a_change_is_turned_down_where_what_is_on_is_bound_to_the_settings(
+    tmp_path: Path, gauge: Customer, parcel: Customer, on: str
+) -> None:
+    gate = Gatekeeper(tmp_path, gauge.text, gauge.members + parcel.members)
+    try:
+        if on == "levels":
+            gate.daemon._vitals = cast(Vitals, SimpleNamespace(lagged=lambda seconds: None))
+        elif on == "gossip":
+            gate.daemon._link = cast(Link, object())
+        else:
+            gate.daemon.put_in_force(None, None, None, 3)
+        before = gate.server.settings
+        with pytest.raises(ConfigError, match="rules propose" if on == "rules" else "restart"):
+            gate.change(parcel.text)
+        assert gate.server.settings is before
+        assert answered(Client(gate.server.address), sites.fields(gauge.text, 1, 0, next(CALLS))) == 0
+    finally:
+        gate.close()
+
+
 def test_threads_are_bounded_by_the_gateways_of_the_settings_in_force(tmp_path: Path, gauge: Customer) -> None:
     few, many = gauge.text | {"Siblings": 3}, gauge.text | {"Siblings": 200}
     gate = Gatekeeper(tmp_path, few, gauge.members)
