Force a KILL of a client that rests after a ping: its mark must not outlive the rest

The test passed with the line in Session._wait that drops the mark taken out, as its own later KILL dropped the mark too. Seen to fail now without that line: rig.serve(client, 4), nothing reaches the engine.

--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -577,6 +577,7 @@
     assert client.read() == packets.ok()
     wait(lambda: rig.session(client)._idle)
     kill(rig, client)
+    rig.serve(client, 4)
     own = packets.packet(0, b"\x03KILL QUERY %d" % client.id)
     client.sock.sendall(own + packets.packet(0, b"\x03" + request(call=name_of(2), ttl=OURS)))
     assert client.read() == packets.ok()
