--- a/tealwing/config.py
+++ b/tealwing/config.py
@@ -4,16 +4,14 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from pathlib import Path
 from typing import Any
 
 import orjson
 
-from tealwing import interface, wire
-from tealwing.coordinator import news
+from tealwing import descriptors, interface, wire
+from tealwing.coordinator import updates
 from tealwing.sockets import Address
 
-CLIENT_SHARE = 3  # usual clients hold at most one in so many descriptors
 SOCKETS = 1024  # descriptors, where the file names no limit
 MOST_CORES = 1024  # beyond which a limit is a mistake
 CORES = 1.0  # of the processor, where the file names no limit
@@ -46,15 +44,20 @@
     sockets: int
     cores: float
     settings: interface.Settings
-    known: tuple[news.Update, ...]
+    known: tuple[updates.Update, ...]
     index: int
     accept_fd: int | None = None  # the clients' listening socket, handed over by the platform
     admin: Address | None = None  # the operators' second address
 
+    @property
+    def descriptors(self) -> descriptors.Budget:
+        """Who may hold how many descriptors."""
+        return descriptors.budget(self.sockets)
+
     @property
     def most_clients(self) -> int:
-        """Client connections held at once: the clients' share of the descriptors, and a tenth for others."""
-        return self.sockets * 11 // (10 * CLIENT_SHARE)
+        """Client connections held at once."""
+        return self.descriptors.clients
 
     @property
     def most_threads(self) -> int:
@@ -65,8 +68,8 @@
 def address(text: Any, key: str, least: int = 1) -> Address:
     """HOST:PORT as a pair, the port at least so much."""
     try:
-        return news.address(text, least)
-    except news.NewsError as error:
+        return updates.address(text, least)
+    except updates.UpdateError as error:
         raise ConfigError(f"{key}: {error}") from None
 
 
@@ -80,12 +83,13 @@
     """The configuration; LB_NAME and LB_LISTEN, where set, go before the file."""
     if not environ.get("LB_CONFIG"):
         raise ConfigError("LB_CONFIG: not set")
-    path = Path(environ["LB_CONFIG"])
+    path = environ["LB_CONFIG"]
     inherited = environ.get("LB_ACCEPT_FD") or None
     if inherited is not None and not (inherited.isdecimal() and 3 <= int(inherited) < 65536):
         raise ConfigError(f"LB_ACCEPT_FD: {inherited!r} is not the number of an open descriptor above 2")
     try:
-        data = _section(orjson.loads(path.read_bytes()), "LB_CONFIG")
+        with open(path, "rb") as file:
+            data = _section(orjson.loads(file.read()), "LB_CONFIG")
     except OSError as error:
         raise ConfigError(f"LB_CONFIG: {path}: {error.strerror}") from None
     except orjson.JSONDecodeError as error:
@@ -101,8 +105,8 @@
         raise ConfigError(f"seed: {seed!r} is not a hexadecimal number") from None
     limits = _section(data.get("limits", {}), "limits")
     sockets, cores = limits.get("sockets", SOCKETS), limits.get("cores", CORES)
-    if not isinstance(sockets, int) or isinstance(sockets, bool) or sockets < 64:
-        raise ConfigError(f"limits.sockets: {sockets!r} is not a whole number of 64 or more")
+    if not isinstance(sockets, int) or isinstance(sockets, bool) or sockets < descriptors.LEAST:
+        raise ConfigError(f"limits.sockets: {sockets!r} is not a whole number of {descriptors.LEAST} or more")
     if not isinstance(cores, (int, float)) or isinstance(cores, bool) or not 0 < cores <= MOST_CORES:
         raise ConfigError(f"limits.cores: {cores!r} is not a number above 0 and up to {MOST_CORES}")
     facts = _section(data.get("settings"), "settings")
@@ -111,8 +115,8 @@
     except (ValueError, wire.WireError) as error:
         raise ConfigError(f"settings: {error}") from None
     try:
-        index, updates = news.known(data.get("known"), settings)
-    except news.NewsError as error:
+        index, events = updates.known(data.get("known"), settings)
+    except updates.UpdateError as error:
         raise ConfigError(f"known: {error}") from None
     admin = environ.get("LB_ADMIN") or data.get("admin")
     return Config(
@@ -123,7 +127,7 @@
         sockets=sockets,
         cores=float(cores),
         settings=settings,
-        known=updates,
+        known=events,
         index=index,
         accept_fd=int(inherited) if inherited is not None else None,
         admin=address(admin, "admin", 0) if admin else None,
--- a/tealwing/gateway/versions.py
+++ b/tealwing/gateway/versions.py
@@ -2,18 +2,24 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import contextlib
+import itertools
+from collections import deque
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
 from tealwing import interface as api
 from tealwing import log
+from tealwing.coordinator import updates
+from tealwing.coordinator.updates import Member
 from tealwing.exchange import Outdated
 from tealwing.policy import Gateway
 
 if TYPE_CHECKING:  # what the operators' file does not switch on is not imported
     from tealwing.routing.table import Table
 
+REPLACED = 4  # changes of settings after which a request that is still being read under the first is turned back
 OWN = (api.Request, api.Outcome, api.StreamStarted, api.Note, api.HungUp)  # events of one request: to its module
 
 
@@ -34,6 +40,13 @@
 
 
 Wrap = Callable[[Gateway], Module]  # what stands before a new module
+Spent = deque[tuple[float, float]]  # times and work of what was sent to a cold engine
+
+
+def behind(module: Module) -> Gateway | None:
+    """The module itself."""
+    gateway = module if isinstance(module, Gateway) else getattr(module, "gateway", None)
+    return gateway if isinstance(gateway, Gateway) else None
 
 
 class Versions:
@@ -44,12 +57,18 @@
         self.force, self.version = InForce(settings), 0
         self.ready: frozenset[int] = frozenset()  # zones with a ready engine
         self._seed = seed
+        # What rules count over the gateway, whichever module made it, and nothing of it by class: the modules share it.
+        self._taken, self._extra = deque[float](), deque[float]()
+        self._spent: dict[tuple[int, float], Spent] = {}  # by engine and its start
+        self._numbers = itertools.count(1)  # of versions
+        self._replaced = deque[api.Settings](maxlen=REPLACED)  # no longer in force, the last at the end
         self._older: dict[int, tuple[api.Settings, Module]] = {}  # by version: modules that still hold requests
         self._owners: dict[int, int] = {}  # request id: the version of the module that decides it
         self._held: dict[int, int] = {}  # version: its requests still open
-        self._listed: dict[int, api.ListEntry] = {}  # the engine list as the modules know it, for a new one
+        self._members: dict[int, Member] = {}  # the engine list by names, as settings number zones and kinds anew
         self._list_version = 0
         self._beliefs: api.Beliefs | None = None  # the last ones, for a new module
+        self.share(0)
 
     @property
     def settings(self) -> api.Settings:
@@ -58,8 +77,14 @@
 
     @property
     def listed(self) -> tuple[api.ListEntry, ...]:
-        """The engine list as it was last heard."""
-        return tuple(self._listed.values())
+        """The engine list as it was last heard, numbered by the settings in force."""
+        return _numbered(self._members.values(), self.settings)
+
+    @property
+    def deadline(self) -> float:
+        """The longest deadline in seconds, of the settings in force and of those that open requests are under."""
+        held = [self.settings, *(settings for settings, _ in self._older.values())]
+        return max(cls.deadline for settings in held for cls in settings.classes)
 
     def of(self, settings: api.Settings) -> int:
         """The version of those very settings; Outdated where no module of them is left."""
@@ -95,32 +120,87 @@
         """A new module takes new requests, the old keeps what it holds; gives what the new one is to be told."""
         if self._held.get(self.version):
             self._older[self.version] = self.settings, self.module
-        self.version += 1
+        self._replaced.append(self.settings)
+        self.version = next(self._numbers)
         gateway = Gateway(force.settings, self._seed + self.version)
         self.force, self.module = force, wrap(gateway) if wrap is not None else gateway
-        told: list[api.Event] = [api.EngineList(api.ListKind.FULL, self._list_version, self.listed)]
+        self._see_ready()
+        return self._first(force.settings)
+
+    def recall(self, settings: api.Settings) -> tuple[int, list[api.Event]] | None:
+        """A module anew for settings of which none is left; its version, and what it is to be told; None: no need.
+
+        They were in force when a request was read, and a change has come between that and its being opened.
+        """
+        held = [self.settings, *(older for older, _ in self._older.values())]
+        if any(one is settings for one in held) or not any(one is settings for one in self._replaced):
+            return None
+        version = next(self._numbers)
+        self._older[version] = settings, Gateway(settings, self._seed + version)
+        return version, self._first(settings)
+
+    def share(self, version: int) -> None:
+        """Have a version's module, which has heard of the engine list, count together with the others."""
+        module = self.at(version)
+        gateway = behind(module) if module is not None else None
+        if gateway is None:
+            return
+        gateway.taken, gateway.extra = self._taken, self._extra
+        for engine in gateway.engines.values():
+            engine.sent = self._spent.setdefault((engine.id, engine.started), engine.sent)
+        if version == self.version:  # what it no longer knows has left the list
+            known = {(engine.id, engine.started) for engine in gateway.engines.values()}
+            self._spent = {key: spent for key, spent in self._spent.items() if key in known}
+
+    def _first(self, settings: api.Settings) -> list[api.Event]:
+        """What a new module of the settings is told before anything else, numbered as they do."""
+        listed = _numbered(self._members.values(), settings)
+        told: list[api.Event] = [api.EngineList(api.ListKind.FULL, self._list_version, listed)]
         return told + ([self._beliefs] if self._beliefs is not None else [])
 
     def concerned(self, event: api.Event) -> tuple[int, ...]:
         """The versions whose modules an event is for: a request's own to its module, else all."""
         if isinstance(event, OWN):
             return (self._owners.get(event.id, self.version),)
-        if isinstance(event, api.EngineList):
-            self._note_list(event)
+        if isinstance(event, api.EngineList):  # its entries are numbered by the settings in force
+            if event.kind is not api.ListKind.FAILED:
+                named = (_named(entry, self.settings) for entry in event.entries)
+                self._note_list(event.kind, event.version, named)
         elif isinstance(event, api.Beliefs):
             self._beliefs = event
         return self.version, *self._older
 
-    def _note_list(self, event: api.EngineList) -> None:
+    def listing(self, kind: api.ListKind, number: int, members: tuple[Member, ...]) -> list[tuple[int, api.EngineList]]:
+        """Keep a watch update; by version, what its module is told of it, numbered by the module's own settings."""
+        self._note_list(kind, number, members)
+        held = [(self.version, self.settings), *((version, older[0]) for version, older in self._older.items())]
+        return [(version, api.EngineList(kind, number, _numbered(members, settings))) for version, settings in held]
+
+    def _note_list(self, kind: api.ListKind, number: int, members: Iterable[Member]) -> None:
         """Keep the list that a module made now would need."""
-        if event.kind is api.ListKind.FAILED:
-            return
-        if event.kind is not api.ListKind.DELTA:
-            self._listed.clear()
-        for entry in event.entries:
-            if entry.health is api.Health.GONE:
-                self._listed.pop(entry.engine, None)
+        if kind is not api.ListKind.DELTA:
+            self._members.clear()
+        for member in members:
+            if member.entry.health is api.Health.GONE:
+                self._members.pop(member.entry.engine, None)
             else:
-                self._listed[entry.engine] = entry
-        self._list_version = event.version
-        self.ready = frozenset(entry.zone for entry in self._listed.values() if entry.health is api.Health.READY)
+                self._members[member.entry.engine] = member
+        self._list_version = number
+        self._see_ready()
+
+    def _see_ready(self) -> None:
+        self.ready = frozenset(entry.zone for entry in self.listed if entry.health is api.Health.READY)
+
+
+def _numbered(members: Iterable[Member], settings: api.Settings) -> tuple[api.ListEntry, ...]:
+    """Their entries as the settings number zones and kinds; those that they do not know are left out."""
+    found = []
+    for member in members:
+        with contextlib.suppress(updates.UpdateError):
+            found.append(updates.placed(member, settings).entry)
+    return tuple(found)
+
+
+def _named(entry: api.ListEntry, settings: api.Settings) -> Member:
+    """The member of an entry that the settings number."""
+    return Member("", "", 0, entry, settings.zones[entry.zone], settings.kinds[entry.kind].name)
--- a/tealwing/mysql/server.py
+++ b/tealwing/mysql/server.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import itertools
 import os
 import select
@@ -15,19 +16,25 @@
 import threading
 import time
 import traceback
+from collections import deque
 from collections.abc import Callable
 
 from tealwing import interface, log, threads
 from tealwing.exchange import Gate, Open
+from tealwing.mysql.departures import LEAVING
+from tealwing.mysql.lingering import Lingering
 from tealwing.mysql.session import Session
 from tealwing.sockets import Address
 
-SPARE = 11  # one place in so many is kept free for who comes next: what usual clients may not hold
+SPARE = 11  # one place in so many is kept free for who comes next: what usual clients may not hold, and what may linger
 FREE_THREADS = (4, 8)  # least and most that wait for clients: each is a task of a table that all processes share
 BACKLOG = 256
 ACCEPT_PAUSE = 0.05  # s before a failed accept is tried again
 LOOK = 0.25  # s between two looks at the time limits of clients, and at who is late to leave
+SHORT = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}  # an accept fails with: a close may help
 READ_SIZE = 4 * 1024  # bytes of a thread's buffer: statements are short
+BRIEF_SIZE = 512  # bytes read at once where no thread is free: a login and a KILL, and answers that never wait
+STAND_IN = 0.03  # s without a free thread before another stands in: most bursts are over by then, a KILL is in time
 
 ARMED = select.EPOLLIN | select.EPOLLONESHOT
 
@@ -63,14 +70,19 @@
         self.settings, self.open = settings, open_
         self.gate: Gate | None = None  # what requests pass first, where rules are agreed on
         self.unread: Callable[[float], None] | None = None  # hears how long what was read had waited
-        self._most, self._most_threads = most, min(most, most_threads or most)
+        self._most, self._spare = most, max(1, most // SPARE)
+        self._most_threads = min(most, most_threads or most)
         self._numbers = itertools.count(1)
         self._changed = threading.Condition()
         self._sessions: dict[int, Session] = {}
+        self._lingering: Lingering[Session] = Lingering(self._spare)  # whose session is over, but not yet closed
         self._waiting: dict[int, Session] = {}  # by descriptor: those in the epoll set
+        self._armed: set[int] = set()  # of these, those armed for reading: who has the event takes its descriptor out
+        self._aside: deque[Session] = deque()  # ready, and taken out of the epoll set by who stands in
         self._threads = self._free = 0  # all, and those that wait for something to do
         self._short = 0.0  # monotonic, since when no thread has been free; 0: one has
-        self._full = False  # nobody is accepted until a session ends
+        self._busy = threading.Event()  # no thread is free
+        self._full = False  # nobody is accepted until a descriptor is free, or a session that may be evicted
         self._stopping, self._over = threading.Event(), threading.Event()
         self.shared = inherited is not None  # the queue is another process's too
         self._listener = socket.create_server(address, backlog=BACKLOG) if inherited is None else _inherit(inherited)
@@ -86,12 +98,22 @@
             raise OSError("no thread can be started to serve clients")
         threads.start(self._look, "session-limits")
 
+    def renew(self, settings: interface.Settings, most_threads: int) -> None:
+        """Read what comes under these settings; threads above their number go as they have nothing to do."""
+        self.settings, self._most_threads = settings, min(self._most, most_threads)
+
     @property
     def address(self) -> Address:
         """Where it listens."""
         host, port = self._listener.getsockname()
         return host, port
 
+    @property
+    def connections(self) -> int:
+        """Clients' connections that are open, those among them that linger."""
+        with self._changed:
+            return self._held()
+
     def session(self, number: int) -> Session | None:
         """The session of a connection id."""
         with self._changed:
@@ -101,6 +123,8 @@
         """A session is over; its descriptor is closed next."""
         with self._changed:
             self._sessions.pop(session.number, None)
+            self._lingering.remove(session.number)
+            self._armed.discard(session.fileno())
             if self._waiting.pop(session.fileno(), None) is not None:
                 self._ready.unregister(session.fileno())
             full, self._full = self._full, False
@@ -108,6 +132,19 @@
         if full:
             self._listen()
 
+    def lingers(self, session: Session, until: float) -> None:
+        """A session is over, and its connection still read until then at most."""
+        with self._changed:
+            if self._sessions.pop(session.number, None) is None:  # closed already, by another thread
+                return
+            oldest = self._lingering.add(session.number, session, until)
+            full, self._full = self._full, False
+            self._changed.notify_all()
+        if oldest is not None:
+            oldest.hasten()
+        if full:  # what lingers goes before a client has to wait
+            self._listen()
+
     def stop_listening(self) -> None:
         """Accept no more; what has connected already is still served."""
         with self._changed:
@@ -127,20 +164,33 @@
         until = time.monotonic() + seconds
         while True:  # a thread may take one more client while it has not yet seen that none is wanted
             with self._changed:
-                if self._changed.wait_for(lambda: not self._sessions, min(LOOK, until - time.monotonic())):
-                    self._end()
-                    return True
+                self._changed.wait_for(self._empty, min(LOOK, until - time.monotonic()))
                 late = [session for session in self._sessions.values() if session not in sessions]
+                left, empty = len(self._sessions), self._empty()
+            if empty or (not left and time.monotonic() >= until):
+                break
             if time.monotonic() >= until:
                 return False
             for session in late:
                 session.stop()
             sessions.extend(late)
+        with self._changed:  # nothing is owed any more
+            lingering = self._lingering.over(float("inf"))
+        for session in lingering:
+            session.hasten()
+        with self._changed:
+            self._changed.wait_for(self._empty, LOOK)
+        self._end()
+        return True
+
+    def _empty(self) -> bool:
+        return not self._sessions and not self._lingering
 
     def _end(self) -> None:
         """Let the threads go."""
         if not self._over.is_set():
             self._over.set()
+            self._busy.set()
             os.close(self._alive)
 
     def _work(self) -> None:
@@ -162,6 +212,8 @@
                     self._short = time.monotonic()
             if more:
                 self._start_thread()
+            if self._free <= 0:  # each that takes a client looks here: the last free one too
+                self._all_busy()
             try:
                 if session.run(buffer, time.monotonic() - since if since else 0.0):
                     self._await(session)  # from here on it may be another thread's
@@ -171,6 +223,8 @@
                 enough = self._free >= FREE_THREADS[1]
                 self._free += not enough
                 self._threads -= enough
+                if self._busy.is_set():
+                    self._busy.clear()
                 self._changed.notify_all()
             if enough:
                 return
@@ -178,41 +232,61 @@
     def _next(self) -> Session | None:
         """A new client, or one that has said something or gone; None at the end."""
         while not self._over.is_set():
+            if self._aside:
+                with contextlib.suppress(IndexError):  # another thread has had it
+                    return self._aside.popleft()
             short = self._short
             ready = self._ready.poll(0 if short else None, 1)
             if not ready:  # nobody waits for a thread any more
                 self._short = 0.0
                 continue
             number = ready[0][0]
-            if number == self._listener.fileno():
-                session = self._accept()
-            else:
-                with self._changed:
-                    session = self._waiting.get(number)
+            session = self._accept() if number == self._listener.fileno() else self._claim(number)
             if session is not None:
                 return session
         return None
 
+    def _claim(self, number: int) -> Session | None:
+        """The session of a descriptor that is ready, to be served by who has it first.
+
+        A session with a request open is nobody's to take: what is ready of it is its client's end. An event may be
+        an old one, taken before the descriptor was armed anew: so it is a hint, and what holds is asked for.
+        """
+        with self._changed:
+            session, mine = self._waiting.get(number), number in self._armed
+            self._armed.discard(number)
+        if session is None or mine:
+            return session
+        session.look()
+        return None
+
     def _accept(self) -> Session | None:
         """Take a new client, if one is still there, and let the next thread take the next."""
         try:
             with self._changed:  # accepting never blocks here; what is taken after the stop would be nobody's
                 if self._stopping.is_set():
                     return None
-                sock, _ = self._listener.accept()
-                session = Session(self, sock, next(self._numbers) & 0xFFFFFFFF)
-                self._sessions[session.number] = session
-                crowded = len(self._sessions) > self._most - self._most // SPARE
-                full = self._full = len(self._sessions) >= self._most
+                full = self._full = self._held() >= self._most
+                if not full:
+                    sock, _ = self._listener.accept()
+                    session = Session(self, sock, next(self._numbers) & 0xFFFFFFFF)
+                    self._sessions[session.number] = session
+                crowded = self._held() > self._most - self._spare
+                log.must_hold(self._held() <= self._most, "clients hold no more descriptors than they may")
         except OSError as error:  # taken by another; or descriptors have run out for now
-            if not isinstance(error, BlockingIOError) and not self._stopping.wait(ACCEPT_PAUSE):
-                log.event("accept_failed", error=str(error))
+            if not isinstance(error, BlockingIOError):
+                if error.errno in SHORT:
+                    self._free_one(at_once=True)
+                if not self._stopping.wait(ACCEPT_PAUSE):
+                    log.event("accept_failed", error=str(error))
             self._listen()
             return None
+        if full:  # the client that has come waits until a descriptor is closed
+            self._free_one(at_once=True)
+            return None
+        self._listen()
         if crowded:
-            self._make_room()
-        if not full:
-            self._listen()
+            self._free_one(at_once=False)
         return session
 
     def _listen(self) -> None:
@@ -224,25 +298,46 @@
     def _await(self, session: Session) -> None:
         """Have the session served when its client says something; another thread may have it at once."""
         number = session.fileno()
-        with self._changed:
-            new = number not in self._waiting
-            self._waiting[number] = session
-            try:
-                if new:
-                    self._ready.register(number, ARMED)
-                else:
-                    self._ready.modify(number, ARMED)
-                return
-            except OSError as error:  # the system's room for what is waited for has run out
-                del self._waiting[number]
-                why = str(error)
-        log.event("client_lost", error=why)
-        session.close()
+        try:
+            with self._changed:
+                self._armed.add(number)
+                full, self._full = self._full, False
+                self._arm(session, ARMED)
+        except OSError as error:  # the system's room for what is waited for has run out
+            log.event("client_lost", error=str(error))
+            session.close()
+        if full:  # now there is one that may be evicted
+            self._listen()
+
+    def watch(self, session: Session) -> None:
+        """Hear of it when the client leaves. By the thread that has its request open: the only one to arm it now."""
+        try:
+            self._arm(session, LEAVING)
+        except OSError as error:  # no room: what is asked before each send still holds
+            log.event("client_unwatched", error=str(error))
+
+    def _arm(self, session: Session, events: int) -> None:
+        """Have the next of these events taken, and no other; by the thread that has the session."""
+        number = session.fileno()
+        new = number not in self._waiting
+        self._waiting[number] = session
+        try:
+            if new:
+                self._ready.register(number, events)
+            else:
+                self._ready.modify(number, events)
+        except OSError:
+            del self._waiting[number]
+            raise
 
     def _start_thread(self) -> bool:
         """Whether a further thread waits for clients now; where none can be had, those that are there go on."""
         with self._changed:
+            if self._threads >= self._most_threads:  # another has started one since this was looked at
+                return False
             self._threads, self._free = self._threads + 1, self._free + 1
+            if self._busy.is_set():
+                self._busy.clear()
         try:
             threads.start(self._work, "session")
         except threads.NoThread:  # logged there, once an episode
@@ -252,23 +347,80 @@
         return True
 
     def _look(self) -> None:
-        """Part with the clients whose time is over."""
-        while not self._over.wait(LOOK):
+        """Evict the clients whose time is over, and close what has lingered for long enough."""
+        while not self._pause(LOOK):
             now = time.monotonic()
             with self._changed:
                 over = [session for session in self._sessions.values() if session.waited(now) >= 1]
+                lingered = self._lingering.over(now)
             for session in over:
-                session.part()
+                session.evict()
+            for session in lingered:
+                session.hasten()
+
+    def _held(self) -> int:
+        """Descriptors that clients hold. Under the lock."""
+        return len(self._sessions) + len(self._lingering)
+
+    def _pause(self, seconds: float) -> bool:
+        """Let time pass, and stand in meanwhile while no thread is free; whether the end has come."""
+        until = time.monotonic() + seconds
+        while not self._over.is_set() and (left := until - time.monotonic()) > 0:
+            if self._busy.wait(left) and not self._over.wait(min(STAND_IN, left)):
+                self._stand_in(until)
+        return self._over.is_set()
+
+    def _stand_in(self, until: float) -> None:
+        """While no session thread is free, take what is ready, and see to what can't wait for one.
+
+        That is a KILL, from its connect on, and the end of a client whose request is open: both may be what frees a
+        thread. They need none of their own: this one has little else to do, and nothing here waits, as commands that
+        may are only peeked at and put aside, unread, for the next session thread that is free.
+        """
+        buffer = memoryview(bytearray(BRIEF_SIZE))
+        while self._free <= 0 and not self._over.is_set() and (left := until - time.monotonic()) > 0:
+            try:
+                for number, _ in self._ready.poll(left, 1):
+                    session = self._accept() if number == self._listener.fileno() else self._claim(number)
+                    if session is not None:
+                        self._serve_brief(session, buffer)
+            except Exception:  # a fault of ours must not end the looking
+                log.must_hold(False, f"standing in goes on: {traceback.format_exc(limit=-3)}")
+                return
 
-    def _make_room(self) -> None:
-        """Part with the client that has let most of its time pass: usual ones need the descriptor.
+    def _serve_brief(self, session: Session, buffer: memoryview) -> None:
+        going = session.run_brief(buffer)
+        if going is None:
+            with self._changed:
+                if self._free <= 0:  # who is free next looks there first
+                    self._aside.append(session)
+                    return
+        if going is not False:
+            self._await(session)
+
+    def _all_busy(self) -> None:
+        with self._changed:
+            if self._free <= 0 and not self._busy.is_set():
+                self._busy.set()
 
-        That is one that says nothing sooner than one that has asked and holds its connection open.
+    def _free_one(self, at_once: bool) -> None:
+        """Have one descriptor more free: of what lingers, or else of the longest idle client.
+
+        at_once: a client waits for it already.
         """
+        with self._changed:
+            oldest = self._lingering.oldest()
+        if oldest is not None:
+            oldest.hasten()
+        else:
+            self._evict_longest(at_once)
+
+    def _evict_longest(self, at_once: bool) -> None:
+        """Evict the client that has been idle for longest, of those that have sent nothing: nothing is owed to it."""
         now = time.monotonic()
         with self._changed:
             waiting = [session for session in self._sessions.values() if session.waited(now) > 0]
-        waiting.sort(key=lambda session: session.waited(now), reverse=True)
+        waiting.sort(key=Session.eviction_order)
         for session in waiting:
-            if session.part():
+            if session.evict(at_once):
                 return
--- a/tealwing/resp/engines.py
+++ b/tealwing/resp/engines.py
@@ -5,16 +5,19 @@
 import threading
 
 from tealwing import interface, log
-from tealwing.coordinator.news import Member
+from tealwing.coordinator.updates import Member
 from tealwing.reader import Reader
 from tealwing.resp.engine import ConnectFailed, Engine, Head, Sink, Stream
+from tealwing.resp.quota import UNBOUNDED, Quota
 
 
 class Engines:
     """The engines at their present addresses; an address or a process that changed gets new connections."""
 
-    def __init__(self, limits: interface.Limits) -> None:
+    def __init__(self, limits: interface.Limits, most: int = UNBOUNDED) -> None:
+        """most is the number of connections at once, to all engines together."""
         self._limits = limits
+        self._quota = Quota(most, self._close_longest_idle)
         self._lock = threading.Lock()
         self._engines: dict[int, tuple[Member, Engine]] = {}
         self._reader = Reader()
@@ -23,26 +26,34 @@
         """Have the thread that reads all connections before there is a request that needs it."""
         self._reader.start()
 
+    def limit(self, limits: interface.Limits) -> None:
+        """Keep these limits with all engines from now on: those of the settings in force, as they tell of engines."""
+        with self._lock:
+            self._limits = limits
+            engines = [engine for _, engine in self._engines.values()]
+        for engine in engines:
+            engine.limit(limits.multiplex, limits.connect_timeout, limits.idle_time)
+
     def update(self, members: tuple[Member, ...], complete: bool) -> None:
-        """Take in news of the list."""
+        """Take in a watch update. Once this returns, nothing more is sent to what drains or has gone."""
         retired: list[Engine] = []
         with self._lock:
             named = {member.entry.engine for member in members}
             gone = [number for number in self._engines if complete and number not in named]
-            for member in members:
-                number = member.entry.engine
+            retired += [self._engines.pop(number)[1] for number in gone]
+            for member in members:  # in turn: a removal may stand before a start of the same engine
+                number, health = member.entry.engine, member.entry.health
                 before = self._engines.get(number)
                 alone = before is None or before[0].name == member.name
                 log.must_hold(alone, "no two engines share a number")
-                if member.entry.health is interface.Health.GONE:
-                    gone.append(number)
-                elif before is None or not _same(before[0], member):
+                engine = before[1] if before is not None and _same(before[0], member) else None
+                if before is not None and (engine is None or health is interface.Health.GONE):
                     # a reused address or a new process: the old connections must not serve it
-                    retired += [before[1]] if before else []
-                    self._engines[number] = member, self._engine(member)
-                else:
-                    self._engines[number] = member, before[1]
-            retired += [self._engines.pop(number)[1] for number in gone if number in self._engines]
+                    retired.append(self._engines.pop(number)[1])
+                if health is not interface.Health.GONE:
+                    engine = engine or self._engine(member)
+                    engine.drain(health is interface.Health.DRAINING)
+                    self._engines[number] = member, engine
         for engine in retired:
             engine.retire()
 
@@ -61,10 +72,20 @@
         if found is not None:
             found[1].close_idle()
 
+    def _close_longest_idle(self) -> None:
+        """Have the connection end that no attempt has used for longest: another engine needs its descriptor."""
+        with self._lock:
+            engines = [engine for _, engine in self._engines.values()]
+        idle = [connection for engine in engines for connection in engine.idle()]
+        if idle:
+            min(idle, key=lambda connection: connection.idle_since).close_unused()
+
     def _engine(self, member: Member) -> Engine:
         limits = self._limits
         address = member.host, member.port
-        return Engine(address, limits.multiplex, limits.connect_timeout, limits.idle_time, self._reader.watch)
+        return Engine(
+            address, limits.multiplex, limits.connect_timeout, limits.idle_time, self._reader.watch, self._quota
+        )
 
 
 def _same(one: Member, other: Member) -> bool:
--- a/tealwing/service.py
+++ b/tealwing/service.py
@@ -8,8 +8,9 @@
 import sys
 import threading
 import time
+from dataclasses import replace
 
-from tealwing import log
+from tealwing import interface, log
 from tealwing.admin.server import Admin
 from tealwing.config import Config, ConfigError, ConfigRejected, load
 from tealwing.gateway.daemon import Daemon
@@ -31,7 +32,7 @@
     server = Server(
         config.listen, config.most_clients, config.settings, daemon.open, config.accept_fd, config.most_threads
     )
-    daemon.on_settings = lambda settings: setattr(server, "settings", settings)
+    daemon.on_settings = lambda settings: renew(server, config, settings)
     if conf is not None:
         operate(daemon, server, conf)
     serving = threading.Event()  # what readiness says: set once clients are taken, cleared at the drain
@@ -70,14 +71,29 @@
     if not server.shared:  # a queue of our own: clients still come for a while; else the other process takes them
         time.sleep(STILL_COMING)
     server.stop_listening()
-    longest = min(max(cls.deadline for cls in config.settings.classes), LONGEST_WAIT)
-    end = stopped + longest + STILL_COMING - LAST_WORDS
+    end = stopped + min(daemon.deadline, LONGEST_WAIT) + STILL_COMING - LAST_WORDS
+    cut_short = 0
     if not server.finish(end - time.monotonic()):
-        log.event("drain_cut_short", failed=daemon.fail_open())
+        cut_short = daemon.fail_open()
+        log.event("drain_cut_short", failed=cut_short)
         server.finish(LAST_WORDS / 2)
     if admin is not None:
         admin.stop()
-    log.event("stopped", after=time.monotonic() - stopped)
+    ok, shed, failed, _ = daemon.figures.totals
+    log.event(
+        "stopped",
+        after=time.monotonic() - stopped,
+        answered=ok + shed,
+        failed=failed,  # with those cut short, and those that their clients gave up
+        cut_short=cut_short,
+        unanswered=daemon.open_requests,
+        connections=server.connections,
+    )
+
+
+def renew(server: Server, config: Config, settings: interface.Settings) -> None:
+    """Have the server read new requests under the settings, with the threads that they allow."""
+    server.renew(settings, replace(config, settings=settings).most_threads)
 
 
 class FileUnusable(Exception):
