--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -18,7 +18,7 @@
 from tealwing.exchange import Outdated, Query
 from tealwing.gateway import standing
 from tealwing.gateway.decisions import Decisions
-from tealwing.gateway.life import Life, Word
+from tealwing.gateway.life import Life, Signal
 from tealwing.gateway.versions import InForce
 from tealwing.gateway.vitals import Vitals
 from tealwing.resp.engines import Engines
@@ -303,7 +303,7 @@
 
     def fail_open(self) -> int:
         """Fail all that is still open, as the gateway ends; how many there were."""
-        return self._decisions.tell_all(Word.SHUTDOWN)
+        return self._decisions.tell_all(Signal.SHUTDOWN)
 
     @property
     def deadline(self) -> float:
--- a/tealwing/gateway/life.py
+++ b/tealwing/gateway/life.py
@@ -30,7 +30,7 @@
 NOTES = {"frac": api.NoteKind.PROGRESS, "missing": api.NoteKind.SPILLS, "parked": api.NoteKind.WAITS}
 
 
-class Word(Enum):
+class Signal(Enum):
     """What others put into a request's mailbox, beside actions and answers."""
 
     ABANDONED = "the client gave the request up"
@@ -85,7 +85,7 @@
 
     def abandon(self) -> None:
         """The client has given the request up."""
-        self._mailbox.put(Word.ABANDONED)
+        self._mailbox.put(Signal.ABANDONED)
 
     def run(self) -> Reply:
         """See the request through, and count how it ended."""
@@ -118,7 +118,7 @@
                             self._vitals.lagged(time.monotonic() - self._query.taken)
                         if failure is not None:
                             # of a request given up meanwhile no other attempt may be chosen, and count as sent
-                            over = any(isinstance(item, Word) for item in self._ahead)
+                            over = any(isinstance(item, Signal) for item in self._ahead)
                             self._outcome(attempt, failure, over=over)
                             attempt = None
 
@@ -161,9 +161,9 @@
                     case api.Fail():
                         return Failed()
 
-                    case Word() as word:
+                    case Signal() as signal:
                         self._decisions.submit(api.HungUp(self._id))  # what is out ends below
-                        return Abandoned() if word is Word.ABANDONED else Failed()
+                        return Abandoned() if signal is Signal.ABANDONED else Failed()
         finally:
             if attempt is not None:
                 self._give_up(attempt)
@@ -209,7 +209,7 @@
         while not self._mailbox.empty():  # only this thread takes from it
             self._ahead.append(self._mailbox.get())
         return bool(self._ahead) and any(
-            isinstance(item, Word | api.Refuse | api.Fail)
+            isinstance(item, Signal | api.Refuse | api.Fail)
             or (isinstance(item, api.Cancel) and item.attempt == attempt.number)
             for item in self._ahead
         )
@@ -254,7 +254,7 @@
             raise Withdrawn("it was given up before it was sent")
         query = self._query
         if query.has_left():  # its event may not have been taken yet
-            self._ahead.insert(0, Word.ABANDONED)
+            self._ahead.insert(0, Signal.ABANDONED)
             raise Withdrawn("its client left before it was sent")
         fields = b"lane=%b,ttl=%d" % (self._settings.classes[query.cls].name.encode(), ceil(left * 1e3))
         if query.dedupe:
--- a/tealwing/policy/attempts.py
+++ b/tealwing/policy/attempts.py
@@ -11,7 +11,7 @@
 FULL_WAIT = 0.5  # s for which a full engine counts as holding n (o)
 LOST_ONCE = 0.1  # s in which lost attempts count as one failure (o): one connection takes all on it along
 RETRY_SPREAD = (0.5, 1.0)  # of the longest retry-after, at random (o): returns are spread
-LAGGARD = 3.0  # time that an attempt has to go, over the class's usual latency, at which it is dropped (o)
+STRAGGLER = 3.0  # time that an attempt has to go, over the class's usual latency, at which it is dropped (o)
 PROGRESS_FLOOR = 0.01  # least share done that a note is read as (o)
 SILENT = (1.55, 1.1)  # note periods without a first or a further note that mean a lost answer (o)
 
@@ -109,7 +109,7 @@
         to_go = (self.now - attempt.sent) * (1 / max(event.amount, PROGRESS_FLOOR) - 1)
         left = job.deadline - self.now
         expected = max(flow.usual, self.slow * flow.best) * max(1.0, (job.request.cost or 0.0) / flow.work)
-        slow = not event.attempt and to_go >= LAGGARD * expected and left >= 2 * flow.usual
+        slow = not event.attempt and to_go >= STRAGGLER * expected and left >= 2 * flow.usual
         if slow and not self._fleet_index(job.request.cls):
             self._drop(job)  # once, and not where all are slow or the query is long by itself
         elif to_go > left:  # it would only fill the engine, and jam it for others, until its time is out
--- a/tealwing/policy/engines.py
+++ b/tealwing/policy/engines.py
@@ -92,7 +92,7 @@
         return max((self.tries - self.fails + 1) / (self.tries + 1), SUCCESS_FLOOR)
 
     def warmth(self, now: float) -> float:
-        """Share of its capacity, by the contract's figures: a straight ramp from a cold start."""
+        """Share of its capacity, by the contract's figures: a straight slow start."""
         if now >= self.cold_until:
             return 1.0
         passed = max(now - self.started, 0.0) / self.rules.cold_time
--- a/tests/test_engine_connections.py
+++ b/tests/test_engine_connections.py
@@ -351,7 +351,7 @@
     list_.update((member(health=api.Health.DRAINING, port=port),), False)
 
 
-NEWS = pytest.mark.parametrize("news", [gone, unlisted, replaced, draining])
+UPDATES = pytest.mark.parametrize("update", [gone, unlisted, replaced, draining])
 
 
 def limits(many: int = MANY) -> api.Limits:
@@ -365,17 +365,17 @@
     return list_
 
 
-def nothing_came(machine: Machine, news: Callable[..., None], list_: Engines, socks: list[socket.socket]) -> None:
-    """Whether the old engine got no byte more, and what is sent after the next news comes first."""
-    if news is draining:
+def nothing_came(machine: Machine, update: Callable[..., None], list_: Engines, socks: list[socket.socket]) -> None:
+    """Whether the old engine got no byte more, and what is sent after the next update comes first."""
+    if update is draining:
         replaced(list_, machine.address[1])  # it closes what is unused
     for sock in socks:
         assert take(sock) == []
 
 
-@NEWS
-def test_a_connect_that_comes_up_after_the_news_sends_nothing(
-    machine: Machine, monkeypatch: pytest.MonkeyPatch, news: Callable[[Engines, int], None]
+@UPDATES
+def test_a_connect_that_comes_up_after_the_update_sends_nothing(
+    machine: Machine, monkeypatch: pytest.MonkeyPatch, update: Callable[[Engines, int], None]
 ) -> None:
     list_, port = listed(machine), machine.address[1]
     connect = Held(socket.create_connection)
@@ -386,17 +386,17 @@
     other = Sender(list_.send, 7, b"2", head, b"SELECT 1", None, LIMIT)
     engine = list_._engines[7][1]
     until(lambda: bool(engine._changed._waiters))  # type: ignore[attr-defined]
-    news(list_, port)
+    update(list_, port)
     assert isinstance(other.end(), ConnectFailed)  # at once: nothing that it waits for could help it
     connect.go.set()
     assert isinstance(opener.end(), ConnectFailed)
-    nothing_came(machine, news, list_, [machine.accept()])
+    nothing_came(machine, update, list_, [machine.accept()])
     until(lambda: not engine._open)  # nothing is left of it
 
 
-@NEWS
-def test_a_send_that_waited_for_the_write_lock_sees_the_news(
-    machine: Machine, news: Callable[[Engines, int], None]
+@UPDATES
+def test_a_send_that_waited_for_the_write_lock_sees_the_update(
+    machine: Machine, update: Callable[[Engines, int], None]
 ) -> None:
     list_, port = listed(machine), machine.address[1]
     list_.send(7, b"1", head, b"SELECT 1", SimpleQueue[Any]().put, LIMIT).ended()
@@ -411,11 +411,11 @@
     vars(connection)["_writing"] = Watched(connection._writing, waits)
     second = Sender(list_.send, 7, b"3", head, b"SELECT 1", None, LIMIT)
     assert waits.wait(LIMIT)
-    news(list_, port)
+    update(list_, port)
     held.go.set()
     assert isinstance(first.end(), ConnectFailed) and isinstance(second.end(), ConnectFailed)
     assert connection.places == connection.streams == 0
-    nothing_came(machine, news, list_, [sock])
+    nothing_came(machine, update, list_, [sock])
 
 
 def test_an_engine_that_drains_and_returns_is_sent_to_again_on_its_connection(machine: Machine) -> None:
@@ -864,9 +864,9 @@
         self.socks: dict[tuple[str, int], socket.socket] = {}
         self.engines: list[Engine] = []
         self.had: list[tuple[socket.socket, int]] = []  # ids that a connection has had
-        self.news()
+        self.update()
 
-    def news(self) -> None:
+    def update(self) -> None:
         self.list.update((member(self.started, self.health, self.machine.address[1]),), False)
         found = self.list._engines.get(7)
         if found is not None and found[1] not in self.engines:
@@ -1010,12 +1010,12 @@
         """A later process at the same address."""
         self.started += 1.0
         self.health = api.Health.READY
-        self.news()
+        self.update()
 
     @rule(health=st.sampled_from([*api.Health, *[api.Health.READY] * 3]))
     def list_as(self, health: api.Health) -> None:
         self.health = health
-        self.news()
+        self.update()
 
     @invariant()
     def nobody_hears_more_than_one_end(self) -> None:
@@ -1033,7 +1033,7 @@
         if not hasattr(self, "engines"):
             return
         self.health = api.Health.GONE
-        self.news()  # what is unused closes; the rest with its last attempt
+        self.update()  # what is unused closes; the rest with its last attempt
         for attempt in list(self.out.values()):
             attempt.stream.never_mind()
             self.over.append(attempt.heard)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -210,7 +210,7 @@
     assert bench.gateway.level < before
 
 
-def test_a_laggard_is_dropped_once_and_tried_elsewhere() -> None:
+def test_a_straggler_is_dropped_once_and_tried_elsewhere() -> None:
     # seen in the bench: attempts with a bad plan ran to their end and ate most of the fleet's work
     bench = Bench(make_settings(notes_every=1.0), engines=2)
     bench.serve(20)
@@ -223,7 +223,7 @@
     assert not any(isinstance(a, api.Cancel) for a in bench.do(second, 1.0))
 
 
-def test_a_laggard_is_not_dropped_where_the_engine_cannot_or_the_effect_forbids() -> None:
+def test_a_straggler_is_not_dropped_where_the_engine_cannot_or_the_effect_forbids() -> None:
     for settings in (
         make_settings(notes_every=1.0, cancel=False),
         make_settings(notes_every=1.0, classes=(request_class(effect=api.Effect.UNSAFE),)),
@@ -610,7 +610,7 @@
         assert any(isinstance(a, api.Cancel) for a in bench.do(note, 1.0)) is dropped
 
 
-def test_a_laggard_runs_on_where_no_engine_does_better() -> None:
+def test_a_straggler_runs_on_where_no_engine_does_better() -> None:
     # seen in a burst on 40 gateways: 200 attempts a second were dropped in a jam of all engines, and began anew in it
     for jammed in (False, True):
         bench = Bench(
