--- a/benchmarks/requests.py
+++ b/benchmarks/requests.py
@@ -1,6 +1,6 @@
 """What a request costs the gateway's process, this tree against another: processor time, in paired blocks.
 
-    python -m benchmarks.requests PATH [--blocks 60] [--requests 200]
+    python -m benchmarks.requests PATH [--after PATH] [--blocks 60] [--requests 200]
 
 PATH is a checkout of the program before. Both run as deployed (-O), side by side, with one engine played here that
 answers at once. Blocks of requests go to the two in turn, each pair in the other order than the last, and the median
@@ -89,12 +89,13 @@
     """Measure, and tell."""
     parser = argparse.ArgumentParser()
     parser.add_argument("before", type=Path)
+    parser.add_argument("--after", type=Path, default=HERE)
     parser.add_argument("--blocks", type=int, default=60)
     parser.add_argument("--requests", type=int, default=200)
     told = parser.parse_args()
     engine = Answering()
     with tempfile.TemporaryDirectory() as folder:
-        trees = [told.before.resolve(), HERE]
+        trees = [told.before.resolve(), told.after.resolve()]
         gateways = [Gateway(tree, engine.address, Path(folder)) for tree in trees]
         try:
             for gateway in gateways:
