--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -190,10 +190,11 @@
     other = Coordinator()
     watch = Follower(coordinator.address, 4, make_settings(), stay)
     watch.start()
-    coordinator.watch()
+    kept, _ = coordinator.watch()  # its end, were it dropped here, might be heard before the move
     watch.move(other.address)
     assert other.watch()[1] == 4
     assert lines.next("watch_ended")["reason"] == "moved"
+    kept.close()
     other.listener.close()
 
 
