Answer each request by the end of its time, and give a busy gateway more threads

Checked with extra log lines: 743 requests were put aside for want of a thread, up to 117 at once and for up to 4.5 s, on gateways of 160 sessions that had all their 41 threads under way; engine connections, quota, lock and module ruled out (no wait over 5 ms there). Cause: config.most_threads gave each of 196 gateways an even share of 8,192 tasks, though a few see several times the mean; and Server._aside held requests that nobody answers until a thread is free. Change: mysql/overdue.py holds the one moment by which a request is answered and who answers; the thread that looks each 0.25 s refuses those that no thread came to, and fails those whose thread still waits. A gateway may have four times its even share of threads, 128 at least. Tests: test_overdue.py forces each wait; test_server's two tests with read times of 0 now tell the time of reading, as sessions do (their requests were overdue from the start).

--- a/tealwing/config.py
+++ b/tealwing/config.py
@@ -18,7 +18,8 @@
 # tasks that the gateways of one deployment may fill with commands under way, should they all share one machine: a
 # quarter of Linux's usual kernel.pid_max of 32,768, as each has further threads and other programs want theirs
 TASKS = 8192
-LEAST_THREADS = 32  # commands under way at once that a gateway can take however many gateways there are
+BUSIEST = 4  # times its even share of TASKS for one gateway: a few see several times the mean, so all stay near TASKS
+LEAST_THREADS = 128  # commands under way at once that a gateway can take however many there are: some 5 MB of stacks
 
 
 class ConfigError(ValueError):
@@ -62,7 +63,7 @@
     @property
     def most_threads(self) -> int:
         """Threads that serve clients at most: one for each command under way, whatever the number of clients."""
-        return min(self.most_clients, max(LEAST_THREADS, TASKS // max(1, self.settings.gateways)))
+        return min(self.most_clients, max(LEAST_THREADS, BUSIEST * TASKS // max(1, self.settings.gateways)))
 
 
 def address(text: Any, key: str, least: int = 1) -> Address:
--- /dev/null
+++ b/tealwing/mysql/overdue.py
@@ -0,0 +1,52 @@
+"""The moment by which a request is answered, whatever it waits for; pure.
+
+The invariant: a request whose bytes have come is answered at the latest when its time to live is over, and once. Its
+own thread answers it as a rule. Where that thread waits (for a lock, a connection, the gate) or where there is none,
+the server's watch over late requests does. Whoever claims the answer first gives it; the other gives none.
+"""
+
+from __future__ import annotations
+
+import re
+import threading
+from math import inf
+
+_TIME_TO_LIVE = re.compile(rb"/\*[^*]*?\bttl=(\d{1,12})\s*[,*]")
+
+
+class AnswerDeadline:
+    """Of the request that a session has open, if any."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._due = inf  # monotonic; inf: no request is open
+        self._answered = False
+
+    def begin(self, due: float) -> None:
+        """A request was read that is due by then; reading it anew under other settings begins no second one."""
+        with self._lock:
+            if self._due == inf:
+                self._due, self._answered = due, False
+
+    def claim(self) -> bool:
+        """End the open request: whether the caller is to answer it. True where none is open."""
+        with self._lock:
+            mine = not self._answered
+            self._due, self._answered = inf, False
+            return mine
+
+    def claim_overdue(self, now: float) -> bool:
+        """Whether the open request's time is over and nobody has answered it: then the caller is to, at once."""
+        if now < self._due:  # as most are: without the lock
+            return False
+        with self._lock:
+            if now < self._due or self._answered:
+                return False
+            self._answered = True
+            return True
+
+
+def time_to_live(raw: bytes) -> float | None:
+    """Seconds that the first request among bytes not yet read has, by its comment; None where that has not come."""
+    found = _TIME_TO_LIVE.search(raw)
+    return int(found[1]) / 1e3 if found else None
--- a/tealwing/mysql/packets.py
+++ b/tealwing/mysql/packets.py
@@ -40,6 +40,8 @@
     auth: bytes
     database: bytes
 
+HEADER = 4  # bytes: three of the length, one of the sequence number
+
 
 class Parser:
     """Cuts a stream into messages with the sequence number of their last packet, of bounded size."""
@@ -55,6 +57,18 @@
         """Whether a part of a message has come."""
         return bool(self._data or self._message)
 
+    @property
+    def unread(self) -> bytes:
+        """What has come of a message that is not whole."""
+        return bytes(self._message + self._data)
+
+    @property
+    def wanted(self) -> int:
+        """Bytes to the end of the packet that has begun, or of its header as long as that is not whole."""
+        if len(self._data) < HEADER:
+            return HEADER - len(self._data)
+        return HEADER + int.from_bytes(self._data[:3], "little") - len(self._data)
+
     def feed(self, data: bytes | memoryview) -> None:
         """Take in what has come."""
         self._data += data
--- a/tealwing/mysql/server.py
+++ b/tealwing/mysql/server.py
@@ -346,8 +346,10 @@
         return True
 
     def _look(self) -> None:
-        """Evict the clients whose time is over, and close what has lingered for long enough."""
+        """Evict the clients whose time is over, close what has lingered long enough, and answer overdue requests."""
+        buffer = memoryview(bytearray(READ_SIZE))
         while not self._pause(LOOK):
+            self._answer_overdue(buffer)
             now = time.monotonic()
             with self._changed:
                 over = [session for session in self._sessions.values() if session.waited(now) >= 1]
@@ -357,6 +359,31 @@
             for session in lingered:
                 session.hasten()
 
+    def _answer_overdue(self, buffer: memoryview) -> None:
+        """Answer each request whose time is over: one that its thread holds up, or that waits for a thread."""
+        now = time.monotonic()
+        with self._changed:
+            sessions = list(self._sessions.values())
+            aside = list(self._aside)
+            self._aside.clear()  # from here on these are ours
+        failed = sum(session.answer_overdue(now) for session in sessions)
+        overdue = [session for session in aside if session.unread_overdue(now, buffer)]
+        for session in overdue:
+            if session.refuse_overdue(buffer):
+                self._await(session)
+        self._put_back([session for session in aside if session not in overdue])
+        if failed or overdue:
+            log.event("requests_overdue", failed=failed, refused=len(overdue))
+
+    def _put_back(self, aside: list[Session]) -> None:
+        """Have sessions that were taken out of what is put aside served next, in their order."""
+        with self._changed:
+            if self._free <= 0:
+                self._aside.extendleft(reversed(aside))
+                return
+        for session in aside:  # a thread has become free meanwhile, and has found nothing: it is woken by each
+            self._await(session)
+
     def _held(self) -> int:
         """Descriptors that clients hold. Under the lock."""
         return len(self._sessions) + len(self._lingering)
--- a/tealwing/mysql/session.py
+++ b/tealwing/mysql/session.py
@@ -25,7 +25,7 @@
     Turned,
     Unusable,
 )
-from tealwing.mysql import departures, lingering, packets, statements
+from tealwing.mysql import departures, lingering, overdue, packets, statements
 from tealwing.sockets import receive, set_limit, silence, stamp
 
 if TYPE_CHECKING:  # the server knows its sessions, and they know it
@@ -39,6 +39,7 @@
 WRITE_LIMIT = 5  # s that a client may take nothing
 READINGS = 3  # of one request: once more for each change of the rules that it meets
 UNREAD_WAITS = 1.0  # s that a request without a known time may be held
+OVERDUE_PUSHBACK = 0.2  # s of pushback for one that no thread came to in its time: most bursts are over by then
 STILL_CHANGING = 0.2  # s of pushback for one that met a change at each reading
 RESERVE, RESERVE_SHARE = 0.25, 0.5  # of a held request's time, that is kept for what follows: at most s, and a share
 SAMPLED = 4  # of so many sessions one tells how long what it reads has waited: enough for a mean
@@ -83,6 +84,9 @@
         self._due = False  # a command has come, or may have, and is not yet answered, under the lock
         self._killed = False  # by a KILL that came before the exchange of what is due was there, under the lock
         self._left = False  # the client has left under a request: nothing is owed to it
+        self._deadline = overdue.AnswerDeadline()
+        self._unread_due: float | None = None  # monotonic, of a request that waits unread; None where it is not known
+        self._refusing = False  # the next request is refused unread: its time is over
 
     def fileno(self) -> int:
         """The client's descriptor."""
@@ -141,6 +145,41 @@
         size = None if self._parser.begun else departures.brief(self._sock, self._in, buffer)
         return None if size is None else self.run(buffer[:size])
 
+    def unread_overdue(self, now: float, buffer: memoryview) -> bool:
+        """Whether the time of a request that waits unread for a thread is over; by who has the session."""
+        if self._unread_due is None:
+            size = 0
+            with contextlib.suppress(OSError):  # nothing more has come
+                size = self._sock.recv_into(buffer, 0, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            if (left := overdue.time_to_live(self._parser.unread + bytes(buffer[:size]))) is not None:
+                self._unread_due = now - silence(self._sock) + left
+        return self._unread_due is not None and now >= self._unread_due
+
+    def refuse_overdue(self, buffer: memoryview) -> bool:
+        """Refuse the request that has waited unread for too long, and wait for nothing; as run. It reads no further."""
+        going, self._refusing = True, True
+        while going and self._refusing and self._has_come():
+            going = self.run(buffer[: self._parser.wanted])
+        self._refusing = False
+        return going
+
+    def answer_overdue(self, now: float) -> bool:
+        """Fail the open request if its time is over, in place of its thread, which still waits; whether that was so.
+
+        The session ends with it: what its client says next would wait for the same thread.
+        """
+        if not self._deadline.claim_overdue(now):
+            return False
+        with self._lock:  # under which the descriptor is closed
+            self._cut = True
+            exchange = self._exchange
+            with contextlib.suppress(OSError):  # it has gone, or takes nothing
+                self._sock.send(packets.packet(1, FAILED), socket.MSG_DONTWAIT)
+                self._sock.shutdown(socket.SHUT_WR)
+        if exchange is not None:
+            exchange.abandon()
+        return True
+
     def left(self) -> bool:
         """Whether the client of the open request has left; one that has shut its sending half has too.
 
@@ -286,6 +325,7 @@
         """Read once, and answer the messages that are whole; whether the session goes on."""
         with self._lock:  # from here on it is not evicted: see evict
             self._idle, self._waiting, self._due = False, None, True
+            self._unread_due = None
             if self._linger is not None:
                 return False
         if not self._greeted:
@@ -322,6 +362,8 @@
             reply = self._command(payload)
         except threads.NoThread:  # a thread the request needed: it gets its whole answer still
             reply = packets.packet(1, FAILED)
+        if not self._deadline.claim():  # its time was over, and it has been answered
+            return False
         self._sock.sendall(reply)
         return True
 
@@ -388,6 +430,9 @@
 
     def _ask(self, text: bytes) -> bytes:
         """The answer to a request."""
+        if self._refusing:
+            self._refusing = False
+            return answer(Refused(OVERDUE_PUSHBACK))
         try:
             if self.server.gate is not None:
                 passed = self._pass(text, self.server.gate)
@@ -401,6 +446,7 @@
                 query = statements.query(text, settings, self._taken)
                 if self._late:  # its time has run since it came: past its deadline it is refused at once
                     query = dataclasses.replace(query, ttl=query.ttl - self._late)
+                self._deadline.begin(query.taken + query.ttl)
                 query.asks(self.left)
                 if self._killed or (self._late and self.left()):
                     return answer(Abandoned())
@@ -432,6 +478,7 @@
             now = time.monotonic()
             try:
                 query = statements.query(text, settings, self._taken)
+                self._deadline.begin(query.taken + query.ttl - late)
                 tenant = settings.tenants[query.tenant] if settings.tenants else ""
                 until = now + _patience(query.ttl - late)
                 entered = gate.enter(settings.classes[query.cls].name, tenant, query.tables, until)
--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -162,10 +162,10 @@
         self._abandoned.set()
 
 
-def read_call(text: bytes, *_: object) -> Query:
+def read_call(text: bytes, _: object, taken: float) -> Query:
     found = re.search(rb"call=(\w+)", text)
     assert found
-    return Query(found[1], 0, 0, 20.0, b"SELECT 1")
+    return Query(found[1], 0, 0, 20.0, b"SELECT 1", taken=taken)
 
 
 @pytest.fixture
--- /dev/null
+++ b/tests/test_overdue.py
@@ -0,0 +1,286 @@
+"""Every request is answered by the moment at which its time is over, whatever it waits for, and once."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tealwing import interface as api
+from tealwing.exchange import Entered
+from tealwing.mysql import overdue, packets, server
+from tealwing.resp.engine import Connection, Engine
+from tests.peers import LIMIT, Client, request, say
+from tests.test_departures import PAGE, Rig, name_of, wait
+
+REFUSED, FAILED = 1226, 1105
+SHORT_MS, LONG_MS = 300, 60_000
+
+
+def ask(client: Client, call: int, ttl: int) -> None:
+    client.ask(call=name_of(call), ttl=ttl)
+
+
+# The deadline by itself
+
+
+def test_an_answer_is_claimed_once_and_by_whoever_is_first() -> None:
+    deadline = overdue.AnswerDeadline()
+    deadline.begin(5.0)
+    deadline.begin(9.0)  # read anew under other settings: the first moment holds
+    assert not deadline.claim_overdue(4.9)
+    assert deadline.claim_overdue(5.0) and not deadline.claim_overdue(6.0)
+    assert not deadline.claim()  # its thread comes late
+    assert deadline.claim()  # the next command has none
+    deadline.begin(5.0)
+    assert deadline.claim() and not deadline.claim_overdue(6.0)
+
+
+@given(st.lists(st.sampled_from(["begin", "claim", "overdue"]), max_size=30), st.integers(0, 3))
+@settings(derandomize=True, deadline=None)
+def test_no_order_of_claims_gives_two_answers_or_none(steps: list[str], due: int) -> None:
+    deadline, answers, is_open = overdue.AnswerDeadline(), 0, False
+    for now, step in enumerate(steps):
+        if step == "begin" and not is_open:
+            deadline.begin(due)
+            answers, is_open = 0, True
+        elif step == "overdue":
+            given_now = deadline.claim_overdue(now)
+            assert not given_now or (is_open and now >= due)
+            answers += given_now
+        elif step == "claim" and is_open:
+            answers += deadline.claim()
+            assert answers == 1
+            is_open = False
+
+
+@pytest.mark.parametrize(
+    ("raw", "seconds"),
+    [
+        (packets.packet(0, b"\x03" + request(ttl=2305)), 2.305),
+        (b"/* op=lookup,ttl=23", None),  # its last digit may not have come
+        (b"/* op=lookup,ttl=23*/", 0.023),
+        (b"SELECT 'ttl=5,'", None),
+        (b"", None),
+    ],
+)
+def test_the_time_of_a_request_that_is_not_read(raw: bytes, seconds: float | None) -> None:
+    assert overdue.time_to_live(raw) == seconds
+
+
+# On sockets: a request waits, and its answer comes while it still does
+
+
+@contextmanager
+def held(owner: Any, name: str, monkeypatch: pytest.MonkeyPatch) -> Iterator[threading.Event]:
+    """Whoever calls that method waits until the block ends; the event says that somebody does."""
+    come, go, real = threading.Event(), threading.Event(), getattr(owner, name)
+
+    def wait_first(*args: Any, **kwargs: Any) -> Any:
+        come.set()
+        assert go.wait(LIMIT)
+        return real(*args, **kwargs)
+
+    with monkeypatch.context() as patch:
+        patch.setattr(owner, name, wait_first)
+        try:
+            yield come
+        finally:
+            go.set()
+
+
+@pytest.fixture
+def rig() -> Iterator[Rig]:
+    rig = Rig()
+    yield rig
+    rig.end()
+
+
+@pytest.fixture
+def single() -> Iterator[Rig]:
+    rig = Rig(threads=1)
+    yield rig
+    rig.end()
+
+
+@pytest.mark.parametrize(
+    ("owner", "name"),
+    [
+        (Engine, "send"),
+        (Engine, "_reserve"),
+        (Engine, "_connect"),
+        (Connection, "want"),
+        (Connection, "_write"),
+    ],
+)
+def test_a_request_held_up_on_its_way_to_an_engine_is_failed_in_time(
+    rig: Rig, owner: Any, name: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    client = rig.client()
+    with held(owner, name, monkeypatch) as come:
+        ask(client, 1, SHORT_MS)
+        assert come.wait(LIMIT)
+        assert client.error()[0] == FAILED
+    rig.nothing_left()
+    if name != "_write":  # of that its bytes may have left
+        assert rig.engine.got.empty()
+    assert client.sock.recv(1) == b""  # the session has ended with it, and said nothing more
+
+
+def test_a_request_held_up_by_the_lock_round_the_decisions_is_failed_in_time(rig: Rig) -> None:
+    client = rig.client()
+    with rig.decisions._lock:
+        ask(client, 1, SHORT_MS)
+        assert client.error()[0] == FAILED
+    rig.nothing_left()
+    assert rig.engine.got.empty()
+
+
+def test_a_request_held_up_by_the_gate_is_failed_in_time(rig: Rig) -> None:
+    come, go = threading.Event(), threading.Event()
+
+    class Gate:
+        def enter(self, *args: Any) -> Entered:
+            come.set()
+            assert go.wait(LIMIT)
+            return Entered(False)
+
+    rig.server.gate = Gate()
+    client = rig.client()
+    ask(client, 1, SHORT_MS)
+    assert come.wait(LIMIT)
+    assert client.error()[0] == FAILED
+    go.set()
+    rig.nothing_left()
+    assert rig.engine.got.empty()
+
+
+def test_requests_that_no_thread_comes_to_are_refused_in_time(single: Rig) -> None:
+    # guards the deadline on a gateway that has more under way than threads: 163 requests of a day were never answered
+    busy = single.client()
+    ask(busy, 1, LONG_MS)
+    sock, call = single.sent(1)
+    waiting = [single.client() for _ in range(5)]
+    for number, client in enumerate(waiting, 2):
+        ask(client, number, SHORT_MS)
+    later = single.client()
+    ask(later, 9, LONG_MS)
+    for client in waiting:
+        assert client.error()[0] == REFUSED
+    say(sock, call, b"200", b"sheets=1", PAGE)
+    assert len(busy.rows()) == 1
+    sock, call = single.sent(9)  # what was not overdue has kept its place, and none of the others was sent
+    say(sock, call, b"200", b"sheets=1", PAGE)
+    assert len(later.rows()) == 1
+    for number, client in enumerate(waiting, 20):  # a refusal ends no session
+        ask(client, number, LONG_MS)
+        sock, call = single.sent(number)
+        say(sock, call, b"200", b"sheets=1", PAGE)
+        assert len(client.rows()) == 1
+
+
+def test_only_the_overdue_one_of_many_commands_in_one_write_is_refused(single: Rig) -> None:
+    busy, client = single.client(), single.client()
+    ask(busy, 1, LONG_MS)
+    sock, call = single.sent(1)
+    ping = packets.packet(0, b"\x0e")
+    both = [packets.packet(0, b"\x03" + request(call=name_of(n), ttl=ttl)) for n, ttl in ((2, SHORT_MS), (3, LONG_MS))]
+    client.sock.sendall(ping + b"".join(both))
+    assert client.read() == packets.ok()
+    assert client.error()[0] == REFUSED
+    say(sock, call, b"200", b"sheets=1", PAGE)
+    assert len(busy.rows()) == 1
+    sock, call = single.sent(3)
+    say(sock, call, b"200", b"sheets=1", PAGE)
+    assert len(client.rows()) == 1
+
+
+def test_a_long_statement_that_no_thread_comes_to_is_refused_in_time(single: Rig) -> None:
+    busy, client = single.client(), single.client()
+    ask(busy, 1, LONG_MS)
+    sock, call = single.sent(1)
+    text = request(call=name_of(2), ttl=SHORT_MS) + b" WHERE a = '" + b"x" * 3 * server.READ_SIZE + b"'"
+    client.sock.sendall(packets.packet(0, b"\x03" + text))
+    assert client.error()[0] == REFUSED
+    say(sock, call, b"200", b"sheets=1", PAGE)
+    assert len(busy.rows()) == 1
+
+
+def test_half_a_request_that_no_thread_comes_to_is_not_refused_before_it_is_whole(single: Rig) -> None:
+    busy, client = single.client(), single.client()
+    ask(busy, 1, LONG_MS)
+    sock, call = single.sent(1)
+    whole = packets.packet(0, b"\x03" + request(call=name_of(2), ttl=SHORT_MS))
+    client.sock.sendall(whole[:-5])
+    time.sleep(2 * server.LOOK + SHORT_MS / 1e3)
+    client.sock.setblocking(False)
+    with pytest.raises(BlockingIOError):
+        client.sock.recv(1)
+    client.sock.settimeout(LIMIT)
+    client.sock.sendall(whole[-5:])
+    assert client.error()[0] == REFUSED
+    say(sock, call, b"200", b"sheets=1", PAGE)
+    assert len(busy.rows()) == 1
+
+
+Stretch = Callable[[Rig, pytest.MonkeyPatch], Any]
+WAITS: dict[str, tuple[Any, str]] = {
+    "connect": (Engine, "_connect"), "place": (Engine, "_reserve"), "send": (Connection, "want"),
+}  # fmt: skip
+
+
+@given(
+    where=st.lists(st.sampled_from([*WAITS, "lock", ""]), min_size=1, max_size=4),
+    times=st.lists(st.integers(150, 450), min_size=4, max_size=4),
+    threads=st.sampled_from([1, 2, None]),
+)
+@settings(derandomize=True, deadline=None, max_examples=12)
+def test_each_of_many_has_one_answer_while_any_wait_on_its_way_is_stretched(
+    where: list[str], times: list[int], threads: int | None
+) -> None:
+    rig, patch = Rig(threads=threads), pytest.MonkeyPatch()
+    locked = "lock" in where
+    go = threading.Event()
+    try:
+        clients = [rig.client() for _ in where]
+        for owner, name in {WAITS[place] for place in where if place in WAITS}:
+            real = getattr(owner, name)
+
+            def stretched(*args: Any, real: Any = real, **kwargs: Any) -> Any:
+                assert go.wait(LIMIT)
+                return real(*args, **kwargs)
+
+            patch.setattr(owner, name, stretched)
+        if locked:
+            rig.decisions._lock.acquire()
+        for number, (client, ttl) in enumerate(zip(clients, times, strict=False), 1):
+            ask(client, number, ttl)
+        for client in clients:  # no engine answers: each has its answer while all still wait
+            assert client.error()[0] in (REFUSED, FAILED)
+        if locked:
+            rig.decisions._lock.release()
+        go.set()
+        wait(lambda: rig.decisions.open == 0)
+        for client in clients:  # and no second one
+            client.sock.settimeout(0.05)
+            with suppress(TimeoutError):
+                assert client.sock.recv(1) == b""
+    finally:
+        go.set()
+        patch.undo()
+        rig.end()
+
+
+def test_a_request_that_is_answered_in_time_meets_nobody(rig: Rig) -> None:
+    client = rig.client()
+    for number in range(1, 4):
+        rig.serve(client, number)
+    time.sleep(2 * server.LOOK)
+    rig.serve(client, 9)
+    assert rig.count(api.HungUp) == 0
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -7,7 +7,7 @@
 import threading
 import time
 import tracemalloc
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import pytest
 
@@ -41,6 +41,11 @@
     few.finish(LIMIT)
 
 
+def reading(ttl: float) -> Callable[[bytes, object, float], Query]:
+    """Reads every statement as a request that has so long."""
+    return lambda text, settings, taken: Query(b"1", 0, 0, ttl, b"SELECT 1", taken=taken)
+
+
 def ping(client: Client) -> None:
     client.send(0x0E)
     assert client.read() == packets.ok()
@@ -115,7 +120,7 @@
             raise AssertionError(Abandoned)
 
     many = server.Server(("127.0.0.1", 0), 100, make_settings(), lambda query, settings: Held(), most_threads=30)
-    monkeypatch.setattr(statements, "query", lambda *_: Query(b"1", 0, 0, 5.0, b"SELECT 1"))
+    monkeypatch.setattr(statements, "query", reading(LIMIT))
     many.start()
     clients = [Client(many.address) for _ in range(60)]
     for client in clients:
@@ -178,7 +183,8 @@
             raise AssertionError(Abandoned)
 
     one = server.Server(("127.0.0.1", 0), 8, make_settings(), lambda query, settings: Slow(query), most_threads=1)
-    monkeypatch.setattr(statements, "query", lambda *_: Query(b"1", 0, 0, 0.4, b"SELECT 1"))
+    monkeypatch.setattr(statements, "query", reading(0.4))
+    monkeypatch.setattr(server.Server, "_answer_overdue", lambda *_: None)  # nor does who watches come to it
     one.start()
     first, second = Client(one.address), Client(one.address)
     ping(second)
