Pace what members of a large fleet say, and take 1,105 of them

Observed: lab/rollout at 1,100 gateways, bounds lifted by hand (a trial): serve has a gap of 2,244 ms, 21,604 messages of the leader a change, 20 to each member against 3 at 200; a hollow fleet of 400 on real sockets came up with 256 open gates. Checked: repeats alone bounded, and news alone bounded, at 500 and 1,100; learners' own heartbeats ruled out (500: 183 ms against 185). Change: rounds with news, repeats and heartbeats are bounded by the number of members; hurried entries do not wait; idle ticks are 0.25 s; a voter without descriptors for its members is turned down. The model check runs with news at once, as before.

--- a/tealwing/fleet/peering.py
+++ b/tealwing/fleet/peering.py
@@ -191,6 +191,7 @@
     def status(self) -> dict[str, Any]:
         """What operators ask for: who is heard, and what each further part says of itself."""
         told = {"name": self.plan.name, "fleet": self.plan.fleet, "boot": self.link.boot, "peers": self.link.status()}
+        told["traffic"] = dataclasses.asdict(self.link.traffic())
         return told | (self.replica.status() if self.replica is not None else {})
 
     def _skew(self, fields: Fields) -> Fields:
--- /dev/null
+++ b/tealwing/lab/hollow/fleet.py
@@ -0,0 +1,217 @@
+"""Starts a fleet of hollow gateways, asks it for figures, changes its rules, and ends it by its process ids."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import tempfile
+import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+from pathlib import Path
+from types import TracebackType
+from typing import Any, TypeVar
+
+import msgspec
+
+import tealwing
+from tealwing.lab.hollow import requirements
+from tealwing.lab.hollow.records import HostFigures, MemberFigures, Ready
+from tealwing.lab.hollow.specification import Fleet, Host
+from tealwing.lab.rig.ports import free_port
+from tealwing.peers.control import Turned, ask
+
+SOURCE = str(Path(tealwing.__file__).parent.parent)
+MEMBERS_A_HOST = 50
+START_LIMIT = 60.0  # s for a host's members to start
+POLL = 0.1  # s between two looks at what is waited for
+ASK_LIMIT = 10.0  # s for an operator's call
+END_LIMIT = 5.0  # s for a process to end after it was killed
+
+
+Answer = TypeVar("Answer", Ready, HostFigures)
+
+
+class HollowFault(RuntimeError):
+    """The fleet did not start, or a host process ended; the text has the end of what it said."""
+
+
+@dataclass
+class HostProcess:
+    """One host process."""
+
+    specification: Host
+    folder: Path
+    process: subprocess.Popen[str] | None = None
+
+    def start(self) -> None:
+        """Start it; `ready` waits until its members have started."""
+        path = self.folder / "host.json"
+        path.write_bytes(msgspec.json.encode(self.specification))
+        with (self.folder / "errors.log").open("ab") as errors:
+            self.process = subprocess.Popen(
+                [sys.executable, "-O", "-m", "tealwing.lab.hollow.host", str(path)], cwd=self.folder, text=True,
+                stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=errors,
+                env={"PYTHONPATH": SOURCE, "MALLOC_ARENA_MAX": "1", "PYTHONDONTWRITEBYTECODE": "1"},
+            )  # fmt: skip
+
+    def ready(self) -> None:
+        """Wait until its members have started."""
+        self._read(Ready)
+
+    def figures(self) -> HostFigures:
+        """Ask it for its figures."""
+        assert self.process is not None and self.process.stdin is not None
+        try:
+            self.process.stdin.write("figures\n")
+            self.process.stdin.flush()
+        except OSError as error:
+            raise self._fault(str(error)) from None
+        return self._read(HostFigures)
+
+    def faults(self) -> str:
+        """What it has written to standard error."""
+        return (self.folder / "errors.log").read_text(errors="replace")
+
+    def kill(self) -> None:
+        """End it, by its id, and wait for that."""
+        if self.process is None:
+            return
+        self.process.kill()
+        self.process.wait(END_LIMIT)
+        for stream in (self.process.stdin, self.process.stdout):
+            if stream is not None:
+                try:
+                    stream.close()
+                except OSError:  # what was still to be written to it is of no use
+                    continue
+        self.process = None
+
+    def _read(self, kind: type[Answer]) -> Answer:
+        assert self.process is not None and self.process.stdout is not None
+        line = self.process.stdout.readline()
+        if not line:
+            raise self._fault("it has ended")
+        return msgspec.json.decode(line, type=kind)
+
+    def _fault(self, why: str) -> HollowFault:
+        return HollowFault(f"a host of {len(self.specification.here)} members: {why}: {self.faults()[-600:]}")
+
+
+@dataclass(frozen=True)
+class Figures:
+    """Of the whole fleet at one moment."""
+
+    at: float  # monotonic
+    hosts: list[HostFigures] = field(default_factory=list)
+
+    def members(self) -> dict[str, MemberFigures]:
+        """By name."""
+        return {member.name: member for host in self.hosts for member in host.members}
+
+    def leader(self) -> str:
+        """Who leads; empty: nobody says so."""
+        return next((name for name, member in self.members().items() if member.role == "leader"), "")
+
+    def in_force(self, version: int) -> dict[str, float]:
+        """When the version came in force at each member that has it; monotonic time."""
+        found = {}
+        for host in self.hosts:
+            for name, versions in host.in_force.items():
+                if str(version) in versions:
+                    found[name] = versions[str(version)]
+        return found
+
+
+class HollowFleet:
+    """Used as a context, it ends all that it started."""
+
+    def __init__(
+        self, count: int, voters: int = 5, lost_touch: str = "serve", members_a_host: int = MEMBERS_A_HOST,
+        limit: float = 5.0, beat: float = 0.2,
+    ) -> None:  # fmt: skip
+        """count members, the first voters of whom vote. requirements.TooLarge where the machine can't carry them."""
+        names = tuple(f"g{number:04}" for number in range(count))
+        ports = tuple(free_port() for _ in names)
+        self.fleet = Fleet(names, ports, min(voters, count), lost_touch, beat, limit)  # type: ignore[arg-type]
+        self.need = requirements.need(self.fleet, members_a_host)
+        requirements.check(self.need, requirements.room())
+        self._folder = tempfile.TemporaryDirectory(prefix="tealwing-hollow-")
+        self.hosts: list[HostProcess] = []
+        voting, learning = names[: self.fleet.voters], self.fleet.learners
+        groups: list[tuple[str, ...]] = [(name,) for name in voting]
+        groups += [learning[at : at + members_a_host] for at in range(0, len(learning), members_a_host)]
+        self._controls = {name: free_port() for name in voting}
+        for number, group in enumerate(groups):
+            folder = Path(self._folder.name) / f"host{number}"
+            folder.mkdir()
+            controls = {name: port for name, port in self._controls.items() if name in group}
+            self.hosts.append(HostProcess(Host(self.fleet, group, str(folder), controls), folder))
+
+    def __enter__(self) -> HollowFleet:
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        self.close()
+
+    def start(self, settle: float = START_LIMIT) -> float:
+        """Start all, and wait until all gates are open: the seconds that took. HollowFault past so many."""
+        begun = time.monotonic()
+        for host in self.hosts:
+            host.start()
+        for host in self.hosts:
+            host.ready()
+        while True:
+            found = self.figures()
+            members = found.members().values()
+            open_gates = sum(member.gate_open for member in members)
+            if found.leader() and open_gates == len(self.fleet.members):
+                return time.monotonic() - begun
+            if time.monotonic() - begun > settle:
+                raise HollowFault(
+                    f"after {settle:g} s {open_gates} of {len(self.fleet.members)} gates are open, and"
+                    f" {found.leader() or 'nobody'} leads: {self.faults()[:600]}"
+                )
+            time.sleep(POLL)
+
+    def close(self) -> None:
+        """End every process that was started, and its folder."""
+        with ThreadPoolExecutor(8) as pool:
+            list(pool.map(HostProcess.kill, self.hosts))
+        self._folder.cleanup()
+
+    def figures(self) -> Figures:
+        """Of all hosts that run."""
+        running = [host for host in self.hosts if host.process is not None]
+        with ThreadPoolExecutor(min(32, len(running))) as pool:
+            return Figures(time.monotonic(), list(pool.map(HostProcess.figures, running)))
+
+    def host_of(self, name: str) -> HostProcess:
+        """The host of a member."""
+        return next(host for host in self.hosts if name in host.specification.here)
+
+    def faults(self) -> str:
+        """What the hosts have written to standard error."""
+        return "".join(host.faults() for host in self.hosts)
+
+    def call(self, what: str, at: str = "", **fields: Any) -> dict[str, Any]:
+        """An operator's call, at that voter, or the first one that runs."""
+        running = [name for name in self._controls if self.host_of(name).process is not None]
+        name = at or running[0]
+        return ask(("127.0.0.1", self._controls[name]), what, ASK_LIMIT, **fields)
+
+    def propose(self, text: bytes, why: str) -> int:
+        """Propose a version of the rules; its number. HollowFault where it is not taken."""
+        try:
+            told = self.call("rules.propose", text=text, who="operator", why=why, wait_s=ASK_LIMIT / 2)
+        except (OSError, Turned) as error:
+            raise HollowFault(f"the proposal was not taken: {error}") from None
+        if told["word"] != "ok":
+            raise HollowFault(f"the proposal was not taken: {told}")
+        return int(told["number"])
+
+    def phase(self, version: int) -> str:
+        """The phase of a version as a voter sees it."""
+        return str(self.call("rules.show", number=version)["phase"])
--- a/tealwing/lab/models/consensus.py
+++ b/tealwing/lab/models/consensus.py
@@ -12,6 +12,7 @@
 import copy
 from collections.abc import Callable, Hashable, Iterable
 from dataclasses import dataclass, field, replace
+from math import inf
 from typing import Any
 
 from tealwing.lab.models.mutations import MUTATIONS
@@ -74,7 +75,7 @@
         self._learners = tuple(learners)
         # elections come by `campaign`: so long a time that whoever was ever heard counts as heard
         self._options = Options(election=1e6, pre_vote=False, check_quorum=False, stale=stale, entries=1, inflight=2,
-                                early=early)  # fmt: skip
+                                early=early, news_rate=inf)  # fmt: skip
         self._stale = stale
 
     def initial(self) -> World:
--- a/tealwing/lab/models/rollout_parts.py
+++ b/tealwing/lab/models/rollout_parts.py
@@ -24,7 +24,7 @@
 class Eager(Retry):
     """All that is wanted is asked for at once: what is proposed may be applied late or never anyway."""
 
-    def ready(self, now: float, key: Hashable) -> bool:
+    def ready(self, now: float, key: Hashable, members: int = 0) -> bool:
         """Always."""
         return True
 
--- a/tealwing/lab/rollout/copies.py
+++ b/tealwing/lab/rollout/copies.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from tealwing.log import must_hold
@@ -32,7 +32,7 @@
     def view(self, name: str) -> View:
         """The state as a member of that name reads it."""
         v = self.plain
-        return View(v.index, v.active, v.flight, self.tables["rule_members"].get(name), v.last, v.phases, v.decided)
+        return replace(v, me=self.tables["rule_members"].get(name))
 
 
 class Copies:
@@ -62,8 +62,7 @@
         before = self.last
         if entry.kind is not Kind.DATA:
             self._state.applied = entry.index
-            v = before.plain
-            plain = View(entry.index, v.active, v.flight, None, v.last, v.phases, v.decided)
+            plain = replace(before.plain, index=entry.index)
             return Shot(entry.index, entry, None, None, before.tables, plain)
         result = self._state.apply(entry.index, entry.data)
         tables = {name: dict(self._state.tables[name]) for name in TABLES}
--- a/tealwing/peers/inbound.py
+++ b/tealwing/peers/inbound.py
@@ -35,6 +35,7 @@
             return self.limit
         if not size:
             raise EOFError
+        self._link.received_bytes += size
         for payload in self._parser.feed(buffer[:size]):
             self._link.heard(self, messages.decode(payload))
             self.limit = time.monotonic() + self._times.silent
--- a/tealwing/peers/link.py
+++ b/tealwing/peers/link.py
@@ -11,10 +11,13 @@
 
 import contextlib
 import itertools
+import resource
 import socket
 import threading
 import time
 from collections.abc import Callable, Collection
+from dataclasses import dataclass
+from math import ceil
 from typing import Any
 
 from tealwing import log, threads
@@ -28,16 +31,39 @@
 
 BACKLOG = 64
 ACCEPT_PAUSE = 0.05  # s before a failed accept is tried again
+DESCRIPTOR_SHARE = 0.5  # of the process's descriptors, for the link: clients and engines have the others
 SPARE_INBOUND = 8  # connections beside one of each peer's: of a peer that starts anew, or of a stranger for `hello`
 
 Hear = Callable[[str, bytes], None]  # name of the peer, body; on the reader's thread: quick, and never blocking
 Watch = Callable[[Change], None]
 
 
+@dataclass(frozen=True, slots=True)
+class Traffic:
+    """All that a link has written to its sockets and read from them so far."""
+
+    sent: int  # messages, signs of life among them
+    sent_bytes: int
+    received: int
+    received_bytes: int
+
+
 class LinkFault(ValueError):
     """The link can't begin; the text says why."""
 
 
+def check_descriptors(plan: Plan, limit: int) -> None:
+    """LinkFault where the connections to and from all members would take more than half of the descriptors."""
+    needed = len(plan.spoken_to()) + len(plan.members) - 1
+    if needed > limit * DESCRIPTOR_SHARE:
+        least = ceil(needed / DESCRIPTOR_SHARE)
+        raise LinkFault(
+            f"peers: member {plan.name} has up to {needed} connections to and from {len(plan.members)} members, and the"
+            f" process may open {limit} files, of which the link may take half; allowed: a limit of {least} or more"
+            " (ulimit -n), or fewer members"
+        )
+
+
 class Link:
     """One gateway among its peers."""
 
@@ -47,6 +73,7 @@
         self.boot = int(time.time() * 1e3) if boot is None else boot
         listen = plan.address(plan.name)
         assert listen is not None  # the section's check
+        check_descriptors(plan, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         try:
             self._listener = socket.create_server(listen, backlog=BACKLOG)
         except OSError as error:
@@ -65,6 +92,7 @@
         self._stopped = threading.Event()
         self._reader = Reader("peer-reader", limited=True)
         self._complaints = 0
+        self.received_bytes = self._received = 0  # bytes and messages that came, of the reader's thread
 
     @property
     def address(self) -> Address:
@@ -160,6 +188,13 @@
             except threads.NoThread:  # logged there; without a sender it is as good as unreachable
                 continue
 
+    def traffic(self) -> Traffic:
+        """What has passed so far; connections to peers that are spoken to no more count no more."""
+        with self.lock:
+            senders = list(self._out.values())
+        sent, sent_bytes = sum(one.sent for one in senders), sum(one.sent_bytes for one in senders)
+        return Traffic(sent, sent_bytes, self._received, self.received_bytes)
+
     def status(self) -> list[dict[str, Any]]:
         """What is known of each peer; seconds and counts."""
         now = time.monotonic()
@@ -197,6 +232,7 @@
     def heard(self, connection: Inbound, message: messages.Message) -> None:
         """One message, on the reader's thread. FrameError ends the connection."""
         now = time.monotonic()
+        self._received += 1
         change = None
         if not connection.name:
             if not isinstance(message, messages.Hello):
--- a/tealwing/peers/outbound.py
+++ b/tealwing/peers/outbound.py
@@ -35,7 +35,7 @@
         self._stopped = threading.Event()
         self._beats = itertools.count(1)
         self.connected = False
-        self.dials = self.sent = 0
+        self.dials = self.sent = self.sent_bytes = 0
 
     def start(self) -> None:
         """Dial, and send from now on."""
@@ -66,13 +66,17 @@
 
     def _speak(self, sock: socket.socket) -> None:
         plan = self._link.plan
-        sock.sendall(frames.encode(messages.encode(self._link.hello(self.name))))
+        hello = frames.encode(messages.encode(self._link.hello(self.name)))
+        sock.sendall(hello)
+        self.sent_bytes += len(hello)
         self.connected = True
         began = time.monotonic()
         while (found := self.outbox.get(plan.times.beat, BATCH)) is not None:
             payloads = found or [messages.encode(messages.Beat(next(self._beats)))]
-            sock.sendall(b"".join(map(frames.encode, payloads)))
+            data = b"".join(map(frames.encode, payloads))
+            sock.sendall(data)
             self.sent += len(payloads)
+            self.sent_bytes += len(data)
             if time.monotonic() - began > plan.times.doubt:  # it holds: the next trouble begins with short waits
                 self._backoff.heard()
             if gone(sock):
--- a/tealwing/peers/plan.py
+++ b/tealwing/peers/plan.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 Address = tuple[str, int]
 MANY = 64  # members up to which each peer's queue is as large as the section says
+BEAT_RATE = 2000.0  # heartbeats a second that one voter takes in at most, and sends: a fifth of a core at 100 us each
+DOUBT_BEATS, LOST_DOUBTS, SILENT_LOSTS = 5.0, 2.0, 5.0  # each of `Times` in those before it, as the usual ones are
 MOST_QUEUED = 512 << 20  # bytes that wait for all peers together, where there are more
 
 
@@ -19,6 +21,17 @@
     silent: float = 10.0  # s without a whole frame after which an inbound connection is closed
     hello: float = 2.0  # s in which a connection says whose it is
 
+    def paced(self, members: int) -> Times:
+        """These times for a fleet of so many members: heartbeats so far apart that a voter can take them in.
+
+        All other times stay at the multiples of a heartbeat that tell silence from a late one. Up to BEAT_RATE * beat
+        members (400 with the usual beat) nothing changes.
+        """
+        beat = max(self.beat, members / BEAT_RATE)
+        doubt = max(self.doubt, DOUBT_BEATS * beat)
+        lost = max(self.lost, LOST_DOUBTS * doubt)
+        return replace(self, beat=beat, doubt=doubt, lost=lost, silent=max(self.silent, SILENT_LOSTS * lost))
+
 
 @dataclass(frozen=True, slots=True)
 class Plan:
--- a/tealwing/peers/section.py
+++ b/tealwing/peers/section.py
@@ -8,9 +8,10 @@
 
 # Members that link to all: each pair of them has two connections, and each sends a sign of life to everyone each beat.
 MOST_VOTERS = 64
-# Members in all. One that votes has a thread (of a small stack) and two descriptors for each: 512, half of the 1,024
-# that a process usually may open, so that clients and engines have the other half. A learner has them for voters only.
-MOST_MEMBERS = 256
+# Members in all, as many as were measured (docs/CAPACITY.md). One that votes has a thread (of a small stack) and two
+# descriptors for each, so that many want a higher limit of open files there: the link says so at its start. A learner
+# has them for voters only.
+MOST_MEMBERS = 1105
 LEARNER = "learner"
 
 
@@ -80,7 +81,7 @@
         block.one("fleet"),
         name,
         tuple(entry.value[:2] for entry in members),
-        times,
+        times.paced(len(members)),
         block.one("control"),
         block.one("queue"),
         block.one("queue-bytes"),
--- a/tealwing/replica/raft/log.py
+++ b/tealwing/replica/raft/log.py
@@ -55,7 +55,8 @@
         self.progress: dict[str, Progress] = {}
         self.round = 0
         self.beaten = 0.0  # when the last round began
-        self.told = 0  # what was committed then
+        self.told = 0  # what was committed when learners were last told of news
+        self.news_due = 0.0  # when they may be told of further news
         self.settled = 0  # index of our first entry as leader
         self.stable = self.last_index  # written to disk up to here
         self._hard = False  # term or vote is not on disk
--- a/tealwing/replica/raft/records.py
+++ b/tealwing/replica/raft/records.py
@@ -32,6 +32,7 @@
 
     beat: float = 0.1  # s between two rounds of a leader that has nothing else to say
     learner_beat: float = 0.5  # s between two words to a learner that has nothing new to hear: see Sending
+    news_rate: float = 4000.0  # messages a second with news for learners, but for those of `hurry`: see Sending
     election: float = 0.6  # s without a leader after which a member asks for votes, at least; up to twice that
     resend: float = 0.5  # s without an answer after which what is under way to a follower counts as lost
     batch: int = 64 * 1024  # bytes of entries in one message, but one entry at least
--- a/tealwing/replica/raft/sending.py
+++ b/tealwing/replica/raft/sending.py
@@ -15,7 +15,9 @@
     `learner_beat` apart and spread evenly, so that of n learners n * beat / learner_beat hear something in a round (40
     of 200). What is new does not wait for that: entries go out with the next round (that of `hurry`, where it must be
     now) once they are committed, as before that a learner has no use for them, and with the word that they are: one
-    message, and one answer, for all that a round has of news. Who votes gets entries at once, as ever. A learner
+    message, and one answer, for all that a round has of news. Rounds with news for learners are so far apart that
+    these messages stay within `news_rate`: acknowledgements of 1,100 members come in over many rounds, and a leader
+    that told all of each round had no time left to take them in. Who votes gets entries at once, as ever. A learner
     that was not heard for two of its beats gets no entries and no pieces of a snapshot, only its beat, until it is
     heard again: else those that are gone would take the places of those that wait for a snapshot.
     """
@@ -23,7 +25,9 @@
     def _begin_round(self, now: float) -> None:
         """One message to everyone, numbered: its answers show who still follows us."""
         self.round += 1
-        self.beaten, self.told = now, self.commit
+        self.beaten = now
+        if now >= self.news_due:
+            self.told, self.news_due = self.commit, now + len(self.learners) / self.options.news_rate
         for name, progress in self.progress.items():
             self._send_to(now, name, progress, beat=name in self.members or self._beat_due(now, progress))
 
@@ -34,13 +38,14 @@
         """
         if self.role is not Role.LEADER or self.told >= self.commit:
             return False
+        self.news_due = now
         self._begin_round(now)
         return True
 
     def _beat_due(self, now: float, progress: Progress) -> bool:
         """Whether a learner is to hear something in this round though there are no entries for it."""
         if now < progress.due:
-            return progress.told < self.commit
+            return progress.told < self.told
         late = now - progress.due >= self.options.learner_beat
         progress.due = (now if late else progress.due) + self.options.learner_beat
         return True
--- a/tealwing/rollout/conductor.py
+++ b/tealwing/rollout/conductor.py
@@ -41,7 +41,8 @@
         }
         wanted = self._wanted(now, tables) if self._leads else []
         self._retry.keep([key for key, _ in wanted])
-        return [body for key, body in wanted if self._retry.ready(now, key)]
+        members = len(tables["rule_members"])
+        return [body for key, body in wanted if self._retry.ready(now, key, members)]
 
     def _wanted(self, now: float, tables: Mapping[str, Mapping[str, Any]]) -> list[tuple[Hashable, Body]]:
         flight = view(tables, 0, "").flight
--- a/tealwing/rollout/leading.py
+++ b/tealwing/rollout/leading.py
@@ -29,6 +29,11 @@
             self._replica.hurry()  # followers learn it at once, not with the next beat
         self._witnesses.applied(now, index, body)
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether permits of a member that has lapsed are waited for."""
+        return self._witnesses.is_waiting
+
     def due(self, now: float, seen: Seen) -> list[records.Witness]:
         """What we can witness now."""
         return self._witnesses.due(now, seen.tables)
--- a/tealwing/rollout/member.py
+++ b/tealwing/rollout/member.py
@@ -117,7 +117,7 @@
         self._take()
         wanted = self._wanted(view)
         self._retry.keep([key for key, _ in wanted])
-        found += [action for key, action in wanted if self._retry.ready(now, key)]
+        found += [action for key, action in wanted if self._retry.ready(now, key, view.members)]
         return found + self._reads(now, view)
 
     def _wanted(self, view: View) -> list[tuple[Hashable, Action]]:
--- a/tealwing/rollout/retry.py
+++ b/tealwing/rollout/retry.py
@@ -6,7 +6,9 @@
 
 from tealwing.coordinator.backoff import Backoff
 
-LEAST, MOST = 0.1, 1.0  # s: a large fleet takes half as long to show a word, and it need not be said twice
+LEAST, MOST = 0.1, 1.0  # s: 200 members take half as long to show what all said, and it need not be said twice
+REPEAT_RATE = 1000.0  # messages a second that all members together repeat at most: a leader has others to take in
+SPAN = 4.0  # times the least wait that the longest is, at least
 
 
 class Retry:
@@ -16,12 +18,13 @@
         self._seed, self._most = seed, most
         self._due: dict[Hashable, tuple[float, Backoff]] = {}
 
-    def ready(self, now: float, key: Hashable) -> bool:
-        """Whether to try it now; counts as tried if so."""
+    def ready(self, now: float, key: Hashable, members: int = 0) -> bool:
+        """Whether to try it now; counts as tried if so. members is how many want the like of the same leader."""
         found = self._due.get(key)
         if found is not None and now < found[0]:
             return False
-        backoff = found[1] if found is not None else Backoff(LEAST, self._most, self._seed)
+        least = max(LEAST, members / REPEAT_RATE)
+        backoff = found[1] if found is not None else Backoff(least, max(self._most, SPAN * least), self._seed)
         self._due[key] = now + backoff.next(), backoff
         return True
 
--- a/tealwing/rollout/shell.py
+++ b/tealwing/rollout/shell.py
@@ -30,7 +30,9 @@
 from tealwing.rules import records
 from tealwing.rules.check import BUILD
 
-TICK = 0.02  # s between two looks at the clock
+TICK = 0.02  # s between two looks at the clock while a change, a lapse or a start is under way
+IDLE_TICK = 0.25  # s between them else: what comes wakes the thread, and half of a resting member's time was ticks
+IDLE_SHARE = 0.05  # of a permit, where that is less: it is renewed in time
 STEPS = 3  # looks in a row at most: what was done may be what the next step waits for
 AFTER_FAULT = 0.1  # s before the next turn
 SHUT_AFTER = 1.0  # s of waiting for an outcome after which the gateway says that it is not ready
@@ -182,7 +184,7 @@
 
     def _run(self) -> None:
         while not self._stopped.is_set():
-            self._wake.wait(self._clock.real(TICK))
+            self._wake.wait(self._clock.real(self._tick()))
             self._wake.clear()
             try:
                 self._turn()
@@ -194,6 +196,13 @@
                 self._fault = trace
                 self._stopped.wait(AFTER_FAULT)
 
+    def _tick(self) -> float:
+        """Seconds until the next look at the clock, unless something wakes us before."""
+        is_idle = self._seen.me.flight is None and self.steering.is_open and not self._due
+        if not is_idle or self._leading.is_waiting:
+            return TICK
+        return max(TICK, min(IDLE_TICK, IDLE_SHARE * self.plan.permit))
+
     def _turn(self) -> None:
         for _ in range(STEPS):
             self._deeds.put_in_force(lambda: self._seen)
--- a/tealwing/rollout/view.py
+++ b/tealwing/rollout/view.py
@@ -22,6 +22,7 @@
     last: int = 0  # number given last
     phases: Mapping[int, Phase] = field(default_factory=dict)
     decided: int = 0  # of the version in force: the index in the federation's log that decided it; 0: made here
+    members: int = 0  # how many take part
 
     def known(self, number: int) -> Phase | None:
         """The phase of a version; None if this state has not heard of it. Those long gone are superseded or aborted."""
@@ -59,4 +60,5 @@
     phases = {version.number: version.phase for version in versions}
     found = next((version for version in versions if version.number == now.active), None)
     decided = found.decided if found is not None else 0
-    return View(index, now.active, flight, tables["rule_members"].get(name), now.last, phases, decided)
+    members: Mapping[str, Member] = tables["rule_members"]
+    return View(index, now.active, flight, members.get(name), now.last, phases, decided, len(members))
--- a/tealwing/rollout/witnesses.py
+++ b/tealwing/rollout/witnesses.py
@@ -25,6 +25,11 @@
         self.name, self._bounds, self._retry = name, bounds, Retry(seed)
         self._since: dict[tuple[str, int], float] = {}  # by member and lapse: when it was applied here, or seen first
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether a lapse is open, as of the last look."""
+        return bool(self._since)
+
     def applied(self, now: float, index: int, body: Body) -> None:
         """An entry was applied."""
         if isinstance(body, Lapse | Forget):
