--- a/tealwing/commands/rules.py
+++ b/tealwing/commands/rules.py
@@ -72,9 +72,7 @@
 @click.option("--wait", default=30.0, show_default=True, type=click.FloatRange(0, LONGEST_WAIT), metavar="S",
               help="Seconds to wait for the outcome.")  # fmt: skip
 @click.argument("file", type=FILE)
-def propose(
-    control: str, as_json: bool, who: str | None, why: str, parent: int | None, wait: float, file: str
-) -> None:
+def propose(control: str, as_json: bool, who: str | None, why: str, parent: int | None, wait: float, file: str) -> None:
     """Propose the bundle in FILE as the next version, and wait for what comes of it.
 
     Exit code 0 only where it is in force; else who said no, and why. Stopping the command does not stop the change:
--- a/tealwing/interface.py
+++ b/tealwing/interface.py
@@ -489,6 +489,4 @@
     text: str
 
 
-Action = (
-    Send | Tune | Refuse | Fail | Cancel | SetTimer | Probe | CloseIdle | Tell | Subscribe | FetchList | Log
-)
+Action = Send | Tune | Refuse | Fail | Cancel | SetTimer | Probe | CloseIdle | Tell | Subscribe | FetchList | Log
--- a/tealwing/lab/models/explore.py
+++ b/tealwing/lab/models/explore.py
@@ -96,7 +96,7 @@
             choices = list(model.steps(state))
             if not choices:
                 break
-            (word, go), = rng.choices(choices, [weigh(word) for word, _ in choices])
+            ((word, go),) = rng.choices(choices, [weigh(word) for word, _ in choices])
             state = go()
             steps += 1
             trace.append(word)
--- a/tealwing/lab/models/rollout.py
+++ b/tealwing/lab/models/rollout.py
@@ -296,9 +296,7 @@
         """What the shell does: the machine looks, the mark is written, checks say yes, and all is proposed."""
         node = world.nodes[name]
         now, machine = self._clock(world, node), node.machine
-        views = [
-            self._view(world, log, node.at[log], who) for log, who in self.logs_of(name).items()
-        ]
+        views = [self._view(world, log, node.at[log], who) for log, who in self.logs_of(name).items()]
         said: set[tuple[str, r.Body]] = set()
         again = True
         while again:
@@ -330,9 +328,7 @@
                 for other, its in world.nodes.items():
                     theirs = its.machine.gate(self._clock(world, its))
                     if theirs.mode == "open" and theirs.number < gate.number:
-                        world.wrong = (
-                            f"{name} decides under version {gate.number}, and {other} under {theirs.number}"
-                        )
+                        world.wrong = f"{name} decides under version {gate.number}, and {other} under {theirs.number}"
         return world
 
     def _told(self, world: World, name: str) -> frozenset[tuple[str, r.Body]]:
--- a/tealwing/lab/models/rollout_faults.py
+++ b/tealwing/lab/models/rollout_faults.py
@@ -15,9 +15,9 @@
         found: r.Version | None = tables["rules"].get(str(body.number))
         if found is not None and found.phase == "preparing":
             kept.turn(tables, index, found, "agreed")
-            tables["rule_members"].update({
-                name: _closed(member, body.number) for name, member in tables["rule_members"].items()
-            })
+            tables["rule_members"].update(
+                {name: _closed(member, body.number) for name, member in tables["rule_members"].items()}
+            )
     flight = registry.in_flight(tables)
     if mutation == "begin-counts" and isinstance(body, r.Begin) and flight is not None:
         begun = registry.apply(tables, index, body).ok
--- a/tealwing/lab/standins/engine.py
+++ b/tealwing/lab/standins/engine.py
@@ -40,9 +40,7 @@
     pages: tuple[bytes, ...]
 
 
-def truth(
-    seed: int, call: bytes, cls: int, mix: Sequence[arrivals.Mix] = arrivals.BRIEF, site: bytes = b""
-) -> Truth:
+def truth(seed: int, call: bytes, cls: int, mix: Sequence[arrivals.Mix] = arrivals.BRIEF, site: bytes = b"") -> Truth:
     """The truth of the query with that id; its rows begin with the site, or with the id where that is empty."""
     rng = np.random.default_rng(int.from_bytes(hashlib.blake2b(call, digest_size=8).digest(), "big") ^ seed)
     kind = mix[cls]
--- a/tealwing/levels/conditions.py
+++ b/tealwing/levels/conditions.py
@@ -169,9 +169,7 @@
     except UnexpectedInput as error:
         at = max(getattr(error, "column", 1) - 1, 0)
         where = f'at "{text[at : at + 20]}"' if text[at:] else "at its end"
-        raise ConditionError(
-            f'SIGNAL > VALUE or SIGNAL < VALUE, joined by "and" and "or" ({where})'
-        ) from None
+        raise ConditionError(f'SIGNAL > VALUE or SIGNAL < VALUE, joined by "and" and "or" ({where})') from None
     products = _products(tree)
     if len(products) > MOST_PRODUCTS:
         raise ConditionError(f"at most {MOST_PRODUCTS} alternatives")
--- a/tealwing/levels/controller.py
+++ b/tealwing/levels/controller.py
@@ -97,9 +97,7 @@
     return max(term.stay, min(stay * GROWTH, term.stay_most)) if away < SOON else term.stay
 
 
-def step(
-    terms: Sequence[Terms], state: State, now: float, seen: Sequence[Seen]
-) -> tuple[State, Change | None]:
+def step(terms: Sequence[Terms], state: State, now: float, seen: Sequence[Seen]) -> tuple[State, Change | None]:
     """One look: the state after it, and the change that it made, if any.
 
     A clock that went back stands still until it has caught up. After a gap no condition counts as having held.
--- a/tealwing/levels/governor.py
+++ b/tealwing/levels/governor.py
@@ -24,9 +24,7 @@
 class Governor:
     """One gateway's decisions under a plan of levels."""
 
-    def __init__(
-        self, settings: api.Settings, gateway: Gateway, plan: Plan, told: Told | None = None
-    ) -> None:
+    def __init__(self, settings: api.Settings, gateway: Gateway, plan: Plan, told: Told | None = None) -> None:
         self.settings, self.gateway, self.plan = settings, gateway, plan
         self._told = told
         self.signals = Signals(settings, plan.window, plan.every)
--- a/tealwing/levels/measures.py
+++ b/tealwing/levels/measures.py
@@ -62,9 +62,7 @@
     return tuple(min(share, floor) for share, floor in zip(shares, measure.floor, strict=True))
 
 
-def divided(
-    share: float, asked: Sequence[float], beyond: Sequence[float], caps: Sequence[float]
-) -> tuple[float, ...]:
+def divided(share: float, asked: Sequence[float], beyond: Sequence[float], caps: Sequence[float]) -> tuple[float, ...]:
     """One class's share over the accounts, so that what is beyond an account's share goes first.
 
     asked is each account's requests of the class, beyond the part of them beyond its share, caps the most admitted
--- a/tealwing/levels/plan.py
+++ b/tealwing/levels/plan.py
@@ -95,10 +95,7 @@
             for signal in level.signals():
                 head, _, rest = signal.partition(".")
                 name = rest.rpartition(".")[0]
-                if (
-                    head in ("class", "account")
-                    and name not in (classes, settings.tenants)[head == "account"]
-                ):
+                if head in ("class", "account") and name not in (classes, settings.tenants)[head == "account"]:
                     raise PlanError(f"level {level.terms.name}: {signal} names no {head} of the settings")
         whole = (1.0, 1.0)  # of a class that a level does not name
         return tuple(
--- a/tealwing/levels/replay.py
+++ b/tealwing/levels/replay.py
@@ -40,9 +40,7 @@
         try:
             line = decoder.decode(text)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            raise TraceError(
-                f'line {number}: {error}; wanted {{"at": s, "signals": {{NAME: value}}}}'
-            ) from None
+            raise TraceError(f'line {number}: {error}; wanted {{"at": s, "signals": {{NAME: value}}}}') from None
         if not isfinite(line.at) or line.at <= last:
             raise TraceError(f"line {number}: at {line.at:g} after {last:g}; times must rise")
         for name in line.signals:
--- a/tealwing/levels/section.py
+++ b/tealwing/levels/section.py
@@ -258,9 +258,7 @@
     for name in ("enter", "strong", "exit"):
         times = block.one(name)
         if times is not None and not conditions.possible(times.condition):
-            report.add(
-                block.place(name, place), name, f'"{times.condition.text}"', "a condition that can hold"
-            )
+            report.add(block.place(name, place), name, f'"{times.condition.text}"', "a condition that can hold")
     for name in ("enter", "strong"):
         times = block.one(name)
         if times is None:
--- a/tealwing/levels/signals.py
+++ b/tealwing/levels/signals.py
@@ -93,9 +93,7 @@
             goal = cls.aim + cls.aim_stretch * request.cost / cls.threads
         self._open[request.id] = Open(request.cls, now + goal, cls.worth, cls.late_share)
         self._now.counts[request.cls][CAME] += 1
-        self._now.accounts[request.tenant if request.tenant < len(self._now.accounts) else 0][
-            request.cls
-        ] += 1
+        self._now.accounts[request.tenant if request.tenant < len(self._now.accounts) else 0][request.cls] += 1
 
     def outcome(self, now: float, event: api.Outcome) -> None:
         """An attempt ended, and with it the request where it was served."""
--- a/tealwing/mysql/packets.py
+++ b/tealwing/mysql/packets.py
@@ -40,6 +40,7 @@
     auth: bytes
     database: bytes
 
+
 HEADER = 4  # bytes: three of the length, one of the sequence number
 
 
--- a/tealwing/peers/link.py
+++ b/tealwing/peers/link.py
@@ -275,9 +275,7 @@
         if not isinstance(why, (EOFError, OSError)) and not self._stopped.is_set():
             self._complaints += 1
             if self._complaints & (self._complaints - 1) == 0:  # a flood writes few lines
-                log.event(
-                    "peer_connection_ended", peer=connection.name or None, why=str(why), so_far=self._complaints
-                )
+                log.event("peer_connection_ended", peer=connection.name or None, why=str(why), so_far=self._complaints)
 
     def _accept(self) -> None:
         while not self._stopped.is_set():
--- a/tealwing/policy/engines.py
+++ b/tealwing/policy/engines.py
@@ -136,7 +136,6 @@
         return jammed or any(self.report.get(name, 0.0) > limit for name, limit in BUSY.items())
 
 
-
 class Attempt:
     """One send of a job."""
 
--- a/tealwing/replica/node.py
+++ b/tealwing/replica/node.py
@@ -266,4 +266,3 @@
             answer(Told(ask.number, "refused", str(error).encode(), 0))
         else:
             self._waiting.propose(index, term, Answering(ask.number, answer))
-
--- a/tealwing/replica/section.py
+++ b/tealwing/replica/section.py
@@ -31,8 +31,14 @@
     """The plan that a checked section makes."""
     beat, election = block.one("beat"), block.one("election")
     plan = Plan(
-        block.one("folder"), beat, election, block.one("stale"), block.one("snapshot-entries"),
-        block.one("leases"), block.one("join"), block.one("replace-after") or 0.0,
+        block.one("folder"),
+        beat,
+        election,
+        block.one("stale"),
+        block.one("snapshot-entries"),
+        block.one("leases"),
+        block.one("join"),
+        block.one("replace-after") or 0.0,
     )
     if election < 3 * beat:
         report.add(
--- a/tealwing/rollout/outcomes.py
+++ b/tealwing/rollout/outcomes.py
@@ -14,7 +14,6 @@
 FAILED = ("rejected", "aborted", "withdrawn")
 
 
-
 class Outcomes:
     """Follows the version in flight, and since when it is in its phase by our clock."""
 
--- a/tealwing/rollout/shell.py
+++ b/tealwing/rollout/shell.py
@@ -172,9 +172,7 @@
         """Have the machine look at the state, and the gate follow it."""
         now = self._clock.now()
         outside = self.outside.seen.me if self.outside is not None else None
-        self._due += [
-            action for action in self._machine.look(now, self._seen.me, outside) if action not in self._due
-        ]
+        self._due += [action for action in self._machine.look(now, self._seen.me, outside) if action not in self._due]
         self._follow()
 
     def _follow(self) -> None:
--- a/tealwing/rules/cover.py
+++ b/tealwing/rules/cover.py
@@ -13,9 +13,7 @@
 
 def uncovered(tables: Tables, number: int) -> list[str]:
     """Names of the members that may still decide without the change to that version."""
-    return sorted(
-        name for name, member in members(tables).items() if member.closed != number and not _over(member)
-    )
+    return sorted(name for name, member in members(tables).items() if member.closed != number and not _over(member))
 
 
 def covered(tables: Tables, number: int) -> bool:
--- a/tealwing/wire.py
+++ b/tealwing/wire.py
@@ -363,8 +363,7 @@
         zones=tuple(facts.get("Zones", list)),
         kinds=tuple(api.Kind(str(k), c, float(m)) for k, c, m in zip(kinds, cores, memory, strict=False)),
         classes=tuple(
-            _class(Facts(g, f"Grades[{i}]"), threads[i], bool(holds[i]), bool(waits[i]))
-            for i, g in enumerate(grades)
+            _class(Facts(g, f"Grades[{i}]"), threads[i], bool(holds[i]), bool(waits[i])) for i, g in enumerate(grades)
         ),
         limits=api.Limits(
             cancel=allowed.get("Cancelling", bool),
--- a/tests/build.py
+++ b/tests/build.py
@@ -89,9 +89,7 @@
     return listing(*entries, kind=api.ListKind.DELTA)
 
 
-def ok(
-    id_: int, engine: int, elapsed: float = 0.1, attempt: int = 0, report: tuple[float, ...] = ()
-) -> api.Outcome:
+def ok(id_: int, engine: int, elapsed: float = 0.1, attempt: int = 0, report: tuple[float, ...] = ()) -> api.Outcome:
     return api.Outcome(id_, attempt, engine, api.Result.OK, elapsed, True, report=report)
 
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -36,9 +36,7 @@
 
 
 def answer(instance: int, number: int, engine: int) -> bytes:
-    return struct.pack(
-        ">BHIHIHQBIBf", 20, instance, number, 0, engine, 100, wire.NS // 4, 1, 0, 1, number % 10 / 10
-    )
+    return struct.pack(">BHIHIHQBIBf", 20, instance, number, 0, engine, 100, wire.NS // 4, 1, 0, 1, number % 10 / 10)
 
 
 def run(data: bytes) -> subprocess.CompletedProcess[bytes]:
--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -467,9 +467,7 @@
     assert rig.opened == ["1"]
 
 
-def test_half_a_command_that_stays_half_does_not_hold_the_drain(
-    rig: Rig, monkeypatch: pytest.MonkeyPatch
-) -> None:
+def test_half_a_command_that_stays_half_does_not_hold_the_drain(rig: Rig, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(session, "PACKET_LIMIT", 0.1)
     client = resting(rig)
     client.sock.sendall(query("1")[:9])
@@ -636,9 +634,7 @@
     assert rig.journal == ["shut"]
 
 
-def test_an_eviction_crosses_the_thread_that_picks_the_session_up(
-    rig: Rig, monkeypatch: pytest.MonkeyPatch
-) -> None:
+def test_an_eviction_crosses_the_thread_that_picks_the_session_up(rig: Rig, monkeypatch: pytest.MonkeyPatch) -> None:
     hold = Hold(monkeypatch, session.Session, "_serve")
     client = resting(rig)
     ours = rig.session(client)
--- a/tests/test_engine_connections.py
+++ b/tests/test_engine_connections.py
@@ -315,9 +315,7 @@
     second.connection.ended(EOFError())
 
 
-def test_an_attempt_given_up_on_a_retired_connection_is_told_before_the_close(
-    machine: Machine, reader: Reader
-) -> None:
+def test_an_attempt_given_up_on_a_retired_connection_is_told_before_the_close(machine: Machine, reader: Reader) -> None:
     # was: the connection was shut first, and the word failed with a line in the log
     engine = engine_at(machine, reader.watch)
     stream = engine.send(b"first", head, b"SELECT 1", SimpleQueue[Any]().put, LIMIT)
@@ -589,9 +587,7 @@
     assert [heard.get(timeout=LIMIT) for _ in streams] == [Lost(stream) for stream in streams]
 
 
-def test_an_answer_that_never_ends_is_a_loss(
-    machine: Machine, reader: Reader, monkeypatch: pytest.MonkeyPatch
-) -> None:
+def test_an_answer_that_never_ends_is_a_loss(machine: Machine, reader: Reader, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(engines, "MESSAGE_LIMIT", 0.05)
     engine = engine_at(machine, reader.watch)
     heard: Sink = SimpleQueue()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -70,9 +70,7 @@
 def test_a_busy_report_binds_m_and_overload_is_refused() -> None:
     bench = Bench(make_settings(report_fields=("util",)), engines=1)
     bench.serve(30, elapsed=0.3, report=(1.0,))
-    bench.gateway.flows[0].lam = bench.gateway.flows[0].came = (
-        200.0  # more than it can do at m and 0.3 s
-    )
+    bench.gateway.flows[0].lam = bench.gateway.flows[0].came = 200.0  # more than it can do at m and 0.3 s
     bench.rebuild()
     actions = [bench.ask() for _ in range(60)]
     taken = sum(bool(sends(a)) for a in actions)
--- a/tests/test_mpi.py
+++ b/tests/test_mpi.py
@@ -21,9 +21,7 @@
         assert table[j] == pytest.approx(h / mu * sum(sum(rho**k for k in range(i)) for i in range(1, j + 2)))
 
 
-def threshold_costs(
-    lam: float, mu: float, theta: float, m: float, h: float, c: float, top: int
-) -> tuple[float, float]:
+def threshold_costs(lam: float, mu: float, theta: float, m: float, h: float, c: float, top: int) -> tuple[float, float]:
     """Average holding and reneging cost, and rate of rejections, when arrivals are let in below top only."""
     weights = [1.0]
     for j in range(1, top + 1):
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -165,7 +165,7 @@
         ("INSERT INTO mart_5.visits SELECT * FROM staging.batch", 5),
         ("INSERT INTO staging.batch SELECT * FROM ops_6.t", 6),
         ("WITH w AS (SELECT * FROM lake_12.stock) SELECT id FROM w", 12),
-        ('SELECT "it\'s from b_1.c", \'a\\\'from d_2.e\' FROM f_3.g', 3),
+        ("SELECT \"it's from b_1.c\", 'a\\'from d_2.e' FROM f_3.g", 3),
         ("SELECT t_9.day FROM sales_4.orders t_9", 4),
         ("SELECT 1", 0),
     ],
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -99,9 +99,7 @@
         s, cls, earlier, now = self.settings, self.cls(send.id), self.sent[send.id], self.now
         assert send.id not in self.answers, "sent after its end"
         assert now < self.deadline[send.id]
-        assert send.engine in self.engines and send.engine not in self.left, (
-            "sent to a draining or gone engine"
-        )
+        assert send.engine in self.engines and send.engine not in self.left, "sent to a draining or gone engine"
         assert len(earlier) < s.limits.max_attempts
         assert s.limits.duplicates or all(a.result for a in earlier), "two at once"
         target = self.engines[send.engine]
@@ -135,9 +133,9 @@
             cores = s.kinds[target.kind].cores
             begun = max(0.0, now - s.rules.fall_time - target.started)
             warmth = s.rules.cold_share + (1 - s.rules.cold_share) * begun / s.rules.cold_time
-            assert load <= (
-                s.rules.fall_multiple * warmth * 0.85 * cores * s.rules.fall_time / s.gateways
-            ), "a cold engine is pushed over"
+            assert load <= (s.rules.fall_multiple * warmth * 0.85 * cores * s.rules.fall_time / s.gateways), (
+                "a cold engine is pushed over"
+            )
         earlier.append(Sent(send.engine, now, now + min(send.timeout, self.deadline[send.id] - now)))
 
 
@@ -191,9 +189,7 @@
 
     def pass_time(to: float) -> None:
         while True:
-            due: list[tuple[float, int, int, int | None]] = [
-                (t, 0, token, None) for t, token in referee.timers
-            ]
+            due: list[tuple[float, int, int, int | None]] = [(t, 0, token, None) for t, token in referee.timers]
             due += [
                 (a.until, 1, id_, n)
                 for id_, attempts in referee.sent.items()
@@ -223,9 +219,7 @@
     )
     for number, (what, pick, amount) in enumerate(steps):
         pass_time(referee.now + amount * 0.3)
-        out = [
-            (i, n) for i, attempts in referee.sent.items() for n, a in enumerate(attempts) if a.result is None
-        ]
+        out = [(i, n) for i, attempts in referee.sent.items() for n, a in enumerate(attempts) if a.result is None]
         if what <= 3:
             happen(
                 api.Request(
@@ -269,9 +263,7 @@
             happen(api.HungUp(list(referee.requests)[pick % len(referee.requests)]))
         elif what == 9 and out:
             id_, place = out[pick % len(out)]
-            happen(
-                api.Note(id_, place, referee.sent[id_][place].engine, list(api.NoteKind)[pick % 3], amount)
-            )
+            happen(api.Note(id_, place, referee.sent[id_][place].engine, list(api.NoteKind)[pick % 3], amount))
     pass_time(referee.now + 12.0)
     return referee, log
 
@@ -290,9 +282,7 @@
 
 @settings(max_examples=30)
 @given(given_settings=legal(), seed=st.integers(0, 99), steps=steps_drawn)
-def test_same_events_same_actions(
-    given_settings: api.Settings, seed: int, steps: list[tuple[int, int, float]]
-) -> None:
+def test_same_events_same_actions(given_settings: api.Settings, seed: int, steps: list[tuple[int, int, float]]) -> None:
     assert play(given_settings, seed, steps)[1] == play(given_settings, seed, steps)[1]
 
 
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -80,9 +80,7 @@
         ended(sock)
 
 
-def test_a_started_command_has_a_time_for_its_rest(
-    few: server.Server, monkeypatch: pytest.MonkeyPatch
-) -> None:
+def test_a_started_command_has_a_time_for_its_rest(few: server.Server, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(session, "PACKET_LIMIT", 0.1)
     client = Client(few.address)
     ping(client)
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -71,9 +71,7 @@
 
 
 @given(st.lists(st.floats(0.0, 2.0), min_size=1, max_size=60), st.integers(0, 40))
-def test_lots_of_a_gateway_hold_no_more_chance_than_time_whatever_its_traffic(
-    gaps: list[float], begun: int
-) -> None:
+def test_lots_of_a_gateway_hold_no_more_chance_than_time_whatever_its_traffic(gaps: list[float], begun: int) -> None:
     # the sum of what each lot waited, which is its chance, in any window, and over the whole of the cold time
     settings = make_settings(gateways=200)
     gateway, now = Gateway(settings, 1), 100.0
