--- a/tealwing/mysql/server.py
+++ b/tealwing/mysql/server.py
@@ -363,10 +363,10 @@
         """Answer each request whose time is over: one that its thread holds up, or that waits for a thread."""
         now = time.monotonic()
         with self._changed:
-            sessions = list(self._sessions.values())
+            served = [session for session in self._sessions.values() if session.is_served]
             aside = list(self._aside)
             self._aside.clear()  # from here on these are ours
-        failed = sum(session.answer_overdue(now) for session in sessions)
+        failed = sum(session.answer_overdue(now) for session in served)
         overdue = [session for session in aside if session.unread_overdue(now, buffer)]
         for session in overdue:
             if session.refuse_overdue(buffer):
--- a/tealwing/mysql/session.py
+++ b/tealwing/mysql/session.py
@@ -256,6 +256,11 @@
         if lingers:
             self._hand_over()
 
+    @property
+    def is_served(self) -> bool:
+        """Whether a thread has it, and not the wait for its client: a request may be open."""
+        return self._waiting is None
+
     def waited(self, now: float) -> float:
         """The share of its time that the client has let pass; 0 while it waits for us."""
         waiting = self._waiting
