Pace the start of a large fleet too, and measure changes while members restart

Observed: the slope of changes in virtual time stopped at 1,100: not all gateways decided after a minute. A member that starts knows no table, so its Begin was repeated each 0.1 s as in a small fleet.

--- /dev/null
+++ b/benchmarks/capacity/day.py
@@ -0,0 +1,115 @@
+"""Changes while members restart: one change in 16 s, and restarts as often as ten days of 1,100 gateways see them."""
+
+from __future__ import annotations
+
+import statistics
+import threading
+import time
+from dataclasses import dataclass, field
+
+from benchmarks.capacity import change, control
+from benchmarks.capacity.records import CapacityError, Measured, Options, Point, Series
+from tealwing.lab.hollow.fleet import HollowFault, HollowFleet
+from tealwing.lab.hollow.requirements import TooLarge
+from tealwing.rules.records import LostTouch
+
+NAME = "day"
+SUMMARY = "changes each 16 s while members restart each 7.2 s, then the leader's loss: in force everywhere, aborted, s"
+SIZE, SMALL_SIZE = 96, 12
+SINGLES, SMALL_SINGLES = 8, 2  # learners that restart, each in a process of its own
+CHANGE_EVERY, SMALL_CHANGE_EVERY = 16.0, 3.0  # s
+RESTART_EVERY = 86_400 / (1200 * 10)  # s between two restarts: ten times the day's rate of the whole fleet
+AWAY = 1.0  # s between the end of a member and its start
+SECONDS, SMALL_SECONDS = 192.0, 9.0
+SERVED_LIMIT = 30.0  # s until a fleet that has lost its leader has another
+POLL = 0.05
+
+
+@dataclass
+class Found:
+    """One mode."""
+
+    everywhere: list[float] = field(default_factory=list)  # s until in force at all that were there all the time
+    phases: list[str] = field(default_factory=list)
+    restarts: int = 0
+    failover: float = 0.0  # s from the leader's end until another leads and has taken a proposal
+
+
+def _restart(fleet: HollowFleet, stopped: threading.Event, found: Found) -> None:
+    while not stopped.wait(RESTART_EVERY - AWAY):
+        host = fleet.host_of(fleet.singles[found.restarts % len(fleet.singles)])
+        host.kill()
+        if stopped.wait(AWAY):
+            return
+        host.start()
+        host.ready()
+        found.restarts += 1
+
+
+def one(mode: LostTouch, size: int, singles: int, seconds: float, every: float) -> Found:
+    """One mode at one size. CapacityError where the machine can't carry it."""
+    found = Found()
+    try:
+        with HollowFleet(size, control.VOTERS, mode, control.MEMBERS_A_HOST, singles=singles) as fleet:
+            fleet.start(control.START_LIMIT)
+            stopped = threading.Event()
+            restarting = threading.Thread(target=_restart, args=(fleet, stopped, found), daemon=True)
+            restarting.start()
+            begun: list[tuple[float, str]] = []
+            staying = set(fleet.fleet.members) - set(fleet.singles)
+            end = time.monotonic() + seconds
+            while time.monotonic() < end:
+                at, phase = change.make(fleet, len(begun))
+                begun.append((at, phase))
+                found.phases.append(phase)
+                time.sleep(max(0.0, at + every - time.monotonic()))
+            stopped.set()
+            restarting.join()
+            after = fleet.figures()
+            for number, (at, phase) in enumerate(begun, 1):
+                times = after.in_force(number)
+                if phase == "active":
+                    late = staying - times.keys()
+                    if late:
+                        raise CapacityError(f"{mode}: version {number} never came in force at {len(late)} members")
+                    found.everywhere.append(max(times[name] for name in staying) - at)
+            found.failover = _lose_leader(fleet)
+        return found
+    except (TooLarge, HollowFault) as error:
+        raise CapacityError(f"a day of {size} members, {mode}: {error}") from None
+
+
+def _lose_leader(fleet: HollowFleet) -> float:
+    leader = fleet.figures().leader()
+    begun = time.monotonic()
+    fleet.host_of(leader).kill()
+    while True:
+        try:
+            fleet.propose(change.TEXT % 999, "after the leader was lost")
+            return time.monotonic() - begun
+        except HollowFault:
+            if time.monotonic() - begun > SERVED_LIMIT:
+                raise
+            time.sleep(POLL)
+
+
+def measure(options: Options) -> Measured:
+    """Both modes."""
+    size, singles = (SMALL_SIZE, SMALL_SINGLES) if options.small else (SIZE, SINGLES)
+    seconds, every = (SMALL_SECONDS, SMALL_CHANGE_EVERY) if options.small else (SECONDS, CHANGE_EVERY)
+    series, notes = [], []
+    for mode in change.MODES:
+        found = one(mode, size, singles, seconds, every)
+        values = {
+            "in force everywhere, median, s": statistics.median(found.everywhere) if found.everywhere else 0.0,
+            "in force everywhere, longest, s": max(found.everywhere, default=0.0),
+            "changes": float(len(found.phases)),
+            "of them in force": float(found.phases.count("active")),
+            "restarts": float(found.restarts),
+            "leader lost, until a proposal is taken, s": found.failover,
+        }
+        for name, value in values.items():
+            series.append(Series(f"{mode}: {name}", "one run", (Point(size, value),), None))
+        others = sorted(set(found.phases) - {"active"})
+        notes.append(f"{mode}: other ends: {', '.join(others) or 'none'}")
+    return Measured(NAME, "members", (size,), tuple(series), tuple(notes))
--- a/benchmarks/capacity/registry.py
+++ b/benchmarks/capacity/registry.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from benchmarks.capacity import calibration, change, clients, control, decision, statement
+from benchmarks.capacity import calibration, change, clients, control, day, decision, statement
 from benchmarks.capacity.records import CapacityError, Measured, Options
 
 
@@ -25,7 +25,9 @@
     Slope(calibration.NAME, calibration.SUMMARY, calibration.measure),
     Slope(control.NAME, control.SUMMARY, control.measure),
     Slope(change.NAME, change.SUMMARY, change.measure),
-    Slope(change.VIRTUAL_NAME, change.VIRTUAL_SUMMARY, change.measure_virtual),
+    Slope(day.NAME, day.SUMMARY, day.measure),
+    Slope(change.VIRTUAL_NAMES["serve"], change.VIRTUAL_SUMMARY.format("serve"), change.measure_serve),
+    Slope(change.VIRTUAL_NAMES["hold"], change.VIRTUAL_SUMMARY.format("hold"), change.measure_hold),
 )
 SLOPES = {slope.name: slope for slope in _ALL}
 
--- /dev/null
+++ b/benchmarks/capacity/rows.py
@@ -0,0 +1,178 @@
+"""What each role needs at the coming size, from the slopes; against the operators' limits. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from benchmarks.capacity.fitting import foretell
+from benchmarks.capacity.records import Measured, Series
+from tealwing import config, descriptors
+from tealwing.peers import section
+
+# The operators' figures
+GATEWAYS, ENGINES, CLIENTS, STATEMENTS = 1100, 2100, 9000, 1091.0  # clients and statements a second of one gateway
+MEMBERS = GATEWAYS + 5  # with the voters, on machines of their own
+CONTROL_PERCENT, CONTROL_MB, CONTROL_BYTES = 1.8, 128.0, 4096.0  # of a gateway, for control
+EVERYWHERE_S, PRIMARY_S = 14.0, 9.0  # a change in force, and a change of primary over, within
+SOCKETS, MEMORY_MB = 1024, 192.0  # the most that the platform gives a gateway
+CHANGES_A_DAY, RESTARTS_A_DAY, FAILURES_A_DAY, DAY = 5400, 1200, 7, 86_400.0
+# Assumed, as nothing here measures them
+STATEMENT_S = 0.3  # s that a statement takes at its engine: the mean of the site's classes
+RESTART_S, REPLACE_S = 10.0, 300.0  # s until a restarted gateway, or a machine in place of one that failed, is back
+ENGINE_CAP = 410 * 8  # connections of the smallest engine, by the site's file
+FAILOVER_S = 2.0  # s: longest of the trials with 5 processes in docs/replication.md, an election of 0.6 s
+
+Slopes = Sequence[tuple[str, Measured]]
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One need against one limit; more is worse."""
+
+    role: str
+    quantity: str
+    need: float
+    limit: float
+    unit: str
+    basis: str  # measured at N; slope, measured to N; worked out; assumed, and from what
+    mechanism: str  # what carries it, with its file
+    answer: str = ""  # for rows that don't hold: mechanisms weighed, in the order in which they are needed
+    is_refused: bool = False  # over the limit it is refused outright, not only dear
+    run: str = ""
+
+    @property
+    def factor(self) -> float:
+        """Limit over need: under 1 it does not hold."""
+        return self.limit / self.need if self.need else float("inf")
+
+    def at_size(self) -> str:
+        """The need as text."""
+        return f"{self.need:,.4g} {self.unit}"
+
+    def limit_text(self) -> str:
+        """The limit as text."""
+        return f"{self.limit:,.4g} {self.unit}"
+
+    def margin(self) -> str:
+        """The margin as text."""
+        return f"{self.factor:.2f}" + ("" if self.factor >= 1 else " **does not hold**")
+
+
+def _series(found: Slopes, slope: str, name: str) -> tuple[str, Series]:
+    return next(
+        (run, one) for run, measured in found if measured.slope == slope for one in measured.series if one.name == name
+    )
+
+
+def value_at(series: Series, size: int) -> tuple[float, str]:
+    """A quantity at a size, and whether it was measured there, is foretold by its slope, or assumed beyond a bend."""
+    for point in series.points:
+        if point.size == size:
+            return point.value, f"measured at {size:,}"
+    last = max(series.points, key=lambda point: point.size)
+    if series.fit is not None and not series.fit.bent:
+        return foretell(series.fit, size), f"slope, measured to {last.size:,}"
+    return last.value * size / last.size, f"assumed linear from {last.size:,}: the slope is bent"
+
+
+def roles(found: Slopes) -> list[Row]:
+    """All rows."""
+    return [*_gateway(found), *_control(found), *_changes(found), *_others()]
+
+
+def ranking(found: Slopes) -> list[Row]:
+    """Rows that don't hold: what is refused outright first, then by limit over need."""
+    return sorted((row for row in roles(found) if row.factor < 1), key=lambda row: (not row.is_refused, row.factor))
+
+
+def _gateway(found: Slopes) -> list[Row]:
+    budget = descriptors.budget(SOCKETS)
+    run, series = _series(found, "statement", "processor time")
+    statement, basis = value_at(series, ENGINES)
+    run_decision, decision_series = _series(found, "decision", "request")
+    decision, decision_basis = value_at(decision_series, ENGINES)
+    run_clients, clients_series = _series(found, "clients", "memory")
+    client, client_basis = value_at(clients_series, CLIENTS)
+    threads = max(config.LEAST_THREADS, config.BUSIEST * config.TASKS // GATEWAYS)
+    subset = "a stable subset of the engines for each gateway, some 64; then less work a statement"
+    return [
+        Row("gateway, statements", "processor time", statement * STATEMENTS / 1e6, 1.0, "cores", basis,
+            "one process, threads (`mysql/server.py`)", subset, run=run),
+        Row("gateway, statements", "decision alone", decision * STATEMENTS / 1e6, 1.0, "cores", decision_basis,
+            "index over all engines (`policy/placement.py`)", subset, run=run_decision),
+        Row("gateway, statements", "commands under way", STATEMENTS * STATEMENT_S, threads, "threads",
+            f"worked out; {STATEMENT_S} s a statement assumed", "a thread each (`config.py`)",
+            "a larger bound once statements cost less: the processor is the limit before it"),
+        Row("gateway, clients", "memory at rest", client * CLIENTS / 1e6, MEMORY_MB, "MB", client_basis,
+            "one epoll set (`mysql/server.py`)", run=run_clients),
+        Row("gateway, clients", "descriptors", float(CLIENTS), float(budget.clients), "descriptors",
+            "worked out from the budget", "a budget by holder (`descriptors.py`)",
+            f"the platform's limit: {CLIENTS * SOCKETS // budget.clients:,} descriptors a gateway; none of ours",
+            is_refused=True),
+        Row("gateway, engines", "connections out", float(ENGINES), float(budget.engines), "connections",
+            "worked out; idle ones are closed for others", "`resp/quota.py`", subset),
+    ]  # fmt: skip
+
+
+def _control(found: Slopes) -> list[Row]:
+    rows = []
+    for role, limit in (("learner", CONTROL_PERCENT), ("voter", 100.0), ("leader", 100.0)):
+        run, series = _series(found, "control", f"{role}: processor time")
+        need, basis = value_at(series, MEMBERS)
+        rows.append(Row(role, "processor time at rest", need, limit, "% of a core", basis,
+                        "ticks and heartbeats (`rollout/shell.py`, `peers/plan.py`)",
+                        "relays in front of the voters", run=run))  # fmt: skip
+    run, series = _series(found, "control", "learner: bytes sent")
+    sent, basis = value_at(series, MEMBERS)
+    _, received_series = _series(found, "control", "learner: bytes received")
+    received, _ = value_at(received_series, MEMBERS)
+    rows.append(Row("learner", "bytes at rest, both ways", sent + received, CONTROL_BYTES, "B/s", basis,
+                    "links to the voters alone (`peers/plan.py`)", run=run))  # fmt: skip
+    run_change, change = _series(found, "change", "leader: bytes sent")
+    to_all, change_basis = value_at(change, MEMBERS)
+    own, _ = value_at(_series(found, "change", "learner: bytes sent")[1], MEMBERS)
+    changing = sent + received + (to_all / MEMBERS + own) * CHANGES_A_DAY / DAY
+    rows.append(Row("learner", "bytes with a change in 16 s", changing, CONTROL_BYTES, "B/s", change_basis,
+                    "each member hears what each has said (`replica/gathering.py`)",
+                    "acknowledgements that are summed on their way to the voters: relays", run=run_change))  # fmt: skip
+    run, series = _series(found, "control", "leader: memory")
+    memory, basis = value_at(series, MEMBERS)
+    rows.append(
+        Row("leader", "memory", memory / 1024, CONTROL_MB, "MB", basis, "a thread and an outbox a member", run=run)
+    )
+    return rows
+
+
+def _changes(found: Slopes) -> list[Row]:
+    rows = []
+    for mode in ("serve", "hold"):
+        run, series = _series(found, f"virtual-{mode}", "open everywhere")
+        need, basis = value_at(series, GATEWAYS)
+        rows.append(Row("change of rules", f"`{mode}`: in force everywhere, longest", need, EVERYWHERE_S, "s",
+                        basis + ", virtual time",
+                        "paced rounds and repeats (`replica/raft/sending.py`, `rollout/retry.py`)",
+                        "relays", run=run))  # fmt: skip
+    rows.append(
+        Row("change of rules", "members", float(MEMBERS), float(section.MOST_MEMBERS), "members", "the section's bound",
+            "`peers/section.py`, `rules/members.py`", "raise the bounds and pace what grows; then relays",
+            is_refused=True)
+    )  # fmt: skip
+    restart_share = RESTARTS_A_DAY * RESTART_S / DAY
+    failure_share = FAILURES_A_DAY * REPLACE_S / DAY
+    rows.append(
+        Row("change of rules", "`serve`: share of changes that meet an absent member", restart_share + failure_share,
+            0.01, "of changes", f"worked out; {RESTART_S:g} s a restart and {REPLACE_S:g} s a replacement assumed",
+            "aborted at the section's limit (`rollout/conductor.py`)",
+            "`hold` on the learners; a change that waits for who is away, or leaves it out once its permit is over")
+    )  # fmt: skip
+    return rows
+
+
+def _others() -> list[Row]:
+    return [
+        Row("engine", "connections into it", float(GATEWAYS), float(ENGINE_CAP), "connections",
+            "worked out: one of each gateway; the site's smallest cap", "shared connections (`resp/engine.py`)"),
+        Row("leader of the log", "lost, until another leads", FAILOVER_S, PRIMARY_S, "s",
+            "assumed: trials of 5 processes, docs/replication.md", "election (`replica/raft/election.py`)"),
+    ]  # fmt: skip
--- a/tealwing/lab/hollow/requirements.py
+++ b/tealwing/lab/hollow/requirements.py
@@ -57,10 +57,10 @@
     processors: float
 
 
-def need(fleet: Fleet, members_a_host: int) -> Need:
-    """Each voter has a process of its own; so many learners share one."""
+def need(fleet: Fleet, members_a_host: int, singles: int = 0) -> Need:
+    """Each voter has a process of its own, and so have singles of the learners; so many of the others share one."""
     learners = len(fleet.learners)
-    hosts = -(-learners // members_a_host)
+    hosts = singles + -(-(learners - singles) // members_a_host)
     others = len(fleet.members) - 1
     learner_threads = learners * (THREADS_A_LEARNER + fleet.voters)
     voter_threads = fleet.voters * (THREADS_A_LEARNER + others)
--- a/tealwing/lab/rollout/part.py
+++ b/tealwing/lab/rollout/part.py
@@ -34,7 +34,7 @@
         number = log.core.start
         self.machine = Machine(
             log.host.name, plan.lost_touch, START, plan.permit, seed=number, federated=outside is not None,
-            sabotage=frozenset({plan.sabotage} - {""}),
+            sabotage=frozenset({plan.sabotage} - {""}), peers=len(log.core.members) + len(log.core.learners),
         )  # fmt: skip
         self._conductor = Conductor(log.host.name, plan.limit, plan.patience, seed=number)
         self._witnesses = Witnesses(log.host.name, seed=number)
--- a/tealwing/rollout/member.py
+++ b/tealwing/rollout/member.py
@@ -31,12 +31,13 @@
     def __init__(
         self, name: str, lost_touch: LostTouch, start: int, permit: float = 2.0, bounds: Bounds = USUAL, mark: int = 0,
         build: int = 1, seed: int = 0, sabotage: frozenset[str] = frozenset(), disk: View | None = None,
-        federated: bool = False, disk_federated: FederatedView | None = None,
+        federated: bool = False, disk_federated: FederatedView | None = None, peers: int = 0,
     ) -> None:  # fmt: skip
         """permit is s. mark is the number on disk, 0 for none.
 
         disk is what the state on this disk said at the start, before any entry came from others; None, or one without
-        us: it knows nothing. federated: this site takes part in a federation, whose log on this disk is disk_federated.
+        us: it knows nothing. peers is how many members the section `peers` has: at a start the log is not known yet.
+        federated: this site takes part in a federation, whose log on this disk is disk_federated.
         """
         self.name, self.lost_touch, self.start, self.mark = name, lost_touch, start, mark
         self._permit, self._build, self._sabotage, self._federated = permit, build, sabotage, federated
@@ -51,6 +52,7 @@
         if not holds and disk_federated is not None and disk_federated.me is not None:
             self._fed.trust()
         self._retry, self._serial = Retry(seed), 0
+        self._peers = peers
         self._checked: dict[int, tuple[bool, str]] = {}  # of the version in flight alone
         self._closed_at: tuple[int, float] | None = None  # for the sabotaged
 
@@ -116,8 +118,9 @@
                 self._fed.drop()
         self._take()
         wanted = self._wanted(view)
+        members = max(view.members, self._peers)
         self._retry.keep([key for key, _ in wanted])
-        found += [action for key, action in wanted if self._retry.ready(now, key, view.members)]
+        found += [action for key, action in wanted if self._retry.ready(now, key, members)]
         return found + self._reads(now, view)
 
     def _wanted(self, view: View) -> list[tuple[Hashable, Action]]:
--- a/tealwing/rollout/shell.py
+++ b/tealwing/rollout/shell.py
@@ -57,7 +57,7 @@
             self.name, plan.lost_touch, max(int(time.time() * 1e3), me.start + 1 if me else 0), plan.permit,
             mark=deeds.read(mark), build=BUILD, seed=replica.start_number, disk=self._seen.me,
             sabotage=frozenset({plan.sabotage} - {""}), federated=outside is not None,
-            disk_federated=outside.seen.me if outside is not None else None,
+            disk_federated=outside.seen.me if outside is not None else None, peers=len(link.plan.members),
         )  # fmt: skip
         self._lock = threading.Lock()  # round the machine, the witness and what steers the gate
         self._wake, self._stopped = threading.Event(), threading.Event()
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -17,6 +17,9 @@
 from tealwing.replica.messages import Append
 from tealwing.replica.raft import Options, Raft, Role
 from tealwing.rollout import retry
+from tealwing.rollout.actions import Say
+from tealwing.rollout.member import Machine
+from tealwing.rollout.view import View
 from tests.test_conf import problems
 
 # Heartbeats of the link
@@ -146,6 +149,16 @@
     assert not many.ready(later - 0.01, "x", 4000) and many.ready(later, "x", 4000)
 
 
+def test_a_member_that_starts_among_many_repeats_its_begin_less_often() -> None:
+    # guards the start of a large fleet: 1,100 members that knew no table yet said Begin ever again, and none got in
+    nothing = View(0, 0, None, None)
+    few, many = Machine("g1", "serve", 1, seed=1, peers=5), Machine("g1", "serve", 1, seed=1, peers=4000)
+    moments = [tenth / 10 for tenth in range(40)]
+    said_by_few = [action for now in moments for action in few.look(now, nothing) if isinstance(action, Say)]
+    said_by_many = [action for now in moments for action in many.look(now, nothing) if isinstance(action, Say)]
+    assert len(said_by_many) == 1 < len(said_by_few)
+
+
 # All of it
 
 
