--- a/benchmarks/capacity/registry.py
+++ b/benchmarks/capacity/registry.py
@@ -25,7 +25,8 @@
     Slope(calibration.NAME, calibration.SUMMARY, calibration.measure),
     Slope(control.NAME, control.SUMMARY, control.measure),
     Slope(change.NAME, change.SUMMARY, change.measure),
-    Slope(day.NAME, day.SUMMARY, day.measure),
+    Slope(day.NAMES["serve"], day.SUMMARY.format("serve"), day.measure_serve),
+    Slope(day.NAMES["hold"], day.SUMMARY.format("hold"), day.measure_hold),
     Slope(change.VIRTUAL_NAMES["serve"], change.VIRTUAL_SUMMARY.format("serve"), change.measure_serve),
     Slope(change.VIRTUAL_NAMES["hold"], change.VIRTUAL_SUMMARY.format("hold"), change.measure_hold),
 )
