--- a/tealwing/mysql/overdue.py
+++ b/tealwing/mysql/overdue.py
@@ -1,8 +1,8 @@
 """The moment by which a request is answered, whatever it waits for; pure.
 
-The invariant: a request whose bytes have come is answered at the latest when its time to live is over, and once. Its
-own thread answers it as a rule. Where that thread waits (for a lock, a connection, the gate) or where there is none,
-the server's watch over late requests does. Whoever claims the answer first gives it; the other gives none.
+The invariant: a request whose bytes have come is answered at the latest soon after its time to live is over, and once.
+Its own thread answers it as a rule. Where that thread waits (for a lock, a connection, the gate) or where there is
+none, the server's watch over late requests does. Whoever claims the answer first gives it; the other gives none.
 """
 
 from __future__ import annotations
@@ -11,6 +11,10 @@
 import threading
 from math import inf
 
+# s past its time that an open request's own thread has first: it gives the attempt up before the client hears, and may
+# ask elsewhere. The answer is still there within half a second with LOOK, the time between two looks.
+OWN_THREAD_FIRST = 0.15
+
 _TIME_TO_LIVE = re.compile(rb"/\*[^*]*?\bttl=(\d{1,12})\s*[,*]")
 
 
@@ -37,10 +41,10 @@
 
     def claim_overdue(self, now: float) -> bool:
         """Whether the open request's time is over and nobody has answered it: then the caller is to, at once."""
-        if now < self._due:  # as most are: without the lock
+        if now < self._due + OWN_THREAD_FIRST:  # as most are: without the lock
             return False
         with self._lock:
-            if now < self._due or self._answered:
+            if now < self._due + OWN_THREAD_FIRST or self._answered:
                 return False
             self._answered = True
             return True
--- a/tealwing/mysql/session.py
+++ b/tealwing/mysql/session.py
@@ -170,14 +170,13 @@
         """
         if not self._deadline.claim_overdue(now):
             return False
-        with self._lock:  # under which the descriptor is closed
+        with self._lock:  # under which the descriptor is closed: its thread, which hears of it, does not come before us
             self._cut = True
-            exchange = self._exchange
-            with contextlib.suppress(OSError):  # it has gone, or takes nothing
+            if self._exchange is not None:
+                self._exchange.abandon()  # first, and it never waits: nothing more is sent once the client has heard
+            with contextlib.suppress(OSError):  # the client has gone, or takes nothing
                 self._sock.send(packets.packet(1, FAILED), socket.MSG_DONTWAIT)
                 self._sock.shutdown(socket.SHUT_WR)
-        if exchange is not None:
-            exchange.abandon()
         return True
 
     def left(self) -> bool:
