--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -23,7 +23,6 @@
 STATEMENT_S = 0.3  # s that a statement takes at its engine: the mean of the site's classes
 RESTART_S, REPLACE_S = 10.0, 300.0  # s until a restarted gateway, or a machine in place of one that failed, is back
 ENGINE_CAP = 410 * 8  # connections of the smallest engine, by the site's file
-FAILOVER_S = 2.0  # s: longest of the trials with 5 processes in docs/replication.md, an election of 0.6 s
 
 Slopes = Sequence[tuple[str, Measured]]
 
@@ -85,7 +84,7 @@
 
 def roles(found: Slopes) -> list[Row]:
     """All rows."""
-    return [*_gateway(found), *_control(found), *_changes(found), *_others()]
+    return [*_gateway(found), *_control(found), *_changes(found), *_others(found)]
 
 
 def ranking(found: Slopes) -> list[Row]:
@@ -188,10 +187,19 @@
     return rows
 
 
-def _others() -> list[Row]:
-    return [
+def _others(found: Slopes) -> list[Row]:
+    rows = [
         Row("engine", "connections into it", float(GATEWAYS), float(ENGINE_CAP), "connections",
             "worked out: one of each gateway; the site's smallest cap", "shared connections (`resp/engine.py`)"),
-        Row("leader of the log", "lost, until another leads", FAILOVER_S, PRIMARY_S, "s",
-            "assumed: trials of 5 processes, docs/replication.md", "election (`replica/raft/election.py`)"),
     ]  # fmt: skip
+    for mode in ("serve", "hold"):
+        run, series = _series(found, f"day-{mode}", "in force everywhere, longest")
+        size = series.points[0].size
+        basis = f"measured at {size:,} only, restarts at ten times the rate of all"
+        rows.append(Row("change of rules", f"`{mode}`: in force everywhere while members restart, longest",
+                        series.points[0].value, EVERYWHERE_S, "s", basis, "`rollout/`, `rules/`", run=run))  # fmt: skip
+        run, series = _series(found, f"day-{mode}", "leader lost, until a proposal is taken")
+        basis = f"measured at {size:,} only, once"
+        rows.append(Row("leader of the log", f"`{mode}`: lost, until a proposal is taken", series.points[0].value,
+                        PRIMARY_S, "s", basis, "election (`replica/raft/election.py`)", run=run))  # fmt: skip
+    return rows
