Compare what is open, not how much, in the tests of engine connections

Seen: the stateful test of engine connections failed once beside load, 1 ms after its limit of 30 s. Change: no descriptor may be open that was not before. A descriptor that is left still fails the test.

--- a/tests/test_engine_connections.py
+++ b/tests/test_engine_connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import itertools
 import os
@@ -115,8 +116,13 @@
         connection.ended(error)
 
 
-def descriptors() -> int:
-    return len(os.listdir("/proc/self/fd"))
+def descriptors() -> set[tuple[str, str]]:
+    """What is open, by number and by what it is: a number that is used again for something else is new."""
+    found = set()
+    for number in os.listdir("/proc/self/fd"):
+        with contextlib.suppress(OSError):  # the listing's own, closed since
+            found.add((number, os.readlink(f"/proc/self/fd/{number}")))
+    return found
 
 
 def socket_of(connection: Connection) -> socket.socket:
@@ -538,7 +544,7 @@
     for _ in range(4):
         with pytest.raises(ConnectFailed, match="has ended"):
             engine.send(b"1", head, b"SELECT 1", SimpleQueue[Any]().put, LIMIT)
-    assert engine._open == [] and descriptors() == before and machine.alone()
+    assert engine._open == [] and descriptors() <= before and machine.alone()
 
 
 def test_what_the_engine_never_read_is_lost_once(machine: Machine, reader: Reader) -> None:
@@ -790,7 +796,7 @@
             engine.send(b"1", head, b"SELECT 1", SimpleQueue[Any]().put, LIMIT)
     finally:
         vars(reader)["_poll"] = epoll
-    assert descriptors() == before and reader._watched == watched and engine._open == []
+    assert descriptors() <= before and reader._watched == watched and engine._open == []
     assert take(machine.accept()) == []
     engine.send(b"1", head, b"SELECT 1", SimpleQueue[Any]().put, LIMIT).ended()
     engine.retire()
@@ -1040,7 +1046,9 @@
             self.machine.accept()
         for sock in (*self.machine.socks, *self.socks.values()):
             sock.close()
-        until(lambda: descriptors() == self.before)
+        # Nothing is left that was not there before. What earlier tests have left may close meanwhile, as the collector
+        # comes: a count of descriptors was 5 lower then for good, and the wait for the same count ran out of time.
+        until(lambda: descriptors() <= self.before)
         self.nobody_hears_more_than_one_end()
         self.machine.close()
 
