Force the moment in which each gateway that is broken on purpose does harm

Seen: cases of the trials of broken gateways were not found in some runs beside load. For no-permit and site-early the cause is suspected: a play without a change in force during its cut. Change: a moment for each sabotage, held open by slow links and cuts until versions are in force, played before the scenario; a phase that does not come is a problem of the rig. A whole program is played in the same moments.

--- a/tealwing/lab/faults/scenario.py
+++ b/tealwing/lab/faults/scenario.py
@@ -128,6 +128,12 @@
     return parse(found.read_text(), name)
 
 
+def moment(name: str) -> Scenario:
+    """The forced moment in which a gateway that is broken on purpose, as named, does harm."""
+    found = resources.files("tealwing.lab.faults").joinpath("moments", f"{name}.toml")
+    return parse(found.read_text(), name)
+
+
 def names() -> list[str]:
     """The scenarios that come along."""
     folder = resources.files("tealwing.lab.faults").joinpath("scenarios")
--- a/tealwing/lab/rig/director.py
+++ b/tealwing/lab/rig/director.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from tealwing.lab.faults.scenario import Step
+from tealwing.lab.faults.scenario import Scenario, Step
 from tealwing.lab.rig import phases
 from tealwing.lab.rig.whom import Whom
 
@@ -17,17 +17,18 @@
 
 
 class Director:
-    """The steps of one trial's scenario."""
+    """The steps of a scenario, in one trial."""
 
-    def __init__(self, trial: Trial) -> None:
-        self._trial = trial
+    def __init__(self, trial: Trial, scenario: Scenario, must_come: bool = False) -> None:
+        """must_come: a phase that does not come in its time is a problem of the rig: the trial shows nothing then."""
+        self._trial, self._scenario, self._must_come = trial, scenario, must_come
         self._whom = Whom(trial)
 
     def play(self) -> None:
         """The scenario's steps, each when it is due."""
         trial = self._trial
         due = trial.begun
-        for step in trial.scenario.step:
+        for step in self._scenario.step:
             if step.lost_touch not in (None, trial.layout.lost_touch):
                 continue
             due = (trial.begun + step.at * trial.seconds if step.at is not None else due) + step.after
@@ -62,6 +63,8 @@
                 step = msgspec.structs.replace(step, who=watched[0]) if len(watched) == 1 else step
             if not phases.wait(trial, when.removeprefix("phase:"), watched, step.within):
                 trial.history.add("phase-missed", phase=when, watched=list(watched))
+                if self._must_come:
+                    trial.problems.append(f"{self._scenario.title}: {when} did not come within {step.within:g} s")
         return step
 
     def _until(self, holds: Callable[[], bool], seconds: float) -> None:
--- a/tealwing/lab/rig/loads/rules/load.py
+++ b/tealwing/lab/rig/loads/rules/load.py
@@ -40,12 +40,14 @@
         self._clients = Clients()
         self._watch: Watch | None = None
         self._operators: Operators | None = None
+        self._only_plain = False
 
     def start(self, trial: Trial) -> None:
         """A first version, and then all clients and operators."""
         trial.history.add("rules", lost_touch=self._lost_touch, sites=list(trial.layout.zones))
         self._watch = watch = Watch(trial)
         self._operators = operators = Operators(trial, watch, trial.layout.zones, self._limit)
+        operators.only_plain = self._only_plain
         end, rng = time.monotonic() + BEGIN, random.Random(trial.seed)
         while operators.change(operators.anyone(rng), "move", "first", rng, None) != "active":
             if time.monotonic() > end:
@@ -61,6 +63,12 @@
             self._clients.spawn(lambda name=name: self._look(trial, watch, name), f"load-v-{name}")  # type: ignore[misc]
         self._clients.spawn(lambda: operators.run(self._clients), "load-operators")
 
+    def keep_plain(self, only: bool) -> None:
+        """Whether operators make only changes that nothing but a fault keeps from coming into force."""
+        self._only_plain = only
+        if self._operators is not None:
+            self._operators.only_plain = only
+
     def _look(self, trial: Trial, watch: Watch, name: str) -> None:
         line = Line(trial, name)
         while not self._clients.stopped.wait(LOOK):
--- a/tealwing/lab/rig/loads/rules/operators.py
+++ b/tealwing/lab/rig/loads/rules/operators.py
@@ -18,6 +18,7 @@
 
 OPEN = ("proposed", "checked", "preparing", "agreed")  # phases that are not the last
 WAIT = 1.0  # s that a proposal waits to be taken
+PLAIN = "move"  # a change that nothing but a fault keeps from coming into force
 KINDS = ("move",) * 7 + ("bad", "duel", "withdraw")  # of changes, drawn evenly
 BETWEEN = (0.05, 0.4)  # s between two changes of one operator
 POLL = 0.02  # s between two looks at what has become of a change
@@ -33,12 +34,13 @@
         self._recent: list[str] = []
         self._duels = itertools.count(1)
         self._lines: dict[tuple[str, str], Line] = {}  # by operator: each has a thread of its own
+        self.only_plain = False  # whether no change is turned down, withdrawn or rivalled on purpose
 
     def run(self, clients: Clients) -> None:
         """Until the clients are stopped."""
         rng = random.Random(f"{self._trial.seed}/operators")
         while not clients.stopped.wait(rng.uniform(*BETWEEN)):
-            kind = rng.choice(KINDS)
+            kind = PLAIN if self.only_plain else rng.choice(KINDS)
             if kind == "duel":
                 other, who = random.Random(rng.random()), f"rival-{next(self._duels)}"
                 clients.spawn(lambda other=other, who=who: self._one(clients, other, "duel", who), "load-duel")  # type: ignore[misc]
--- a/tealwing/lab/rig/runs.py
+++ b/tealwing/lab/rig/runs.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from tealwing.lab.faults.scenario import Scenario
+from tealwing.lab.faults.scenario import moment as load_moment
 from tealwing.lab.judges.verdict import Violation
 from tealwing.lab.rig import layouts, report
 from tealwing.lab.rig.history import Event
@@ -53,9 +54,13 @@
     lost_touch: str = "serve",
     sites: int = 0,
     learners: int = 0,
+    moment: str = "",
 ) -> Found:
     """Run the trial; out is a folder for history, logs and report (none is kept if None).
 
+    moment: the sabotage whose moment of harm is forced, also on a program that is whole; that of the sabotage itself
+    is forced in any case.
+
     lost_touch: what gateways of the load `rules` do when they are cut off. sites: of a federation; 0: none.
     learners: how many of the processes follow the log without a vote.
     """
@@ -71,7 +76,9 @@
         load = RulesLoad(lost_touch, layouts.FEDERATION_LIMIT if sites else layouts.RULES_LIMIT)
     names = [f"n{number}" for number in range(procs)]
     layout = layouts.layout(scenario.workload, names, lost_touch, sites, sabotage, learners)
-    with Trial(scenario, procs, seconds, seed, out, layout) as trial:
+    moment = moment or (sabotage if sabotage in layouts.RULES_SABOTAGES else "")
+    forced = load_moment(moment) if moment else None
+    with Trial(scenario, procs, seconds, seed, out, layout, moment=forced) as trial:
         trial.start()
         _break(trial, sabotage)
         trial.run(load)
--- a/tealwing/lab/rig/trial.py
+++ b/tealwing/lab/rig/trial.py
@@ -45,8 +45,13 @@
         folder: Path | None = None,
         layout: Layout = Layout(),  # noqa: B008 - frozen
         beat_ms: int = 200,
+        moment: Scenario | None = None,
     ) -> None:
-        """Without a folder it has one of its own, which goes with it."""
+        """Without a folder it has one of its own, which goes with it.
+
+        moment: played under load before the scenario and its seconds begin, while only plain changes are made.
+        """
+        self.moment = moment
         self.layout = layout
         self.scenario, self.seconds, self.seed = scenario, seconds, seed
         self._own = tempfile.TemporaryDirectory(prefix="tealwing-fleet-") if folder is None else None
@@ -165,8 +170,14 @@
         """Load and scenario together, then everything healed, and what the load still looks at in the end."""
         self.begun = time.monotonic()
         self.history.add("begin", procs=len(self.names), seconds=self.seconds, scenario=self.scenario.title)
+        if self.moment is not None:
+            load.keep_plain(True)
         load.start(self)
-        director = self.spawn(Director(self).play, "scenario")
+        if self.moment is not None:
+            Director(self, self.moment, must_come=True).play()
+            load.keep_plain(False)
+            self.begun = time.monotonic()
+        director = self.spawn(Director(self, self.scenario).play, "scenario")
         self.stopping.wait(self.seconds)
         self.calm.set()
         load.stop()
--- a/tests/test_rules_trials.py
+++ b/tests/test_rules_trials.py
@@ -1,4 +1,11 @@
-"""Changes of the rules on real processes, with faults between them: none is decided by an older version too late."""
+"""Changes of the rules on real processes, with faults between them: none is decided by an older version too late.
+
+What happened: of five gateways that are broken on purpose one or another was not found, in one run of some.
+Why: each does harm in one moment only (a word under way, a permit over), and the scenarios' faults met it by chance:
+on a busy machine a phase was over before the cut that was to fall into it.
+Shown by the history: see docs/incidents/broken-gateways-not-found.md. Each moment is forced now, before the
+scenario and under the same load (`lab/faults/moments`), and a whole gateway is played in the same moments.
+"""
 
 from __future__ import annotations
 
@@ -65,3 +72,20 @@
     procs, sites = (9, 3) if name == "federation-switch" else (4, 0)
     found = attempt(name, procs, 14.0, mode, sabotage=word, sites=sites)
     assert rules & {violation.rule for violation in found.violations}, found.figures
+
+
+@pytest.mark.parametrize(
+    ("moment", "mode"),
+    [
+        ("early-open", "serve"),
+        ("guess-after-close", "serve"),
+        ("no-permit", "hold"),
+        ("start-from-disk", "hold"),
+        ("site-early", "serve"),
+    ],
+)
+def test_a_whole_gateway_in_the_moments_that_find_a_broken_one_is_not_found(moment: str, mode: str) -> None:
+    name, procs, sites = ("federation-calm", 9, 3) if moment == "site-early" else ("rules-calm", 4, 0)
+    found = attempt(name, procs, 2.0, mode, sites=sites, moment=moment)
+    assert [str(violation) for violation in found.violations] == []
+    assert found.figures["activated"] >= 3 and found.figures["served"] > 50
