Judge the whole history of a soak, and play what it left out

Cause (by reading): a drain was forgotten as its engine came back, so that no send of that time was judged; a cut up to 2 s before a drain excused 7 s, and cuts were four of ten troubles; the grace was 1.05 s where the soak's settings say 0.25; no slow start was judged, no engine joined, discovery was never silent, no request crossed the limit for a first command; clients left during the drain; 70 to 74% of the requests were refused, as clients did not heed their pushback. Change: a package tests/soak with one job a module.

--- /dev/null
+++ b/tests/soak/engines.py
@@ -0,0 +1,75 @@
+"""Engines of a soak: each answers, refuses, fails, resets or hangs, as its random numbers say."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import socket
+import threading
+import time
+
+from tests.peers import Peer, say
+from tests.soak.book import Attempt, Book
+
+PAGE = b"a\tb\tc\n"
+NEVER_RAN = {b"503", b"504"}
+
+
+class Engine(Peer):
+    """One engine; trouble is the share of attempts that it does not just serve."""
+
+    def __init__(self, name: str, book: Book, seed: int, trouble: float) -> None:
+        self.name, self._book, self._random, self._trouble = name, book, random.Random(seed), trouble
+        self._closed: set[socket.socket] = set()
+        super().__init__()
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self) -> None:
+        while True:
+            sock, parts = self.got.get()
+            now, call = time.monotonic(), parts[1].decode()
+            with self._book.lock:
+                if parts[0] == b"never_mind":
+                    for attempt in self._book.attempts[call]:
+                        if attempt.connection is sock and attempt.ended is None:
+                            attempt.ended = now
+                if parts[0] != b"want" or sock in self._closed:  # all on a connection is given up with it
+                    continue
+                told = int(parts[2].split(b"ttl=")[1].split(b",")[0]) / 1e3
+                attempt = Attempt(self.name, now, told, sock)
+                self._book.attempts[call].append(attempt)
+                kind, wait = self._random.random(), self._random.expovariate(20)
+            if kind < 1 - self._trouble:
+                threading.Timer(wait, self._answer, (attempt, parts[1], b"200")).start()
+            elif kind < 1 - self._trouble / 2:
+                word = self._random.choice((b"503", b"500", b"504"))
+                threading.Timer(wait, self._answer, (attempt, parts[1], word)).start()
+            elif kind < 1 - self._trouble / 4:
+                threading.Timer(wait, self._reset, (attempt,)).start()
+
+    def _answer(self, attempt: Attempt, call: bytes, word: bytes) -> None:
+        with self._book.lock:
+            if attempt.ended is not None:
+                return
+            attempt.ended, attempt.may_have_run = time.monotonic(), word not in NEVER_RAN
+        served = word == b"200"
+        with contextlib.suppress(OSError):
+            say(attempt.connection, call, word, b"sheets=1" if served else b"-", PAGE if served else b"")
+
+    def _reset(self, attempt: Attempt) -> None:
+        self._over(attempt.connection)
+        with contextlib.suppress(OSError):
+            attempt.connection.shutdown(socket.SHUT_RDWR)
+
+    def _read(self, sock: socket.socket) -> None:
+        super()._read(sock)
+        self._over(sock)
+
+    def _over(self, sock: socket.socket) -> None:
+        """A connection has ended: all that is out on it is given up."""
+        with self._book.lock:
+            self._closed.add(sock)
+            for attempts in self._book.attempts.values():
+                for attempt in attempts:
+                    if attempt.connection is sock and attempt.ended is None:
+                        attempt.ended = time.monotonic()
