Let moments wait for what they need, and note arrivals in a soak by the kernel

Cause, by the history of a play that missed it: the gateway was ended 0.1 s after the load's begin, before the fleet's table had it, so that its disk knew nothing of it; and one that has closed for a change as it is cut off decides nothing, broken or not. Change: a moment waits until the gateway has served, and changes are held while it is cut off. The soak dates attempts by the kernel's arrival time, fails some late, and clients leave at any time. Marks of origin leave the constants' comments in policy/, levels/ and gossip/; docs/design.md says which are the design's.

--- a/tealwing/gossip/beliefs.py
+++ b/tealwing/gossip/beliefs.py
@@ -15,28 +15,28 @@
 from dataclasses import dataclass
 from math import ceil
 
-MOST_SAID = 10.0  # that a word may claim (ours): beyond it all are as bad
-MOST_DOUBT = 2.0  # that a belief multiplies the engine's expected latency by at most (ours)
-SLOW = 1.8  # slowness over the fleet's past which an engine is notable (ours): short of that it is noise
-FAILING = 0.3  # share of failures past which it is (ours)
-WELL = (1.3, 0.1)  # slowness and failures below which an engine is well: apart from the above (ours)
-ENOUGH = 0.5  # answers that a word must rest on at least (ours): where each sees little, all see enough
-FULL = 1.5  # answers at which a word has its full weight (ours): whoever claims more counts for no more
-JUDGE = 2.0  # of our own answers, faded, with which we hold others' words against them (ours)
-TRIMMED = 0.35  # of the weight at either end that is left out (ours): so much may lie together
-BELIEVED = 1.4  # mean slowness, failures included, at which a belief begins (ours): many words are quieter than one
-SPEAKERS = 24  # of the members that speak of one engine, about (ours): more words would only cost more
-SPEAK = (1.6, 1.0)  # slowness, and answers it rests on, at which one speaks up (ours): earlier than one would act
-FRESH_OWN = 4.0  # of our own answers, faded, with which we need nobody's word (ours)
-HOLD = 0.2  # s for which a belief must have been there before it counts (ours): a second look
-AGE = 6.0  # s after which a claim has aged out (ours): engines that are slow are so for 10 s or more
+MOST_SAID = 10.0  # that a word may claim: beyond it all are as bad
+MOST_DOUBT = 2.0  # that a belief multiplies the engine's expected latency by at most
+SLOW = 1.8  # slowness over the fleet's past which an engine is notable: short of that it is noise
+FAILING = 0.3  # share of failures past which it is
+WELL = (1.3, 0.1)  # slowness and failures below which an engine is well: apart from the above
+ENOUGH = 0.5  # answers that a word must rest on at least: where each sees little, all see enough
+FULL = 1.5  # answers at which a word has its full weight: whoever claims more counts for no more
+JUDGE = 2.0  # of our own answers, faded, with which we hold others' words against them
+TRIMMED = 0.35  # of the weight at either end that is left out: so much may lie together
+BELIEVED = 1.4  # mean slowness, failures included, at which a belief begins: many words are quieter than one
+SPEAKERS = 24  # of the members that speak of one engine, about: more words would only cost more
+SPEAK = (1.6, 1.0)  # slowness, and answers it rests on, at which one speaks up: earlier than one would act
+FRESH_OWN = 4.0  # of our own answers, faded, with which we need nobody's word
+HOLD = 0.2  # s for which a belief must have been there before it counts: a second look
+AGE = 6.0  # s after which a claim has aged out: engines that are slow are so for 10 s or more
 QUORUM = (
     2.0,
     0.5,
-)  # weight behind a belief: at least, and for each member that may speak (ours): liars alone have none
-FLEET_SHARE = 0.25  # of the engines that beliefs lean on at once (ours): past it the fleet is the matter
-TRUST = (0.1, 1.0)  # floor, and full (ours): a liar's word keeps a tenth, so that it can come back
-LOSS, GAIN = 0.5, 0.02  # factor at a contradiction; step at a word that held (ours)
+)  # weight behind a belief: at least, and for each member that may speak: liars alone have none
+FLEET_SHARE = 0.25  # of the engines that beliefs lean on at once: past it the fleet is the matter
+TRUST = (0.1, 1.0)  # floor, and full: a liar's word keeps a tenth, so that it can come back
+LOSS, GAIN = 0.5, 0.02  # factor at a contradiction; step at a word that held
 
 
 @dataclass(frozen=True, slots=True)
--- a/tealwing/gossip/budget.py
+++ b/tealwing/gossip/budget.py
@@ -11,10 +11,10 @@
 
 from tealwing.gossip.messages import OVERHEAD
 
-RESERVE = (0.0, 0.1, 0.4, 0.4)  # of the depth that must be left after a datagram, by urgency (ours): a storm of
+RESERVE = (0.0, 0.1, 0.4, 0.4)  # of the depth that must be left after a datagram, by urgency: a storm of
 # rumours must not starve the answers that tell who lives
-DEPTH = 64  # datagrams that may wait of one urgency; past that the oldest goes (ours)
-OLDEST = 1.0  # s that one may wait: an answer that late is taken for none (ours)
+DEPTH = 64  # datagrams that may wait of one urgency; past that the oldest goes
+OLDEST = 1.0  # s that one may wait: an answer that late is taken for none
 
 Address = tuple[str, int]
 
--- a/tealwing/gossip/members.py
+++ b/tealwing/gossip/members.py
@@ -20,8 +20,8 @@
 from tealwing.gossip.suspicion import Suspicion
 
 BUCKETS = 64  # into which members fall by their names, for telling where two instances differ
-OWN_EARS = 2.0  # s since a member spoke to us itself in which others' doubts of it are nothing to us (ours)
-REAP = 600.0  # s for which the dead and the left are remembered (ours): so long a cut may last and heal
+OWN_EARS = 2.0  # s since a member spoke to us itself in which others' doubts of it are nothing to us
+REAP = 600.0  # s for which the dead and the left are remembered: so long a cut may last and heal
 
 
 class State(IntEnum):
--- a/tealwing/gossip/replayed.py
+++ b/tealwing/gossip/replayed.py
@@ -6,7 +6,7 @@
 
 from tealwing.gossip.messages import Cause, Rejected
 
-WINDOW = 256  # sequences behind the highest that may still come (ours): datagrams overtake one another
+WINDOW = 256  # sequences behind the highest that may still come: datagrams overtake one another
 
 
 @dataclass(slots=True)
--- a/tealwing/gossip/rumours.py
+++ b/tealwing/gossip/rumours.py
@@ -12,7 +12,7 @@
 from tealwing.gossip import messages
 from tealwing.gossip.messages import Claims, Rumour
 
-MOST = 256  # that wait; past it the one sent most goes (ours)
+MOST = 256  # that wait; past it the one sent most goes
 LEAST_SIZE = 24  # bytes of the shortest rumour: with less room there is no use in looking on
 MOST_RIDING = 60  # in one datagram: its form allows 64
 
--- a/tealwing/lab/faults/scenario.py
+++ b/tealwing/lab/faults/scenario.py
@@ -20,10 +20,11 @@
 
 What = Literal[
     "partition", "isolate", "cut", "link", "heal", "kill", "start", "stop", "cont", "restart", "clock", "disk",
-    "save-disk", "power-loss", "wait",
+    "save-disk", "power-loss", "wait", "hold-changes", "release-changes",
 ]  # fmt: skip
 When = Literal[
-    "leader", "settled", "ready", "phase:proposed", "phase:checked", "phase:preparing", "phase:agreed", "phase:active"
+    "leader", "settled", "ready", "answered", "served", "phase:proposed", "phase:checked", "phase:preparing",
+    "phase:agreed", "phase:active",
 ]  # fmt: skip
 NEEDS: dict[str, tuple[str, ...]] = {
     "partition": ("groups",),
@@ -52,7 +53,10 @@
     do: What
     at: Share | None = None  # of the trial's length; else after the step before
     after: Seconds = 0.0  # s after `at`, or after the step before
-    when: When | None = None  # wait for that too, for `within` seconds at most; phase: of a change of the rules
+    # wait for that too, for `within` seconds at most; phase: of a change of the rules; answered, served: `who` has
+    # answered, or served, queries that clients began meanwhile, `queries` of them
+    when: When | None = None
+    queries: Times = 20
     within: Seconds = 5.0
     who: str = ""
     source: str = ""
--- a/tealwing/lab/load.py
+++ b/tealwing/lab/load.py
@@ -23,7 +23,7 @@
 STACK = 256 * 1024  # bytes a thread
 MOST_LATENCY = 120_000_000  # us that a histogram holds
 DIGITS = 3  # that a latency is kept to
-SPOILT = 0.01  # s of our own lateness, at the 99th percentile, past which the run measured us
+SPOILT = 0.01  # s of our own lateness, at the 99th percentile, past which the run is spoilt
 PERCENTILES = (50.0, 90.0, 99.0, 99.9, 100.0)
 NAMES = ("lookup", "report", "load")
 DEADLINES = (3.0, 20.0, 25.0)  # s by class (the operators' brief)
--- a/tealwing/lab/rig/director.py
+++ b/tealwing/lab/rig/director.py
@@ -3,19 +3,27 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from tealwing.lab.faults.scenario import Scenario, Step
 from tealwing.lab.rig import phases
+from tealwing.lab.rig.history import Event
 from tealwing.lab.rig.whom import Whom
 
 if TYPE_CHECKING:
     from tealwing.lab.rig.trial import Trial
 
 
+# Of the answers to clients, those that a step waits for
+WORDS: dict[str, frozenset[str]] = {
+    "answered": frozenset(("served", "refused", "failed")),
+    "served": frozenset(("served",)),
+}
+
+
 class Director:
     """The steps of a scenario, in one trial."""
 
@@ -53,6 +61,10 @@
             self._until(trial.in_touch, step.within)
         elif when == "ready":
             self._until(lambda: all(p.started for p in trial.processes.values() if p.running), step.within)
+        elif when in ("answered", "served"):
+            begun, names, words = trial.history.now(), self._whom.names(step.who), WORDS[when]
+            if not self._until(lambda: ended(trial.history.events, names, begun, words) >= step.queries, step.within):
+                self._missed(when, names, step.within)
         elif when.startswith("phase:"):
             watched: Sequence[str] = trial.names
             if step.target and step.target != "all":
@@ -62,14 +74,19 @@
                 watched = self._whom.names(step.who)
                 step = msgspec.structs.replace(step, who=watched[0]) if len(watched) == 1 else step
             if not phases.wait(trial, when.removeprefix("phase:"), watched, step.within):
-                trial.history.add("phase-missed", phase=when, watched=list(watched))
-                if self._must_come:
-                    trial.problems.append(f"{self._scenario.title}: {when} did not come within {step.within:g} s")
+                self._missed(when, watched, step.within)
         return step
 
-    def _until(self, holds: Callable[[], bool], seconds: float) -> None:
-        """Wait for something to hold, for that time at most, and no longer than faults are begun."""
+    def _missed(self, when: str, watched: Sequence[str], within: float) -> None:
+        """What a step waits for did not come."""
+        self._trial.history.add("phase-missed", phase=when, watched=list(watched))
+        if self._must_come:
+            self._trial.problems.append(f"{self._scenario.title}: {when} did not come within {within:g} s")
+
+    def _until(self, holds: Callable[[], bool], seconds: float) -> bool:
+        """Wait for something to hold, for that time at most, and no longer than faults are begun; whether it does."""
         self._trial.wait(lambda: holds() or self._trial.calm.is_set(), seconds)
+        return holds()
 
     def _apply(self, step: Step) -> None:
         trial, acts, ledger = self._trial, self._trial.acts, self._trial.ledger
@@ -97,6 +114,12 @@
                 acts.power_loss(step)
             case "wait":
                 pass
+            case "hold-changes":
+                trial.changes(False)
+                if not phases.wait_idle(trial, trial.names, step.within):
+                    self._missed("no change under way", trial.names, step.within)
+            case "release-changes":
+                trial.changes(True)
             case "restart":
                 for name in names:
                     acts.kill(name, step.gently)
@@ -142,3 +165,10 @@
                   "duplicate": step.duplicate, "reorder": step.reorder}  # fmt: skip
         self._change(lambda: self._trial.weather.change_all(pairs, **fields))
         self._trial.ledger.span(("link", source, target), "link", source=source, target=target, **fields)
+
+
+def ended(events: Sequence[Event], names: Sequence[str], since: float, words: Collection[str]) -> int:
+    """Queries that began at one of the processes since a time of the history, and were answered with such a word."""
+    begun = {event["id"] for event in events if event["kind"] == "invoke" and event["op"] == "query"
+             and event["process"] in names and event["t"] >= since}  # fmt: skip
+    return sum(1 for event in events if event["kind"] == "ok" and event["id"] in begun and event["word"] in words)
--- a/tealwing/lab/rig/loads/rules/load.py
+++ b/tealwing/lab/rig/loads/rules/load.py
@@ -69,6 +69,11 @@
         if self._operators is not None:
             self._operators.only_plain = only
 
+    def hold_changes(self, hold: bool) -> None:
+        """Have operators begin no change, or go on."""
+        if self._operators is not None:
+            self._operators.held = hold
+
     def _look(self, trial: Trial, watch: Watch, name: str) -> None:
         line = Line(trial, name)
         while not self._clients.stopped.wait(LOOK):
--- a/tealwing/lab/rig/loads/rules/operators.py
+++ b/tealwing/lab/rig/loads/rules/operators.py
@@ -34,12 +34,15 @@
         self._recent: list[str] = []
         self._duels = itertools.count(1)
         self._lines: dict[tuple[str, str], Line] = {}  # by operator: each has a thread of its own
+        self.held = False  # whether no change is begun
         self.only_plain = False  # whether no change is turned down, withdrawn or rivalled on purpose
 
     def run(self, clients: Clients) -> None:
         """Until the clients are stopped."""
         rng = random.Random(f"{self._trial.seed}/operators")
         while not clients.stopped.wait(rng.uniform(*BETWEEN)):
+            if self.held:
+                continue
             kind = PLAIN if self.only_plain else rng.choice(KINDS)
             if kind == "duel":
                 other, who = random.Random(rng.random()), f"rival-{next(self._duels)}"
--- a/tealwing/lab/rig/phases.py
+++ b/tealwing/lab/rig/phases.py
@@ -12,9 +12,30 @@
     from tealwing.lab.rig.trial import Trial
 
 LOOK = 0.001  # s between two looks: a phase lasts some ms where links are quick
+IDLE_LOOK = 0.02  # s between two looks whether changes are under way
 LIMIT = 0.25  # s that a look waits for its answer
 
 
+def wait_idle(trial: Trial, names: Sequence[str], within: float) -> bool:
+    """Wait until no change is under way at any of the processes, and all have one version in force; whether so."""
+    end = time.monotonic() + within
+    while time.monotonic() < end and not trial.calm.is_set():
+        found = []
+        for name in names:
+            caller = trial.caller(name, LIMIT)
+            try:
+                found.append(caller.ask("rules.status", LIMIT))
+            except (OSError, Turned):
+                break
+            finally:
+                caller.close()
+        versions = {(status["active"], status["in_force"]) for status in found}
+        if len(found) == len(names) and len(versions) == 1 and not any(status["in_flight"] for status in found):
+            return True
+        time.sleep(IDLE_LOOK)
+    return False
+
+
 def wait(trial: Trial, phase: str, names: Sequence[str], within: float) -> bool:
     """Wait until one of the processes says that a change is in that phase; whether one did in time.
 
--- a/tealwing/lab/rig/trial.py
+++ b/tealwing/lab/rig/trial.py
@@ -52,6 +52,7 @@
         moment: played under load before the scenario and its seconds begin, while only plain changes are made.
         """
         self.moment = moment
+        self._load: Any = None  # under way
         self.layout = layout
         self.scenario, self.seconds, self.seed = scenario, seconds, seed
         self._own = tempfile.TemporaryDirectory(prefix="tealwing-fleet-") if folder is None else None
@@ -170,6 +171,7 @@
         """Load and scenario together, then everything healed, and what the load still looks at in the end."""
         self.begun = time.monotonic()
         self.history.add("begin", procs=len(self.names), seconds=self.seconds, scenario=self.scenario.title)
+        self._load = load
         if self.moment is not None:
             load.keep_plain(True)
         load.start(self)
@@ -203,6 +205,10 @@
         self.history.add("end")
         self.stopping.set()
 
+    def changes(self, going_on: bool) -> None:
+        """Have the operators of the load make changes, or begin none."""
+        self._load.hold_changes(not going_on)
+
     def trouble(self) -> list[str]:
         """What the processes' logs say that must never be said."""
         return [f"{name}: {what}" for name, process in self.processes.items() for what in process.trouble()]
--- a/tealwing/levels/controller.py
+++ b/tealwing/levels/controller.py
@@ -20,9 +20,9 @@
 from typing import NamedTuple
 
 WINDOW = 60.0  # s in which there are two changes at most (the operators' "not several times a minute")
-SOON = 300.0  # s since it was left within which a level that is entered again is kept for longer (ours)
-GROWTH = 2.0  # of the least stay, each time that the level was entered again soon (ours)
-GAP = 2.0  # s between two looks past which nothing is known to have held in between (ours)
+SOON = 300.0  # s since it was left within which a level that is entered again is kept for longer
+GROWTH = 2.0  # of the least stay, each time that the level was entered again soon
+GAP = 2.0  # s between two looks past which nothing is known to have held in between
 
 
 @dataclass(frozen=True, slots=True)
--- a/tealwing/levels/signals.py
+++ b/tealwing/levels/signals.py
@@ -13,8 +13,8 @@
 
 from tealwing import interface as api
 
-LEAST = 10  # requests below which a share says nothing (ours): one late answer of two is no flood
-READY_MEMORY = 300.0  # s in which the most engines ready are remembered (ours): a release takes minutes
+LEAST = 10  # requests below which a share says nothing: one late answer of two is no flood
+READY_MEMORY = 300.0  # s in which the most engines ready are remembered: a release takes minutes
 
 # places in a class's counters
 # JUDGED: ended in time, or past its aim whether it has ended or not; refusals are not judged
--- a/tealwing/peers/section.py
+++ b/tealwing/peers/section.py
@@ -8,9 +8,8 @@
 
 # Members that link to all: each pair of them has two connections, and each sends a sign of life to everyone each beat.
 MOST_VOTERS = 64
-# Members in all: the largest size measured, in virtual time (docs/CAPACITY.md). One that votes has a thread (of a small
-# stack) and two descriptors for each, so that many want a higher limit of open files there: the link says so at its
-# start. A learner has them for voters only.
+# Members in all (docs/CAPACITY.md). One that votes has a thread (of a small stack) and two descriptors for each, so
+# that many want a higher limit of open files there: the link says so at its start. A learner has them for voters only.
 MOST_MEMBERS = 1100
 LEARNER = "learner"
 
--- a/tealwing/policy/__init__.py
+++ b/tealwing/policy/__init__.py
@@ -2,7 +2,6 @@
 
 A query goes to the engine of the smallest marginal productivity index (MPI, Niño-Mora), or is refused at
 once when none is below its class's nu. Equation numbers are the paper's; docs/design.md tells the rest.
-Constants: unit, reason; (d) is the design's value, (o) ours.
 """
 
 from tealwing.policy.engines import Engine as Engine
--- a/tealwing/policy/attempts.py
+++ b/tealwing/policy/attempts.py
@@ -8,12 +8,12 @@
 from tealwing.policy.engines import Attempt, Engine, Job
 from tealwing.policy.placement import Placement
 
-FULL_WAIT = 0.5  # s for which a full engine counts as holding n (o)
-LOST_ONCE = 0.1  # s in which lost attempts count as one failure (o): one connection takes all on it along
-RETRY_SPREAD = (0.5, 1.0)  # of the longest retry-after, at random (o): returns are spread
-STRAGGLER = 3.0  # time that an attempt has to go, over the class's usual latency, at which it is dropped (o)
-PROGRESS_FLOOR = 0.01  # least share done that a note is read as (o)
-SILENT = (1.55, 1.1)  # note periods without a first or a further note that mean a lost answer (o)
+FULL_WAIT = 0.5  # s for which a full engine counts as holding n
+LOST_ONCE = 0.1  # s in which lost attempts count as one failure: one connection takes all on it along
+RETRY_SPREAD = (0.5, 1.0)  # of the longest retry-after, at random: returns are spread
+STRAGGLER = 3.0  # time that an attempt has to go, over the class's usual latency, at which it is dropped
+PROGRESS_FLOOR = 0.01  # least share done that a note is read as
+SILENT = (1.55, 1.1)  # note periods without a first or a further note that mean a lost answer
 
 
 class Attempts(Placement):
--- a/tealwing/policy/engines.py
+++ b/tealwing/policy/engines.py
@@ -9,16 +9,16 @@
 from tealwing.policy.rates import LEARN, LEAST_LATENCY, Flow
 from tealwing.policy.tables import read
 
-SHRINK = 50.0  # answers that the fleet's mean counts for in an engine's (o): noise must not look like speed
-PACE_KEEP = 0.6  # share of a pace that a rebuild keeps (o): a memory of two seconds
-PACE_PRIOR = 3.0  # answers that a pace's prior counts for (o): one long query is no jam
-MOST = {"inflight": 1e4, "queue": 1e4}  # beyond which a reported value is read as this (o): absurd ones
-MOST_SHARE = 4.0  # the same for shares (o)
-FAR_ABOVE = 3.0  # latency of late over the best that means pressure (o)
-BUSY = {"util": 0.85, "x1": 0.9, "x0": 0.9, "queue": 0.5, "load": 1.0}  # values that mean pressure (o)
-SLOW_AT_M = 4.0  # slowness that stands for m where no count is reported (o): twice the sharing at m
-SUCCESS_FLOOR = 0.05  # least share of successes in mu (o): keeps the index finite
-FAULTY = 2  # engines with errors at which a query is held to be at fault itself, not they (o)
+SHRINK = 50.0  # answers that the fleet's mean counts for in an engine's: noise must not look like speed
+PACE_KEEP = 0.6  # share of a pace that a rebuild keeps: a memory of two seconds
+PACE_PRIOR = 3.0  # answers that a pace's prior counts for: one long query is no jam
+MOST = {"inflight": 1e4, "queue": 1e4}  # beyond which a reported value is read as this: absurd ones
+MOST_SHARE = 4.0  # the same for shares
+FAR_ABOVE = 3.0  # latency of late over the best that means pressure
+BUSY = {"util": 0.85, "x1": 0.9, "x0": 0.9, "queue": 0.5, "load": 1.0}  # values that mean pressure
+SLOW_AT_M = 4.0  # slowness that stands for m where no count is reported: twice the sharing at m
+SUCCESS_FLOOR = 0.05  # least share of successes in mu: keeps the index finite
+FAULTY = 2  # engines with errors at which a query is held to be at fault itself, not they
 
 
 class Pace:
--- a/tealwing/policy/fleet.py
+++ b/tealwing/policy/fleet.py
@@ -9,14 +9,14 @@
 from tealwing.policy.rates import BEST_DRIFT, LAM_LEARN, LEAST_LATENCY, MIX_KEEP, REBUILD, Rates
 from tealwing.policy.tables import read
 
-BOOKS = 10.0  # queries of ours that the reports count for when both tell of the fleet (o): a dozen reports
-FADE = 0.33  # share by which an engine's last report fades into the fleet's mean per rebuild (o)
-FLEET_LEARN = (0.05, 0.3)  # least and most weight of one report in the fleet's mean (o): noise, and news
-FLEET_MEMORY = 1.5  # s that the fleet's mean remembers (o): reports are some half a second old
-FLEET_BUSY = 0.7  # of BUSY at which the fleet's mean presses (o): single engines lie above the mean
-SHARE_LEARN = 0.03  # weight of one second in our usual share of all traffic (o): half a minute
-MEND = 0.9  # share of the counts of an engine's failures that a rebuild keeps (o): many meet it seldom
-J_SPREAD = (0.8, 1.3)  # of j, as single queries read it (o): all must not turn at once on the same report
+BOOKS = 10.0  # queries of ours that the reports count for when both tell of the fleet: a dozen reports
+FADE = 0.33  # share by which an engine's last report fades into the fleet's mean per rebuild
+FLEET_LEARN = (0.05, 0.3)  # least and most weight of one report in the fleet's mean: noise, and news
+FLEET_MEMORY = 1.5  # s that the fleet's mean remembers: reports are some half a second old
+FLEET_BUSY = 0.7  # of BUSY at which the fleet's mean presses: single engines lie above the mean
+SHARE_LEARN = 0.03  # weight of one second in our usual share of all traffic: half a minute
+MEND = 0.9  # share of the counts of an engine's failures that a rebuild keeps: many meet it seldom
+J_SPREAD = (0.8, 1.3)  # of j, as single queries read it: all must not turn at once on the same report
 
 
 class Fleet(Rates):
--- a/tealwing/policy/gateway.py
+++ b/tealwing/policy/gateway.py
@@ -7,7 +7,7 @@
 from tealwing.policy.engines import Job
 from tealwing.policy.rates import LEARN, REBUILD
 
-LOT_DIGITS = 65536.0  # past which a lot's digits decide on admission (o): other choices read those before
+LOT_DIGITS = 65536.0  # past which a lot's digits decide on admission: other choices read those before
 
 
 class Gateway(Attempts):
--- a/tealwing/policy/placement.py
+++ b/tealwing/policy/placement.py
@@ -10,21 +10,21 @@
 from tealwing.policy.fleet import J_SPREAD, Fleet
 from tealwing.policy.rates import Flow
 
-END_TICKS = 3  # ticks before the deadline at which a held request is answered (o)
-NEAR_TIE = 0.1  # share of the smallest index within which engines tie (d)
-COMPARED = (2, 2.0)  # near-ties compared at least, and over all gateways (o): many must not herd
-CROWDING = 0.7  # threads a core that an idle engine is counted as when ties are broken (o)
-COLD_TURN = 0.5  # factor on the crowding of a cold engine whose lot a query has drawn (o): that is its part
-HOMES = 1 / 3  # share of the engines that a group's loads keep to and its readers avoid (o): loads are few
-HOME_ODDS = 0.25  # chance that a load of another gateway holds the group at one of its homes (o)
-TURN = 0.4142135624  # turns from one group's homes to the next (o): all gateways find the same
-COLD_SAFETY = 0.6  # share of the fail-back budget that fixed shares use (o): work estimates are rough
-COLD_FEW = 2.0  # queries below which a gateway's share of the budget gives way to lots (o)
-COLD_SLACK = 2.0  # roots of the budget, and queries, that the rule puts down to chance beyond it (d)
-COLD_RISK = 5.0  # -ln of what bounds the chance that the lots of a window fill the slack (o): a fall is fatal
-CARRIED = (50.0, 1.6)  # estimates that none counts for, and most work a core, in what engines carry (o)
+END_TICKS = 3  # ticks before the deadline at which a held request is answered
+NEAR_TIE = 0.1  # share of the smallest index within which engines tie
+COMPARED = (2, 2.0)  # near-ties compared at least, and over all gateways: many must not herd
+CROWDING = 0.7  # threads a core that an idle engine is counted as when ties are broken
+COLD_TURN = 0.5  # factor on the crowding of a cold engine whose lot a query has drawn: that is its part
+HOMES = 1 / 3  # share of the engines that a group's loads keep to and its readers avoid: loads are few
+HOME_ODDS = 0.25  # chance that a load of another gateway holds the group at one of its homes
+TURN = 0.4142135624  # turns from one group's homes to the next: all gateways find the same
+COLD_SAFETY = 0.6  # share of the fail-back budget that fixed shares use: work estimates are rough
+COLD_FEW = 2.0  # queries below which a gateway's share of the budget gives way to lots
+COLD_SLACK = 2.0  # roots of the budget, and queries, that the rule puts down to chance beyond it
+COLD_RISK = 5.0  # -ln of what bounds the chance that the lots of a window fill the slack: a fall is fatal
+CARRIED = (50.0, 1.6)  # estimates that none counts for, and most work a core, in what engines carry
 GOLDEN = 0.6180339887  # its multiples fall evenly between whole numbers: lots of one query at many engines
-RETRY_DIGITS = 1e4  # past which a lot's digits decide on a further attempt (o): who drew well must not again
+RETRY_DIGITS = 1e4  # past which a lot's digits decide on a further attempt: who drew well must not again
 
 
 class Placement(Fleet):
--- a/tealwing/policy/rates.py
+++ b/tealwing/policy/rates.py
@@ -8,25 +8,25 @@
 from tealwing import interface as api
 from tealwing.policy.tables import mpi_table
 
-REBUILD = 1.0  # s between rebuilds of what is learned (d)
-THREADS_A_CORE = 2.0  # threads a core at which m starts (d)
-M_RISE = 0.3  # threads a core that m rises by in a rebuild with all aims met (o)
-M_FALL = 0.8  # factor on m in a rebuild with aims missed (o): quicker down than up
-M_RANGE = (1.25, 2.5)  # threads a core: what learning may make of m (o)
-MISSED = 0.15  # share of time-outs among answers at which m falls (o)
-SLOW_AT = 0.5  # latency of late over the aim at which m falls (o): late answers come too late to tell
-N_OVER_M = 1.5  # n over m (o): a large learned theta would keep the index below nu for ever
-TABLE_STEPS = (20.0, 2.0)  # steps in ln mu and in m within which a table is shared (o): tables are dear
-LEARN = 0.02  # weight of one answer in a mean (o): fifty answers, as costs spread widely
-QUICK = 0.1  # weight of one answer in a mean of late (o)
-WORK_MOST = 2.0  # told work over latency and threads at most (o): absurd values must not poison a mean
-LAM_LEARN = 0.3  # weight of one second in lam (o)
-BEST_DRIFT = 0.01  # share by which the best latency creeps up to the mean per rebuild (o)
-LEAST_LATENCY = 1e-4  # s (o): a zero must not make mu infinite
-MIX_KEEP = 0.97  # share of a class's count of choices that a rebuild keeps (o): half a minute, some loads
-ROUNDING = 1e-6  # s that a timer is set later (o): a sum of floats must not wake it just too early
-HELD_FOR = 0.5  # of a load's usual latency, for which one that a note told of is counted on (o): its rest
-RANKS = (3, 1)  # priority of the class worth most per work, and of the others (o)
+REBUILD = 1.0  # s between rebuilds of what is learned
+THREADS_A_CORE = 2.0  # threads a core at which m starts
+M_RISE = 0.3  # threads a core that m rises by in a rebuild with all aims met
+M_FALL = 0.8  # factor on m in a rebuild with aims missed: quicker down than up
+M_RANGE = (1.25, 2.5)  # threads a core: what learning may make of m
+MISSED = 0.15  # share of time-outs among answers at which m falls
+SLOW_AT = 0.5  # latency of late over the aim at which m falls: late answers come too late to tell
+N_OVER_M = 1.5  # n over m: a large learned theta would keep the index below nu for ever
+TABLE_STEPS = (20.0, 2.0)  # steps in ln mu and in m within which a table is shared: tables are dear
+LEARN = 0.02  # weight of one answer in a mean: fifty answers, as costs spread widely
+QUICK = 0.1  # weight of one answer in a mean of late
+WORK_MOST = 2.0  # told work over latency and threads at most: absurd values must not poison a mean
+LAM_LEARN = 0.3  # weight of one second in lam
+BEST_DRIFT = 0.01  # share by which the best latency creeps up to the mean per rebuild
+LEAST_LATENCY = 1e-4  # s: a zero must not make mu infinite
+MIX_KEEP = 0.97  # share of a class's count of choices that a rebuild keeps: half a minute, some loads
+ROUNDING = 1e-6  # s that a timer is set later: a sum of floats must not wake it just too early
+HELD_FOR = 0.5  # of a load's usual latency, for which one that a note told of is counted on: its rest
+RANKS = (3, 1)  # priority of the class worth most per work, and of the others
 
 
 class Flow:
--- a/tealwing/rules/check.py
+++ b/tealwing/rules/check.py
@@ -21,7 +21,7 @@
 
 BUILD = 1  # what this build can put in force; a version says what it needs
 Reason = RulesError
-ROUTE_BYTES = 1100  # of memory that a route takes at most while it is read: measured with 4000 routes of two sites
+ROUTE_BYTES = 1100  # of memory that a route takes at most while it is read
 MEMORY_SHARE = 1 / 16  # of a gateway's memory that routes may take
 MOST_TOLD = 5  # routes that are told; what holds for hundreds is one mistake
 
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -81,13 +81,13 @@
             with self._book.lock:
                 self._book.in_drain[int((asked.written - self._soak.stopped) * 10)] += 1
         leaves, timed = self._random.random(), True
-        if leaves < 0.04:
-            time.sleep(self._random.expovariate(20))
+        if leaves < 0.08:
+            time.sleep(self._patience(ttl))
             client.sock.close()
             asked.left = time.monotonic()
             return False
-        if leaves < 0.08:
-            time.sleep(self._random.expovariate(20))
+        elif leaves < 0.16:
+            time.sleep(self._patience(ttl))
             timed = False  # its end may have come meanwhile
             self._kill(client, asked)
         try:
@@ -108,6 +108,11 @@
             self._stay_away(client)
         return True
 
+    def _patience(self, ttl: float) -> float:
+        """Seconds until a client leaves early: soon, or at any time."""
+        soon = self._random.random() < 0.5
+        return self._random.expovariate(20) if soon else self._random.uniform(0.0, ttl)
+
     def _stay_away(self, client: Hearing) -> None:
         """Wait as a refusal asks to, most of the time; not during the drain, in which open connections go on."""
         found = PUSHBACK.search(client.said)
--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -1,17 +1,20 @@
-"""Engines of a soak: each answers, refuses, fails, resets or hangs, as its random numbers say."""
+"""Engines of a soak: each answers, refuses, fails, resets, fails late or hangs, as its random numbers say."""
 
 from __future__ import annotations
 
 import contextlib
+import queue
 import random
 import socket
 import threading
 import time
 
+from tealwing.sockets import silence
 from tests.peers import Peer, say
 from tests.soak.book import Attempt, Book
 
 PAGE = b"a\tb\tc\n"
+LATE_FAILURE = (0.3, 2.5)  # s after which an attempt fails that seemed to run: round the window for repeats
 NEVER_RAN = {b"503", b"504"}
 
 
@@ -21,13 +24,14 @@
     def __init__(self, name: str, book: Book, seed: int, trouble: float) -> None:
         self.name, self._book, self._random, self._trouble = name, book, random.Random(seed), trouble
         self._closed: set[socket.socket] = set()
+        self._arrived: queue.Queue[tuple[socket.socket, list[bytes], float]] = queue.Queue()
         super().__init__()
         threading.Thread(target=self._serve, daemon=True).start()
 
     def _serve(self) -> None:
         while True:
-            sock, parts = self.got.get()
-            now, call = time.monotonic(), parts[1].decode()
+            sock, parts, now = self._arrived.get()
+            call = parts[1].decode()
             with self._book.lock:
                 if parts[0] == b"never_mind":
                     for attempt in self._book.attempts[call]:
@@ -44,8 +48,11 @@
             elif kind < 1 - self._trouble / 2:
                 word = self._random.choice((b"503", b"500", b"504"))
                 threading.Timer(wait, self._answer, (attempt, parts[1], word)).start()
-            elif kind < 1 - self._trouble / 4:
+            elif kind < 1 - self._trouble / 3:
                 threading.Timer(wait, self._reset, (attempt,)).start()
+            elif kind < 1 - self._trouble / 8:
+                late = self._random.uniform(*LATE_FAILURE)
+                threading.Timer(late, self._answer, (attempt, parts[1], b"500")).start()
 
     def _answer(self, attempt: Attempt, call: bytes, word: bytes) -> None:
         with self._book.lock:
@@ -62,7 +69,12 @@
             attempt.connection.shutdown(socket.SHUT_RDWR)
 
     def _read(self, sock: socket.socket) -> None:
-        super()._read(sock)
+        parser = self.parser()
+        with contextlib.suppress(OSError):
+            while data := sock.recv(4096):
+                arrived = time.monotonic() - silence(sock)  # by the kernel: this thread may come to it late
+                for parts in parser.feed(data):
+                    self._arrived.put((sock, parts, arrived))
         self._over(sock)
 
     def _over(self, sock: socket.socket) -> None:
