Add the model check's count of failing writes last, as tests give the others by place

Cause: the field faults of Budget stood before old and twice, and tests name budgets by place, so that they explored other worlds than they say. Change: the field stands last.

--- a/tealwing/lab/models/consensus.py
+++ b/tealwing/lab/models/consensus.py
@@ -39,12 +39,12 @@
     beats: int = 1
     proposals: int = 1
     crashes: int = 1
-    faults: int = 0  # writes that fail
     old: int = 0  # of the crashes, those that come back with an older disk
     twice: int = 1  # messages delivered and still under way
     hands: int = 0  # leaders that hand over
     promotions: int = 0  # of learners
     demotions: int = 0  # of voters
+    faults: int = 0  # writes that fail
 
 
 class Fault(Enum):
