Hold one descriptor for each file of the lossy disk

Cause: os.dup in the argument of setdefault ran for every sync, and 2,500 descriptors were left after test_disk_returns.py. Change: a descriptor is duplicated once a file.

--- a/tests/lossy_disk.py
+++ b/tests/lossy_disk.py
@@ -44,7 +44,8 @@
 
     def sync(self, file: BinaryIO) -> None:
         inode = os.fstat(file.fileno()).st_ino
-        self._held.setdefault(inode, os.dup(file.fileno()))
+        if inode not in self._held:
+            self._held[inode] = os.dup(file.fileno())
         file.flush()
         content = Path(file.name).read_bytes()
         before = self._durable.get(inode, b"")
