--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -68,8 +68,7 @@
 def _drained(attempt: Attempt, drains: list[tuple[Drain, float]]) -> Iterator[str]:
     for drain, late in drains:
         begins = drain.told + late + DRAIN + SOCKET + SLACK
-        # The kernel dates arrivals to some ms: one that follows the return at once may seem to come before it.
-        if attempt.begun > begins and (drain.back is None or attempt.begun < drain.back - SLACK):
+        if attempt.begun > begins and (drain.back is None or attempt.begun < drain.back):
             yield f"sent to an engine that was drained {attempt.begun - drain.told:.3f} s before"
 
 
