--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -39,7 +39,7 @@
         self.stopped: float | None = None
         self._random = random.Random(seed)
         self.deadline = self._random.choice((0.2, 0.4, 1.0, 2.0, 4.0))
-        self._trouble = self._random.choice((0.05, 0.1, 0.3))
+        self._trouble = self._random.choice((0.05, 0.2, 0.5))
         self._engines = [self._engine(number) for number in range(ENGINES)]
         self._members = {engine.name: member(engine.name, engine.address) for engine in self._engines}
         self._coordinator = Coordinator(list(self._members.values()))
