Pass a KILL to the process of its connection, and make connection ids unique to a process

Cause: each process numbered its connections from 1 and looked a KILL up among its own connections alone. While two processes serve one listening socket a KILL reaches either, and after SIGTERM only the new one, where the id named another client's connection. A process that starts after another died gave the same ids anew.

Change: the highest byte of a connection id is the number of its process, and each process counts on from a random number. The processes find one another in a directory of the shared $TMPDIR, each with a FIFO as its inbox, which the kernel closes however the process ends. A KILL for another process's connection goes to its inbox and is answered with OK once the owner confirms that it is applied, with 1094 if that process has ended, and with an error if it does not reply within 0.25 s; after that it is not waited for until it replies. It works for any number of processes up to 255. The package is imported only with LB_ACCEPT_FD. Two descriptors are set aside for it.

A test of closes sent a KILL for connection 1, taken as its own; it names its own connection now, which is as strict.

--- a/tealwing/config.py
+++ b/tealwing/config.py
@@ -13,6 +13,7 @@
 from tealwing.coordinator import updates
 from tealwing.sockets import Address
 
+DEFAULT_TEMPORARY_DIRECTORY = "/tmp"  # if TMPDIR is not set
 DEFAULT_SOCKETS = 1024  # descriptors, if the file gives no limit
 MAX_CORES = 1024  # a higher limit is taken for a mistake
 DEFAULT_CORES = 1.0  # processor cores, if the file gives no limit
@@ -52,6 +53,7 @@
     index: int
     accept_fd: int | None = None  # the listening socket for clients, inherited from the platform
     admin: Address | None = None  # the admin address, for operators
+    temporary_directory: Path = Path(DEFAULT_TEMPORARY_DIRECTORY)  # shared by the processes of this gateway
 
     @property
     def descriptors(self) -> descriptors.Budget:
@@ -138,4 +140,5 @@
         index=index,
         accept_fd=int(inherited) if inherited is not None else None,
         admin=address(admin, "admin", 0) if admin else None,
+        temporary_directory=Path(environ.get("TMPDIR") or DEFAULT_TEMPORARY_DIRECTORY),
     )
--- a/tealwing/descriptors.py
+++ b/tealwing/descriptors.py
@@ -14,6 +14,7 @@
 EPOLL = 4  # the epoll instances of clients and of engines, and both ends of the pipe that stops the clients' loop
 DISCOVERY = 2  # a watch connection, and its successor while the kernel still closes the first
 CONFIGURATION = 2  # the files that SIGHUP reloads: the configuration, and one file that it includes
+KILL_RELAY = 2  # this process's inbox, and that of another process while a KILL is forwarded to it
 ADMIN_LISTENING = 1
 ADMIN_THREADS = 8  # admin callers served at once, one by each thread: further ones wait in the backlog
 MARGIN = 16  # for files that the interpreter, libraries or a debugger open briefly, and connections being closed
@@ -39,7 +40,8 @@
 
 def budget(limit: int) -> Budget:
     """Divide a limit of at least MIN_DESCRIPTORS: clients get a third and a tenth of that more, engines the rest."""
-    fixed = STANDARD + LISTENING + EPOLL + DISCOVERY + CONFIGURATION + ADMIN_LISTENING + ADMIN_THREADS + MARGIN
+    listening = LISTENING + ADMIN_LISTENING
+    fixed = STANDARD + listening + EPOLL + DISCOVERY + CONFIGURATION + KILL_RELAY + ADMIN_THREADS + MARGIN
     clients = limit * (SPARE_DIVISOR + 1) // (SPARE_DIVISOR * CLIENT_DIVISOR)
     clients = min(clients, limit - fixed - MIN_ENGINE_CONNECTIONS)
     return Budget(clients, limit - fixed - clients, fixed)
--- a/tealwing/mysql/lingering.py
+++ b/tealwing/mysql/lingering.py
@@ -54,6 +54,9 @@
     def __len__(self) -> int:
         return len(self._items) + len(self._closing)
 
+    def __contains__(self, number: int) -> bool:
+        return number in self._items or number in self._closing
+
     def add(self, number: int, item: Item, until: float) -> Item | None:
         """Add a connection; if that exceeds the bound, return the oldest one for the caller to close."""
         self._items[number] = item, until
--- a/tealwing/mysql/server.py
+++ b/tealwing/mysql/server.py
@@ -9,8 +9,8 @@
 
 import contextlib
 import errno
-import itertools
 import os
+import random
 import select
 import socket
 import threading
@@ -21,9 +21,12 @@
 
 from tealwing import interface, log, threads
 from tealwing.exchange import AdmissionGate, OpenExchange
+from tealwing.mysql.connection_ids import MAX_SEQUENCE, ONLY_PROCESS, ConnectionIds
 from tealwing.mysql.departures import DEPARTURE_EVENTS
+from tealwing.mysql.kills import KillForwarder, KillOutcome
 from tealwing.mysql.lingering import Lingering
 from tealwing.mysql.session import Session
+from tealwing.mysql.statements import Kill
 from tealwing.sockets import Address
 
 RESERVE_DIVISOR = 11  # 1/11 of the client places is reserved for new clients and lingering connections
@@ -56,6 +59,10 @@
     return listener
 
 
+def _connection_ids(process: int) -> ConnectionIds:
+    return ConnectionIds(process, random.randrange(MAX_SEQUENCE))
+
+
 class Server:
     """Accepts clients; owns their sessions, by connection id, and the threads that serve them."""
 
@@ -77,7 +84,8 @@
         self.on_unread_age: Callable[[float], None] | None = None  # called with the age (s) of the input read
         self._max_clients, self._reserved_places = max_clients, max(1, max_clients // RESERVE_DIVISOR)
         self._max_threads = min(max_clients, max_threads or max_clients)
-        self._numbers = itertools.count(1)  # connection ids
+        self._ids = _connection_ids(ONLY_PROCESS)
+        self._forwarder: KillForwarder | None = None  # set while other processes may serve the same clients
         # its lock guards the sessions, lingering connections, armed descriptors and thread counts; notified when a
         # session ends or a thread has served one
         self._changed = threading.Condition()
@@ -105,6 +113,10 @@
         self._end_reader, self._end_writer = os.pipe()  # closing the writer wakes every thread
         self._ready.register(self._end_reader, 0)  # epoll reports the hangup (EPOLLHUP) without being asked to
 
+    def share_clients(self, process: int, forwarder: KillForwarder) -> None:
+        """Serve the clients together with other processes, as the one with this number. Call before `start`."""
+        self._ids, self._forwarder = _connection_ids(process), forwarder
+
     def start(self) -> None:
         """Start accepting clients."""
         if not self._start_thread():
@@ -132,6 +144,19 @@
         with self._changed:
             return self._sessions.get(number)
 
+    def kill(self, statement: Kill) -> KillOutcome:
+        """Apply a KILL of a connection of this process, or forward it to the process that owns the connection."""
+        if self.apply_kill(statement):
+            return KillOutcome.APPLIED
+        return self._forwarder.forward(statement) if self._forwarder else KillOutcome.UNKNOWN_CONNECTION
+
+    def apply_kill(self, statement: Kill) -> bool:
+        """Apply a KILL of a connection of this process; return False if this process has no such connection."""
+        session = self.session(statement.connection)
+        if session is not None:
+            session.kill(statement.query_only)
+        return session is not None
+
     def remove(self, session: Session) -> None:
         """Remove a session that has ended; the caller closes its descriptor next."""
         with self._changed:
@@ -316,10 +341,14 @@
     def _accept_client(self) -> Session:
         """Accept the next client; never blocks. Raises OSError if accept fails. Call under the lock."""
         sock, _ = self._listener.accept()
-        session = Session(self, sock, next(self._numbers) & 0xFFFFFFFF)
+        session = Session(self, sock, self._ids.next(self._is_used))
         self._sessions[session.number] = session
         return session
 
+    def _is_used(self, number: int) -> bool:
+        """Return whether an open connection has this id. Call under the lock."""
+        return number in self._sessions or number in self._lingering
+
     def _pause_accept(self, error: OSError) -> None:
         """Pause after a failed accept, and free a descriptor if that may help; logs the first failure of an episode."""
         if error.errno in RESOURCE_ERRORS:
--- a/tealwing/mysql/session.py
+++ b/tealwing/mysql/session.py
@@ -28,6 +28,7 @@
     SettingsChangedError,
 )
 from tealwing.mysql import departures, lingering, overdue, packets, statements
+from tealwing.mysql.kills import KillOutcome
 from tealwing.sockets import MEMORY_PAUSE, has_unread, is_short_of_memory, prepare, seconds_since_data, send_all
 
 USER, DATABASE = b"app", b"reports"
@@ -48,9 +49,13 @@
 QUIT, INIT_DB, QUERY, PROCESS_KILL, PING, RESET_CONNECTION = 0x01, 0x02, 0x03, 0x0C, 0x0E, 0x1F
 
 UNKNOWN_COMMAND = packets.error(1047, "08S01", "Unknown command")
-UNKNOWN_THREAD = packets.error(1094, "HY000", "Unknown thread id")
 INTERRUPTED = packets.error(1317, "70100", "Query execution was interrupted")
 FAILED = packets.error(1105, "HY000", "The query failed; it may have run")
+KILL_ANSWERS = {
+    KillOutcome.APPLIED: packets.ok(),
+    KillOutcome.UNKNOWN_CONNECTION: packets.error(1094, "HY000", "Unknown thread id"),
+    KillOutcome.UNCONFIRMED: packets.error(1105, "HY000", "The KILL is not confirmed; close its connection instead"),
+}
 
 
 class SessionHost(Protocol):
@@ -61,8 +66,8 @@
     gate: AdmissionGate | None
     on_unread_age: Callable[[float], None] | None
 
-    def session(self, number: int) -> Session | None:
-        """Return the session of a connection id; None if it has ended."""
+    def kill(self, statement: statements.Kill) -> KillOutcome:
+        """Apply a KILL of a connection of this gateway, whichever of its processes owns the connection."""
 
     def remove(self, session: Session) -> None:
         """Remove a session that has ended."""
@@ -459,14 +464,11 @@
 
     def _kill(self, statement: statements.Kill) -> bytes:
         """Kill the session that the statement names; return the payload of the answer."""
-        other = self.server.session(statement.connection)
-        if other is None:
-            return UNKNOWN_THREAD
-        other.kill(statement.query_only)
-        if other is self:  # a session that kills itself has no other open request
+        outcome = self.server.kill(statement)
+        if statement.connection == self.number:  # a session that kills itself has no other open request
             with self._lock:
                 self._killed = False
-        return packets.ok()
+        return KILL_ANSWERS[outcome]
 
     def _query(self, text: bytes) -> bytes:
         with self._lock:
--- a/tealwing/service.py
+++ b/tealwing/service.py
@@ -9,12 +9,17 @@
 import threading
 import time
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from tealwing import interface, log
 from tealwing.admin.server import AdminServer
 from tealwing.config import Config, ConfigError, ConfigRejectedError, load
 from tealwing.gateway.daemon import Daemon
 from tealwing.mysql.server import Server
+from tealwing.threads import ThreadUnavailableError
+
+if TYPE_CHECKING:  # at run time, imported only if clients are shared with other processes
+    from tealwing.upgrade.kill_relay import KillRelay
 
 STACK_SIZE = 256 * 1024  # bytes per thread
 SWITCH_INTERVAL = 0.1  # s until a thread requests the interpreter lock; requests of hundreds of threads cost time
@@ -48,6 +53,7 @@
             lambda: daemon.readiness()[1],
         )
         admin.start()
+    relay = start_kill_relay(server, config) if server.shared else None
     daemon.start()
     server.start()
     serving.set()
@@ -83,6 +89,8 @@
             server.finish(MAX_DEADLINE_WAIT)  # sends the errors of the failed requests, unless SIGKILL arrives first
     if admin is not None:
         admin.stop()
+    if relay is not None:
+        relay.close()
     ok, shed, failed, _ = daemon.metrics.totals
     log.event(
         "stopped",
@@ -95,6 +103,27 @@
     )
 
 
+def start_kill_relay(server: Server, config: Config) -> KillRelay | None:
+    """Join the other processes of this gateway, which share its clients; return None if the directory is unusable.
+
+    Without it the process serves, but a KILL that reaches it has an effect on its own connections alone.
+    """
+    from tealwing.upgrade.kill_relay import KillRelay
+    from tealwing.upgrade.process_directory import ProcessDirectory, ProcessDirectoryError
+
+    host, port = server.address
+    directory = ProcessDirectory(config.temporary_directory / f"tealwing-{host}-{port}")
+    try:
+        relay = KillRelay(directory, directory.register(), server.apply_kill)
+        relay.start()
+    except (ProcessDirectoryError, ThreadUnavailableError) as error:
+        log.event("kill_relay_unavailable", error=str(error))
+        return None
+    server.share_clients(relay.process, relay)
+    log.event("kill_relay", process=relay.process)
+    return relay
+
+
 def apply_settings(server: Server, config: Config, settings: interface.Settings) -> None:
     """Have the server parse new requests under the settings, with as many threads as they allow."""
     server.apply_settings(settings, replace(config, settings=settings).max_threads)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -108,8 +108,15 @@
     """The gateway's process, run as it is deployed except that asserts are enabled."""
 
     def __init__(
-        self, folder: Path, engine: str, coordinator: str = "127.0.0.1:1", conf: str = "", **changes: Any
+        self,
+        folder: Path,
+        engine: str,
+        coordinator: str = "127.0.0.1:1",
+        conf: str = "",
+        listener: socket.socket | None = None,
+        **changes: Any,
     ) -> None:
+        """Start the gateway; with a listener, as one of the processes that share it (and their folder)."""
         known = {"index": 1, "updates": [event(1, member("s-1", engine))]}
         config = {"name": "n0", "listen": "127.0.0.1:0", "seed": "1f", "coordinator": coordinator}
         config |= {"known": known, "settings": SETTINGS} | changes
@@ -119,7 +126,10 @@
         self.process = subprocess.Popen(
             ["/bin/sh", "-c", RUN],
             cwd=ROOT,
-            env={"LB_CONFIG": str(self.path)} | ({"TEALWING_CONF": str(self.conf)} if conf else {}),
+            env={"LB_CONFIG": str(self.path)}
+            | ({"TEALWING_CONF": str(self.conf)} if conf else {})
+            | ({"LB_ACCEPT_FD": str(listener.fileno()), "TMPDIR": str(folder)} if listener else {}),
+            pass_fds=(listener.fileno(),) if listener else (),
             stdout=subprocess.PIPE,
             stderr=subprocess.PIPE,
             text=True,
--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -216,6 +216,7 @@
 # Lingering closes
 
 
+OWN_ID = b"self"  # stands for the connection id of the client that sends it
 UNREAD_INPUT = b"\0" * 64 * 1024  # input that a session does not read before it ends: a thread reads 4 KB at a time
 
 
@@ -224,7 +225,7 @@
     [
         packets.packet(7, b"\x0e"),  # out of order: an error ends the session
         packets.packet(0, bytes([QUIT])),
-        packets.packet(0, bytes([KILL]) + b"\1\0\0\0"),  # of its own connection, the first one
+        packets.packet(0, bytes([KILL]) + OWN_ID),
     ],
     ids=["packet-error", "quit", "kill"],
 )
@@ -240,6 +241,7 @@
     monkeypatch.setattr(socket, "create_connection", connect_with_small_buffer)
     rig.size = LARGE_RESULT
     client = Client(rig.address)
+    last = last.replace(OWN_ID, client.id.to_bytes(4, "little"))
     client.sock.sendall(query("1") + last + UNREAD_INPUT)
     until(lambda: not rig.server._sessions)
     assert answered(client, "1")
