Refuse a command that is opened after a drain was cut short

Cause: the cut put its signal into the mailboxes of the open requests once. A command that its session had read but not opened was registered later, got no signal and was sent to an engine; the process ended 3 s later at most.

Change: the signal stays. A request that is registered after the cut finds it first in its mailbox and is refused, as none of its attempts was sent; a request with an attempt fails as before.

--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -322,8 +322,8 @@
             self._host_load.start()
 
     def fail_open_requests(self) -> int:
-        """Fail all open requests because the gateway shuts down; return their number."""
-        return self._decisions.broadcast(Signal.SHUTDOWN)
+        """End all open requests because the gateway shuts down; return their number. Later ones are refused unsent."""
+        return self._decisions.shut_down(Signal.SHUTDOWN)
 
     @property
     def max_deadline(self) -> float:
--- a/tealwing/gateway/decisions.py
+++ b/tealwing/gateway/decisions.py
@@ -34,6 +34,7 @@
         self._mailboxes: dict[int, Mailbox] = {}
         self._request_ids: set[bytes] = set()  # request ids that the clients gave, of the open requests
         self._ids = itertools.count(1)
+        self._shutdown_signal: object | None = None  # set once open requests must end
         self._list_faults = 0  # engine list events that a module could not apply completely
         self._timers = Timers(max(settings.tick, TIMER_GRANULARITY), self._on_timers)
 
@@ -100,6 +101,8 @@
             self._request_ids.add(request_id)
             number = next(self._ids)
             self._mailboxes[number] = mailbox
+            if self._shutdown_signal is not None:
+                mailbox.put(self._shutdown_signal)
             self._versions.assign(number, version)
             return number
 
@@ -147,11 +150,15 @@
             for event in initial_events:
                 self._handle(event, (version,))
 
-    def broadcast(self, item: object) -> int:
-        """Put an item into the mailbox of every open request, and return their number."""
+    def shut_down(self, signal: object) -> int:
+        """Put the signal into the mailbox of every open request, and first into that of each one registered later.
+
+        Returns the number of open requests.
+        """
         with self._lock:
+            self._shutdown_signal = signal
             for mailbox in self._mailboxes.values():
-                mailbox.put(item)
+                mailbox.put(signal)
             return len(self._mailboxes)
 
     def change_module(self, change: Callable[[Module, float], Module]) -> None:
--- a/tealwing/gateway/request_handler.py
+++ b/tealwing/gateway/request_handler.py
@@ -25,6 +25,7 @@
 CANCEL_GAP = 0.005  # s from a cancel to the next send: on another connection the send could overtake the cancel
 DECISION_OVERDUE = 0.1  # s past a request's deadline after which a missing decision is an error
 DEFAULT_PRIORITY = 1
+NO_RETRY_AFTER = 0.0  # s; the rejection asks for no wait
 PROGRESS_KINDS = {
     "frac": api.ProgressKind.PROGRESS,
     "missing": api.ProgressKind.SPILLING,
@@ -144,7 +145,9 @@
 
                     case Signal() as signal:
                         self._decisions.submit(api.ClientGone(self._id))  # an attempt in flight is cancelled below
-                        return Cancelled() if signal is Signal.CLIENT_CANCELLED else Failed()
+                        if signal is Signal.CLIENT_CANCELLED:
+                            return Cancelled()
+                        return Failed() if attempt_count else Rejected(NO_RETRY_AFTER)
         finally:
             if attempt is not None:
                 self._cancel_attempt(attempt)
