Give a coordinator more time for its first line after connections without one

Cause: the limit on silence between two lines, 1.4 to 1.8 s, also bound the time to the first line, on each attempt alike.

Change: that limit grows by half after each connection in series that sent no line, up to 4 s; a line resets it. Failed connects change nothing.

--- a/tealwing/coordinator/watch.py
+++ b/tealwing/coordinator/watch.py
@@ -5,7 +5,6 @@
 import contextlib
 import errno
 import os
-import random
 import select
 import socket
 import threading
@@ -16,12 +15,14 @@
 
 from tealwing import interface, log
 from tealwing.coordinator import updates
-from tealwing.coordinator.backoff import Backoff
+from tealwing.coordinator.backoff import Backoff, SilenceLimit
 from tealwing.sockets import Address
 
 CONNECT_TIMEOUT = 1.0  # s
 # s without a complete line until a watch ends; random, as all gateways lose a coordinator at the same time
 SILENCE_TIMEOUT = (1.4, 1.8)
+FIRST_LINE_GROWTH = 1.5  # of that limit for the first line, after each watch in series that ended without a line
+MAX_FIRST_LINE_TIMEOUT = 4.0  # s
 RETRY_INTERVAL = (0.1, 1.5)  # s between connects, min and max; events must be known 2 s after a lost connection
 
 
@@ -70,6 +71,7 @@
         self._sock: socket.socket | None = None  # set before the connect, so that a move can interrupt it
         self._moves, self._moved = 0, threading.Event()
         self._backoff = Backoff(*RETRY_INTERVAL)
+        self._silence = SilenceLimit(SILENCE_TIMEOUT, FIRST_LINE_GROWTH, MAX_FIRST_LINE_TIMEOUT)
         self._complete_at = time.monotonic()  # when the list was last known to be complete
         self.index = index  # number of the last applied event
 
@@ -161,13 +163,15 @@
 
     def _follow(self, sock: socket.socket) -> None:
         """Request the events after the last applied one, and apply lines until the stream ends."""
-        limit = random.uniform(*SILENCE_TIMEOUT)
+        limit, heard = self._silence.first(), False
         lines, until = updates.LineParser(), time.monotonic() + limit
         sock.settimeout(limit)
         sock.sendall(b"follow %d\n" % self.index)
         while True:
             left = until - time.monotonic()  # bytes without a line end count as silence
             if left <= 0:
+                if not heard:
+                    self._silence.lengthen()
                 raise _WatchEndedError(WatchEnd.SILENT, f"no complete line within {limit:.1f} s")
             sock.settimeout(left)
             try:
@@ -178,7 +182,10 @@
                 return
             for text in lines.feed(data):
                 self.apply(updates.parse_line(text, self.settings))
-                self._backoff.reset()  # only a valid line shows that the coordinator works
+                if not heard:  # only a valid line shows that the coordinator works
+                    self._backoff.reset()
+                    self._silence.reset()
+                    limit, heard = self._silence.regular(), True
                 until = time.monotonic() + limit
 
     def apply(self, item: updates.Update | int) -> None:
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -17,6 +17,8 @@
 from typing import Any
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from tealwing import interface as api
 from tealwing import log
@@ -24,6 +26,7 @@
 from tealwing.config import load
 from tealwing.coordinator import updates
 from tealwing.coordinator import watch as watch_module
+from tealwing.coordinator.backoff import SilenceLimit
 from tealwing.coordinator.watch import WatchClient, WatchEnd
 from tealwing.gateway import daemon as daemon_module
 from tealwing.gateway.daemon import Daemon
@@ -193,6 +196,41 @@
     assert coordinator.watch()[1] == 4
 
 
+def test_coordinator_that_is_slow_to_begin_is_heard(
+    coordinator: Coordinator, log_events: LogRecorder, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # fault: a coordinator that needed longer than the limit on silence for its first line was never heard again
+    monkeypatch.setattr(watch_module, "SILENCE_TIMEOUT", (SHORT, SHORT))
+    WatchClient(coordinator.address, 4, make_settings(), accept_update).start()
+    for _ in range(10):
+        sock, _ = coordinator.watch()
+        time.sleep(1.5 * SHORT)  # before its first line, on each connection
+        with contextlib.suppress(OSError):  # the watch may have ended
+            send_events(sock, event(5))
+            sock.settimeout(SHORT / 3)
+            try:
+                if not sock.recv(1):
+                    continue
+            except TimeoutError:
+                break
+    else:
+        raise AssertionError("the coordinator was not heard on ten connections")
+    assert log_events.next("watch_ended")["reason"] == "silent"
+    again, index = coordinator.watch()  # it is silent from here on: the regular limit holds again
+    assert index == 5
+    again.close()
+
+
+@given(st.lists(st.booleans(), max_size=20))
+def test_limit_for_the_first_line_grows_to_its_maximum_until_a_line_comes(lines: list[bool]) -> None:
+    limit, silent = SilenceLimit((1.4, 1.8), 1.5, 4.0), 0
+    for has_line in lines:
+        (limit.reset if has_line else limit.lengthen)()
+        silent = 0 if has_line else silent + 1
+        assert min(1.4 * 1.5**silent, 4.0) <= limit.first() <= min(1.8 * 1.5**silent, 4.0)
+        assert 1.4 <= limit.regular() <= 1.8
+
+
 def test_moved_watch_connects_to_the_new_coordinator_at_once(coordinator: Coordinator, log_events: LogRecorder) -> None:
     other = Coordinator()
     watch = WatchClient(coordinator.address, 4, make_settings(), accept_update)
