--- a/tealwing/gateway/request_handler.py
+++ b/tealwing/gateway/request_handler.py
@@ -25,7 +25,7 @@
 CANCEL_GAP = 0.005  # s from a cancel to the next send: on another connection the send could overtake the cancel
 DECISION_OVERDUE = 0.1  # s past a request's deadline after which a missing decision is an error
 DEFAULT_PRIORITY = 1
-NO_RETRY_AFTER = 0.0  # s; the rejection asks for no wait
+NO_RETRY_AFTER = 0.0  # s of a Retry-After: the client may retry at once
 PROGRESS_KINDS = {
     "frac": api.ProgressKind.PROGRESS,
     "missing": api.ProgressKind.SPILLING,
--- a/tealwing/mysql/connection_ids.py
+++ b/tealwing/mysql/connection_ids.py
@@ -1,9 +1,9 @@
 """Connection ids that no other process of the same gateway gives to its clients; no I/O.
 
-KILL names its target by connection id alone, and it can reach another process than the one that gave the id: during an
-upgrade two processes accept the same gateway's clients, and after a restart a client may still name a connection of the
-process that ended. An id therefore holds the number of its process in its highest byte, and each process counts its
-connections from a number drawn at random.
+A KILL holds a connection id and nothing else, and can reach a process that did not assign that id: during an upgrade
+two processes accept the same gateway's clients, and after a restart a client may still send the id of a connection to
+the former process. The highest byte of an id is therefore the number of its process, and each process starts its
+sequence at a random number.
 """
 
 from __future__ import annotations
--- a/tests/test_kill_relay.py
+++ b/tests/test_kill_relay.py
@@ -66,7 +66,7 @@
 
 
 def leave(inbox: Inbox) -> None:
-    """End as a process that dies: the kernel closes its inbox, and the FIFO stays."""
+    """End like a process that crashes: the kernel closes its inbox, and the FIFO stays."""
     inbox.close()
 
 
@@ -89,7 +89,7 @@
 
 @pytest.mark.parametrize("text", ["", "1", "no number", "999", "\0\0\0"])
 def test_spoilt_last_number_gives_no_number_twice(directory: ProcessDirectory, tmp_path: Path, text: str) -> None:
-    # a process that died while it wrote the number, or a disk that was full
+    # a process that crashed while it wrote the number, or a disk that was full
     running = [directory.register().process for _ in range(2)]
     (tmp_path / "processes" / process_directory.LOCK_FILE).write_text(text)
     found = directory.register().process
@@ -195,7 +195,7 @@
     assert only.relay.forward(only.kill(3)) is KillOutcome.UNKNOWN_CONNECTION
 
 
-def test_kill_for_a_process_that_has_left_or_died_is_unknown(processes: Processes) -> None:
+def test_kill_for_a_process_that_has_exited_or_crashed_is_unknown(processes: Processes) -> None:
     first, second, third = processes.add(), processes.add(), processes.add(started=False)
     second.relay.close()
     leave(third.inbox)
@@ -231,7 +231,7 @@
     assert second.kill(1) not in second.applied
 
 
-def test_full_inbox_delays_nobody(processes: Processes) -> None:
+def test_full_inbox_does_not_delay_the_sender(processes: Processes) -> None:
     first, second = processes.add(), processes.add(started=False)
     writer = processes.directory.open_inbox(second.inbox.process)
     with pytest.raises(BlockingIOError):
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -118,7 +118,7 @@
 
 
 def test_kill_reaches_a_request_of_a_draining_process(upgrades: Upgrades) -> None:
-    # fault: after SIGTERM the old process accepts nobody, so no KILL reached its requests, which were sent again
+    # fault: after SIGTERM the old process accepts no client, so no KILL reached its requests, which were retried
     old = upgrades.start()
     client = upgrades.client_of(old)
     _, call = upgrades.ask(client)
@@ -136,7 +136,7 @@
 
 
 def test_kill_for_a_dead_process_ends_no_request_of_its_successors(upgrades: Upgrades) -> None:
-    # fault: a process gave the ids of one that had died, so that a late KILL ended a request of another client
+    # fault: a process reused the ids of one that had crashed, so a late KILL cancelled a request of another client
     old = upgrades.start()
     gone = [upgrades.client_of(old) for _ in range(3)]
     old.process.kill()
@@ -153,7 +153,7 @@
         assert_served(client, at)
 
 
-def test_kill_for_a_stopped_process_is_answered_and_blocks_nobody(upgrades: Upgrades) -> None:
+def test_kill_for_a_stopped_process_is_answered_and_blocks_no_other_client(upgrades: Upgrades) -> None:
     old = upgrades.start()
     client = upgrades.client_of(old)
     upgrades.ask(client)
@@ -173,7 +173,7 @@
     assert code(client.read()) == INTERRUPTED
 
 
-def test_process_without_a_usable_temporary_directory_serves_and_says_so(tmp_path: Path) -> None:
+def test_process_without_a_usable_temporary_directory_serves_and_logs_it(tmp_path: Path) -> None:
     upgrades = Upgrades(tmp_path)
     host, port = upgrades.listener.getsockname()
     (tmp_path / f"tealwing-{host}-{port}").write_text("not a directory")
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -196,10 +196,10 @@
     assert coordinator.watch()[1] == 4
 
 
-def test_coordinator_that_is_slow_to_begin_is_heard(
+def test_watch_receives_events_of_a_coordinator_with_a_slow_first_line(
     coordinator: Coordinator, log_events: LogRecorder, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    # fault: a coordinator that needed longer than the limit on silence for its first line was never heard again
+    # fault: the watch never received a line again from a coordinator whose first line took longer than SILENCE_TIMEOUT
     monkeypatch.setattr(watch_module, "SILENCE_TIMEOUT", (SHORT, SHORT))
     WatchClient(coordinator.address, 4, make_settings(), accept_update).start()
     for _ in range(10):
@@ -214,7 +214,7 @@
             except TimeoutError:
                 break
     else:
-        raise AssertionError("the coordinator was not heard on ten connections")
+        raise AssertionError("no event was received on ten connections")
     assert log_events.next("watch_ended")["reason"] == "silent"
     again, index = coordinator.watch()  # it is silent from here on: the regular limit holds again
     assert index == 5
