Collect garbage before a test of closes counts the descriptors it starts with

Cause: the first count included descriptors of earlier tests that only the garbage collector closes. If it ran during the test, the count could never be equal again. Traced: in one of two runs of the test files up to this one the first count was 16, and 15 after a collection; the difference was an epoll descriptor.

Change: the test collects before the first count. It is as strict: the counts must still be equal.

Measured, a trial with such a descriptor left over and a collection after the first count: the earlier test fails, this one passes.

--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -7,6 +7,7 @@
 
 import contextlib
 import errno
+import gc
 import os
 import re
 import socket
@@ -682,6 +683,7 @@
 
 def test_server_end_releases_threads_and_descriptors(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(statements, "parse_query", read_call)
+    gc.collect()  # descriptors of earlier tests that wait for the collector must not count
     before = len(os.listdir("/proc/self/fd")), threading.active_count()
     rig = Rig()
     clients = [idle_client(rig) for _ in range(6)]
