Close the relay of KILLs without a race with its thread

A thread of the relay ended with BlockingIOError as its relay was closed (test_kill_relay.py). In the program it would have been an internal error in the log of a process that exits.

Cause: close() made the inbox non-blocking and then wrote a message to wake the thread. A thread that began its read between the two got EAGAIN, as nothing was written yet. And if the thread had closed the inbox already, the write went to a number that another descriptor may have had by then.

Change: the inbox is non-blocking from its start and its thread waits in poll; the write that wakes it happens under the lock under which the inbox is closed, and not after that. Neither call blocks.

--- a/tealwing/upgrade/kill_relay.py
+++ b/tealwing/upgrade/kill_relay.py
@@ -69,9 +69,7 @@
         """Leave the directory and stop receiving."""
         self._inbox.remove()
         self._closed.set()
-        with contextlib.suppress(OSError):  # a full inbox wakes the thread too
-            os.set_blocking(self._inbox.descriptor, False)
-            os.write(self._inbox.descriptor, messages.encode(messages.KillReply(self.process, 0, False)))
+        self._inbox.wake(messages.encode(messages.KillReply(self.process, 0, False)))
 
     def forward(self, kill: Kill) -> KillOutcome:
         """Have the process that owns the connection apply the KILL; waits for at most REPLY_LIMIT."""
--- a/tealwing/upgrade/process_directory.py
+++ b/tealwing/upgrade/process_directory.py
@@ -10,7 +10,9 @@
 import errno
 import fcntl
 import os
+import select
 import stat
+import threading
 import time
 from collections.abc import Iterator
 from pathlib import Path
@@ -37,12 +39,23 @@
     """The registration of this process: its number, and its FIFO opened for reading."""
 
     def __init__(self, process: int, path: Path, descriptor: int) -> None:
-        self.process, self.descriptor = process, descriptor
-        self._path = path
+        """Own the non-blocking descriptor of the FIFO at this path, until `close`."""
+        self.process, self._descriptor, self._path = process, descriptor, path
+        self._lock = threading.Lock()  # keeps `wake` from a closed descriptor, whose number may be in use again
+        self._is_closed = False
 
     def read(self, size: int) -> bytes:
-        """Wait for messages, and return at most `size` bytes of them."""
-        return os.read(self.descriptor, size)
+        """Wait for messages, and return at most `size` bytes of them; for the one thread that closes the inbox."""
+        ready = select.poll()
+        ready.register(self._descriptor, select.POLLIN)
+        ready.poll()
+        return os.read(self._descriptor, size)
+
+    def wake(self, message: bytes) -> None:
+        """End a wait of `read` by this message; no effect once the inbox is closed. Never blocks."""
+        with self._lock, contextlib.suppress(BlockingIOError):  # a full inbox ends the wait too
+            if not self._is_closed:
+                os.write(self._descriptor, message)
 
     def remove(self) -> None:
         """Remove the FIFO from the directory; what is open stays usable."""
@@ -51,7 +64,9 @@
 
     def close(self) -> None:
         """Close the FIFO: from here on no process can write to it."""
-        os.close(self.descriptor)
+        with self._lock:
+            self._is_closed = True
+            os.close(self._descriptor)
 
 
 class ProcessDirectory:
@@ -133,7 +148,7 @@
         path = self._inbox_path(number)
         os.mkfifo(path, PRIVATE_FILE)
         # opened for writing too, so that reading never reports the end of the file between two writers
-        return Inbox(number, path, os.open(path, os.O_RDWR | os.O_NOFOLLOW))
+        return Inbox(number, path, os.open(path, os.O_RDWR | os.O_NONBLOCK | os.O_NOFOLLOW))
 
     def _remove_dead_inboxes(self) -> None:
         for path in self._path.glob(f"{INBOX_PREFIX}*"):
--- a/tests/test_kill_relay.py
+++ b/tests/test_kill_relay.py
@@ -205,6 +205,54 @@
     assert processes.add().inbox.process == 4
 
 
+def test_relay_closed_as_its_thread_begins_to_read_ends_without_an_error(
+    processes: Processes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # fault: the close made the descriptor non-blocking, and a read that began right then failed
+    errors: list[object] = []
+    monkeypatch.setattr(threading, "excepthook", errors.append)
+    read, encode = Inbox.read, messages.encode
+    reading, closing, ended = threading.Event(), threading.Event(), threading.Event()
+
+    def read_once_closing(inbox: Inbox, size: int) -> bytes:
+        reading.set()
+        assert closing.wait(LIMIT)
+        try:
+            return read(inbox, size)
+        finally:
+            ended.set()
+
+    def encode_once_read(message: messages.KillReply) -> bytes:
+        closing.set()
+        ended.wait(0.2)
+        return encode(message)
+
+    monkeypatch.setattr(Inbox, "read", read_once_closing)
+    monkeypatch.setattr(messages, "encode", encode_once_read)
+    process = processes.add()
+    assert reading.wait(LIMIT)
+    process.relay.close()
+    assert ended.wait(LIMIT)
+    for thread in threading.enumerate():
+        if thread.name == "kill-relay":
+            thread.join(LIMIT)
+    assert not errors
+
+
+def test_closed_inbox_is_not_woken(directory: ProcessDirectory) -> None:
+    # fault: the close of a relay could write to the next user of its descriptor
+    inbox = directory.register()
+    other_reader, other_writer = os.pipe()
+    inbox.close()
+    reused = os.dup2(other_writer, inbox._descriptor)
+    inbox.wake(b"message")
+    os.set_blocking(other_reader, False)
+    with pytest.raises(BlockingIOError):
+        os.read(other_reader, 1)
+    for descriptor in (other_reader, other_writer, reused):
+        os.close(descriptor)
+
+
 def test_process_that_does_not_reply_is_not_waited_for_again_until_it_replies(
     processes: Processes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
