Log the end of a level of service that a reload without levels ends

An operator saw requests admitted again and no event of it.

Cause: Governor.end logged nothing. A reading of the operators' file that meets it empty, as it is being written, finds a valid file without levels.

Change: Governor.end logs the change to full service with the cause 'configuration', as a reload that takes the level away does.

Measured: the new test fails with the earlier governor and passes now.

--- a/tealwing/levels/governor.py
+++ b/tealwing/levels/governor.py
@@ -67,6 +67,9 @@
 
     def end(self, now: float) -> Gateway:
         """Restore full service and return the decision module, for use after the operators switch the levels off."""
+        _, change = controller.adopt(self.plan.timings, self.state, ())
+        if change is not None:
+            self._log_change(change, {"from": self.name, "to": FULL_SERVICE, "why": change.cause})
         if self._is_reduced:
             admitted = tuple((share,) for share in self._full_service.floor)
             self.gateway.handle(
--- a/tests/test_levels.py
+++ b/tests/test_levels.py
@@ -145,6 +145,18 @@
     assert driver.governor.end(driver.now).service_level is None
 
 
+def test_switching_levels_off_logs_the_end_of_the_level_in_force(tmp_path: Path) -> None:
+    # fault: a reload without levels ended the level in force, and the log had no event of it
+    driver = GovernorDriver(plan(tmp_path))
+    driver.overload()
+    level = driver.governor.name
+    driver.governor.end(driver.now)
+    assert driver.logged[-1] == ("service_level", {"from": level, "to": "full", "why": "configuration"})
+    at_full_service = GovernorDriver(plan(tmp_path))
+    at_full_service.governor.end(at_full_service.now)
+    assert not at_full_service.logged
+
+
 def test_level_ends_when_its_signals_have_no_traffic(tmp_path: Path) -> None:
     # a level that sheds a whole class removes the traffic of its own signals; they must not keep it in force for ever
     driver = GovernorDriver(plan(tmp_path))
