End the waits of a drain 0.2 s before SIGKILL, so that a paused process still exits in time

Cause, traced before: clients that stay connected are waited for until 0.1 s before that SIGKILL. A process on a crowded core may get no processor for 0.15 s, which the soak itself plays.

Change: the wait ends 0.2 s before. Errors of failed requests that are still to be sent are waited for as before. The end of the drain is a function of its own.

Measured: the new test fails with 0.1 s (0.10 s left) and passes now.

--- a/tealwing/service.py
+++ b/tealwing/service.py
@@ -8,6 +8,7 @@
 import sys
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -31,7 +32,7 @@
 RETRY_INTERVAL, MAX_RETRIES = 0.25, 8  # s between, and number of, further readings of an unusable file
 SIGNAL_POLL_INTERVAL = 0.02  # s between two checks for a signal while an unusable file is read again
 FAIL_MARGIN = 0.4  # s before the platform's SIGKILL at which open requests are failed
-EXIT_MARGIN = 0.1  # s before the SIGKILL at which waiting ends; the process needs some hundredths of a second to exit
+EXIT_MARGIN = 0.2  # s before the SIGKILL at which waiting ends: the exit itself, and a pause of the process
 
 
 def serve(config: Config, conf: str | None = None) -> None:
@@ -81,12 +82,7 @@
         time.sleep(LISTEN_GRACE)
     server.stop_listening()
     killed_at = stopped_at + min(daemon.max_deadline, MAX_DEADLINE_WAIT) + KILL_MARGIN
-    cut_short = 0
-    if not server.finish(killed_at - FAIL_MARGIN - time.monotonic()):
-        cut_short = daemon.fail_open_requests()
-        log.event("drain_cut_short", failed=cut_short)
-        if not server.finish(killed_at - EXIT_MARGIN - time.monotonic()) and daemon.open_requests:
-            server.finish(MAX_DEADLINE_WAIT)  # sends the errors of the failed requests, unless SIGKILL arrives first
+    cut_short = finish_requests(server, daemon, killed_at)
     if admin is not None:
         admin.stop()
     if relay is not None:
@@ -103,6 +99,19 @@
     )
 
 
+def finish_requests(
+    server: Server, daemon: Daemon, killed_at: float, clock: Callable[[], float] = time.monotonic
+) -> int:
+    """Finish the open requests before a SIGKILL at monotonic time killed_at; return how many had to be failed."""
+    if server.finish(killed_at - FAIL_MARGIN - clock()):
+        return 0
+    cut_short = daemon.fail_open_requests()
+    log.event("drain_cut_short", failed=cut_short)
+    if not server.finish(killed_at - EXIT_MARGIN - clock()) and daemon.open_requests:
+        server.finish(MAX_DEADLINE_WAIT)  # sends the errors of the failed requests, unless SIGKILL arrives first
+    return cut_short
+
+
 def start_kill_relay(server: Server, config: Config) -> KillRelay | None:
     """Join the other processes of this gateway, which share its clients; return None if the directory is unusable.
 
--- a/tests/test_exits.py
+++ b/tests/test_exits.py
@@ -13,8 +13,10 @@
 
 import pytest
 
+from tealwing import service
 from tealwing.mysql import packets
 from tests.peers import LIMIT, SETTINGS, Client, request, say
+from tests.soak.terms import KILL_GRACE, MAX_PAUSE
 from tests.test_program import PAGE, Site
 
 LOGIN = packets.packet(1, (0xA20D).to_bytes(4, "little") + bytes(28) + b"app\0\0reports\0")
@@ -132,6 +134,42 @@
     assert time.monotonic() - begun < 3.0 + 0.7
 
 
+class SlowServer:
+    """A server whose sessions end at a given time, and none before."""
+
+    def __init__(self, ends_at: float) -> None:
+        self.now, self._ends_at = 100.0, ends_at
+
+    def clock(self) -> float:
+        return self.now
+
+    def finish(self, seconds: float) -> bool:
+        until = self.now + seconds
+        self.now = max(self.now, min(until, self._ends_at))
+        return self._ends_at <= until
+
+
+class FailingDaemon:
+    """A daemon whose open requests all end as they are failed."""
+
+    open_requests = 2
+
+    def fail_open_requests(self) -> int:
+        failed, self.open_requests = self.open_requests, 0
+        return failed
+
+
+@pytest.mark.parametrize(("ends_after", "failed"), [(2.0, 0), (3.4, 2), (9.0, 2)])
+def test_drain_leaves_time_for_the_exit_of_a_process_that_is_paused(ends_after: float, failed: int) -> None:
+    # fault: connections of clients that stay were waited for until 0.1 s before SIGKILL, which found the process alive
+    server: Any = SlowServer(100.0 + ends_after)
+    daemon: Any = FailingDaemon()
+    killed_at = server.now + 3.0 + KILL_GRACE
+    assert service.finish_requests(server, daemon, killed_at, server.clock) == failed
+    assert server.now == pytest.approx(min(100.0 + ends_after, killed_at - service.EXIT_MARGIN))
+    assert killed_at - server.now > MAX_PAUSE
+
+
 def test_command_opened_after_the_drain_was_cut_short_is_refused(site: Site) -> None:
     # fault: the second of two commands sent at once was opened after the cut, and the process ended before its answer
     client = site.client()
