Collect garbage before the model of closes counts the descriptors it starts with

Seen: listed in the issue on the length of the test run: after ten answers the descriptors and threads of the test process were not back to the count before within 30 s.

Cause: by the same comparison as in test_closes.py, a first count that includes descriptors of earlier tests which only the garbage collector closes. That it was this in the run seen is likely, not shown.

Change: the test collects before the first count; it is as strict.

--- a/tests/test_closes_model.py
+++ b/tests/test_closes_model.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import threading
 from dataclasses import dataclass, field
@@ -40,6 +41,7 @@
 class Sessions(RuleBasedStateMachine):
     def __init__(self) -> None:
         super().__init__()
+        gc.collect()  # descriptors of earlier tests that wait for the collector must not count
         self.before = len(os.listdir("/proc/self/fd")), threading.active_count()
         self.patch = pytest.MonkeyPatch()
         self.patch.setattr(statements, "parse_query", read_call)
