Log and count what memory and connections hold, and read the memory limit

Cause: no line and no figure told the hypotheses of the incident apart: memory, clients, or bytes of incomplete commands.

--- a/tealwing/config.py
+++ b/tealwing/config.py
@@ -9,7 +9,7 @@
 
 import orjson
 
-from tealwing import descriptors, interface, wire
+from tealwing import descriptors, interface, memory, wire
 from tealwing.coordinator import updates
 from tealwing.sockets import Address
 
@@ -17,6 +17,7 @@
 DEFAULT_SOCKETS = 1024  # descriptors, if the file gives no limit
 MAX_CORES = 1024  # a higher limit is taken for a mistake
 DEFAULT_CORES = 1.0  # processor cores, if the file gives no limit
+MAX_MEMORY_MB = 1024 * 1024  # MB; a higher limit is taken for a mistake
 # threads that serve commands in all gateways of one deployment, if they share one machine: a quarter of Linux's usual
 # kernel.pid_max of 32,768, as each gateway has further threads and other programs need theirs
 DEPLOYMENT_THREADS = 8192
@@ -51,6 +52,7 @@
     settings: interface.Settings
     known: tuple[updates.Update, ...]
     index: int
+    memory_limit: int = memory.DEFAULT_LIMIT  # bytes
     accept_fd: int | None = None  # the listening socket for clients, inherited from the platform
     admin: Address | None = None  # the admin address, for operators
     temporary_directory: Path = Path(DEFAULT_TEMPORARY_DIRECTORY)  # shared by the processes of this gateway
@@ -60,6 +62,11 @@
         """The descriptor budget: how many descriptors each use may hold."""
         return descriptors.budget(self.sockets)
 
+    @property
+    def memory(self) -> memory.Budget:
+        """The memory budget: what commands, results and threads may take."""
+        return memory.budget(self.memory_limit)
+
     @property
     def max_clients(self) -> int:
         """Maximum number of concurrent client connections."""
@@ -118,6 +125,9 @@
         raise ConfigError(f"limits.sockets: {sockets!r} is not a whole number of {descriptors.MIN_DESCRIPTORS} or more")
     if not isinstance(cores, (int, float)) or isinstance(cores, bool) or not 0 < cores <= MAX_CORES:
         raise ConfigError(f"limits.cores: {cores!r} is not a number above 0 and up to {MAX_CORES}")
+    memory_mb = limits.get("memory_mb", memory.DEFAULT_LIMIT // memory.MIB)
+    if not isinstance(memory_mb, (int, float)) or isinstance(memory_mb, bool) or not 0 < memory_mb <= MAX_MEMORY_MB:
+        raise ConfigError(f"limits.memory_mb: {memory_mb!r} is not a number above 0 and up to {MAX_MEMORY_MB}")
     settings_data = _section(data.get("settings"), "settings")
     try:
         settings = wire.parse_settings(orjson.dumps(settings_data))
@@ -135,6 +145,7 @@
         seed=number,
         sockets=sockets,
         cores=float(cores),
+        memory_limit=int(memory_mb * memory.MIB),
         settings=settings,
         known=events,
         index=index,
--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -53,6 +53,7 @@
         self._settings, self._cores = config.settings, config.cores
         self._configured_settings = config.settings  # the settings of the last configuration file
         self.on_settings: Callable[[api.Settings], None] = lambda settings: None  # applies new settings to the server
+        self.server_gauges: Callable[[], dict[str, int]] = dict  # returns the gauges of clients and memory by name
         self._gossip: GossipService | None = None  # if gossip is on
         self._peering: Peering | None = None  # if the section `peers` is on
         self.gate: Gate | None = None  # if the section `rules` is on
@@ -115,7 +116,7 @@
             "threads": threading.active_count(),
             "list_index": self._watch.index,
             "list_age_ms": round(self._watch.age * 1e3),
-        }
+        } | self.server_gauges()
         if self._peering is not None:
             is_ready, reason, phase = self._peering.readiness()
             name = re.sub(r"[^a-z0-9]+", "_", reason.partition(";")[0].lower()).strip("_")
--- a/tealwing/log.py
+++ b/tealwing/log.py
@@ -12,7 +12,9 @@
 import select
 import sys
 import threading
+import time
 from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
 import orjson
@@ -21,6 +23,7 @@
 _violations: Counter[str] = Counter()
 
 
+CLIENT_EVENTS_PER_SECOND = 50  # lines of one event name that clients cause
 MAX_LINE_BYTES = select.PIPE_BUF  # a writable pipe accepts that many bytes in one write
 
 
@@ -84,6 +87,45 @@
     logger.handle(record)
 
 
+class RateLimit:
+    """Limits the lines of each event name in a second, so that a client at full speed does not flood the log."""
+
+    def __init__(self, lines_per_second: int, clock: Callable[[], float] = time.monotonic) -> None:
+        """Allow this many lines of each name in a second."""
+        self._lines_per_second, self._clock = lines_per_second, clock
+        self._lock = threading.Lock()
+        # by event name: the second, and its lines; lines suppressed since the last one that was allowed
+        self._written: dict[str, tuple[int, int]] = {}
+        self._suppressed: Counter[str] = Counter()
+
+    def admit(self, name: str) -> int | None:
+        """Return how many lines were suppressed before this one; None if this one is suppressed too."""
+        second = int(self._clock())
+        with self._lock:
+            since, written = self._written.get(name, (second, 0))
+            written = written if since == second else 0
+            if written >= self._lines_per_second:
+                self._suppressed[name] += 1
+                return None
+            self._written[name] = second, written + 1
+            return self._suppressed.pop(name, 0)
+
+
+_client_events = RateLimit(CLIENT_EVENTS_PER_SECOND)
+
+
+def client_event(name: str, /, **fields: Any) -> None:
+    """Log an event that a client can cause at any rate; beyond CLIENT_EVENTS_PER_SECOND they are only counted.
+
+    The next line of that name has the number left out as `suppressed`.
+    """
+    suppressed = _client_events.admit(name)
+    if suppressed:
+        fields["suppressed"] = suppressed
+    if suppressed is not None:
+        event(name, **fields)
+
+
 def check_invariant(holds: bool, what: str) -> None:
     """Raise AssertionError for a violated invariant; under -O log it with the number of its violations instead."""
     if holds:
--- a/tealwing/mysql/packets.py
+++ b/tealwing/mysql/packets.py
@@ -58,6 +58,11 @@
         """Whether part of a message has been received."""
         return bool(self._data or self._message)
 
+    @property
+    def held_bytes(self) -> int:
+        """The number of bytes of an incomplete message that have been received."""
+        return len(self._data) + len(self._message)
+
     @property
     def unread(self) -> bytes:
         """The received part of an incomplete message."""
--- a/tealwing/mysql/server.py
+++ b/tealwing/mysql/server.py
@@ -19,7 +19,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from tealwing import interface, log, threads
+from tealwing import interface, log, memory, threads
 from tealwing.exchange import AdmissionGate, OpenExchange
 from tealwing.mysql.connection_ids import MAX_SEQUENCE, ONLY_PROCESS, ConnectionIds
 from tealwing.mysql.departures import DEPARTURE_EVENTS
@@ -74,16 +74,19 @@
         open_: OpenExchange,
         inherited: int | None = None,
         max_threads: int | None = None,
+        memory_limit: int = memory.DEFAULT_LIMIT,
     ) -> None:
         """Listen on the address, or on the listening socket of descriptor `inherited` (OSError if it is none).
 
-        max_clients bounds the connected clients; max_threads bounds the commands served at once (default: max_clients).
+        max_clients bounds the connected clients; max_threads bounds the commands served at once (default: max_clients);
+        memory_limit is the limit of the process in bytes.
         """
         self.settings, self.open = settings, open_
         self.gate: AdmissionGate | None = None  # set if the fleet agrees on rules
         self.on_unread_age: Callable[[float], None] | None = None  # called with the age (s) of the input read
         self._max_clients, self._reserved_places = max_clients, max(1, max_clients // RESERVE_DIVISOR)
         self._max_threads = min(max_clients, max_threads or max_clients)
+        self._memory_limit, self._memory_peaks = memory_limit, memory.PeakLog(memory_limit)
         self._ids = _connection_ids(ONLY_PROCESS)
         self._forwarder: KillForwarder | None = None  # set while other processes may serve the same clients
         # its lock guards the sessions, lingering connections, armed descriptors and thread counts; notified when a
@@ -139,6 +142,17 @@
         with self._changed:
             return self._descriptor_count()
 
+    def gauges(self) -> dict[str, int]:
+        """Return the gauges of clients and of the process's memory, in KiB."""
+        with self._changed:
+            clients, sessions = self._descriptor_count(), list(self._sessions.values())
+        return {
+            "clients": clients,
+            "clients_incomplete": sum(session.held_bytes > 0 for session in sessions),
+            "input_held_kb": sum(session.held_bytes for session in sessions) // 1024,
+            "memory_kb": memory.resident_bytes() // 1024,
+        }
+
     def session(self, number: int) -> Session | None:
         """Return the session of a connection id; None if it has ended."""
         with self._changed:
@@ -425,6 +439,7 @@
         while not self._pause(TIME_LIMIT_CHECK_INTERVAL):
             self._retry_arming()
             self._answer_overdue(buffer)
+            self._log_memory_peak()
             now = time.monotonic()
             with self._changed:
                 timed_out = [session for session in self._sessions.values() if session.idle_share(now) >= 1]
@@ -434,6 +449,11 @@
             for session in expired:
                 session.end_linger()
 
+    def _log_memory_peak(self) -> None:
+        """Log a new peak of resident memory with what may have caused it."""
+        if self._memory_peaks.is_peak(memory.resident_bytes()):
+            log.event("memory_peak", limit_kb=self._memory_limit // 1024, threads=self._threads, **self.gauges())
+
     def _retry_arming(self) -> None:
         """Arm the listener and the sessions that could not be armed before."""
         if self._listener_unarmed:
--- a/tealwing/mysql/session.py
+++ b/tealwing/mysql/session.py
@@ -139,11 +139,12 @@
             elif self._client_closed:
                 return False
         except packets.PacketError as error:  # malformed input ends this connection only
+            log.client_event("client_input_malformed", connection=self.number, error=str(error))
             text = packets.error(error.code, error.state, str(error))
             with contextlib.suppress(OSError):  # the client may have left already
                 self._send(packets.packet(error.sequence + 1, text))
         except OSError as error:
-            log.event("client_lost", error=str(error))
+            log.client_event("client_lost", connection=self.number, error=str(error))
             return False
         return self._linger_on(buffer)
 
@@ -296,6 +297,11 @@
         """Whether a thread is serving the session."""
         return self._waiting is None
 
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes of an incomplete command that the session holds."""
+        return self._parser.held_bytes
+
     def idle_share(self, now: float) -> float:
         """Return the used share of the client's time limit; 0 while the session is served."""
         waiting = self._waiting
@@ -507,7 +513,7 @@
                     return encode_reply(Cancelled())
                 exchange = self.server.open(query, settings)
         except InvalidRequestError as error:
-            log.event("request_unusable", error=str(error))
+            log.client_event("request_unusable", connection=self.number, error=str(error))
             return packets.packet(1, packets.error(1210, "HY000", f"Incorrect arguments: {error}"))
         except Exception as error:
             return self._answer_internal_error(error)
@@ -524,7 +530,8 @@
         finally:
             took = time.monotonic() - begun
             if took > query.ttl:
-                log.event("answer_late", call=query.request_id.decode(), ttl=query.ttl, took=took)
+                call = query.request_id.decode()
+                log.client_event("answer_late", connection=self.number, call=call, ttl=query.ttl, took=took)
 
     def _answer_internal_error(self, error: Exception) -> bytes:
         """Return the error packet for a request that an internal error ended.
@@ -534,7 +541,7 @@
         """
         if isinstance(error, AssertionError | threads.ThreadUnavailableError):
             raise error
-        log.event("request_fault", error=repr(error), trace=traceback.format_exc(limit=-3))
+        log.event("request_fault", connection=self.number, error=repr(error), trace=traceback.format_exc(limit=-3))
         return packets.packet(1, FAILED)
 
     def _open_admitted(self, text: bytes, gate: AdmissionGate) -> tuple[Query, Exchange] | Deferred | Cancelled:
--- a/tealwing/service.py
+++ b/tealwing/service.py
@@ -39,8 +39,15 @@
     """Serve until SIGTERM or SIGINT, then finish the open requests. conf is the path of the operators' file."""
     daemon = Daemon(config)
     server = Server(
-        config.listen, config.max_clients, config.settings, daemon.open, config.accept_fd, config.max_threads
+        config.listen,
+        config.max_clients,
+        config.settings,
+        daemon.open,
+        config.accept_fd,
+        config.max_threads,
+        config.memory_limit,
     )
+    daemon.server_gauges = server.gauges
     daemon.on_settings = lambda settings: apply_settings(server, config, settings)
     if conf is not None:
         apply_operators_file(daemon, server, conf)
