Find quoted names in a statement without state for each character

Cause: the regular expression could go back into each character of a string, and kept its state for that. Change: possessive repeats, which keep none; what is matched stays the same.

--- a/tealwing/mysql/statements.py
+++ b/tealwing/mysql/statements.py
@@ -19,9 +19,11 @@
 _REQUEST_ID = re.compile(r"[0-9a-f]{16}\Z")
 _IDEMPOTENCY_KEY = re.compile(r"[0-9A-Za-z_.:-]{1,128}\Z")
 _NUMBER = re.compile(r"\d{1,12}(?:\.\d{1,9})?\Z", re.ASCII)
-_QUOTED = re.compile(  # strings, comments and quoted names; an unterminated one extends to the end
-    rb"""'(?:[^'\\]|\\.|'')*(?:'|\\?\Z)|"(?:[^"\\]|\\.|"")*(?:"|\\?\Z)|`[^`]*`
-    |/\*.*?(?:\*/|\Z)|--(?=\s|\Z)[^\n]*|\#[^\n]*""",
+# strings, comments and quoted names; an unterminated one extends to the end. Possessive repeats keep no state for each
+# character, so that the memory of a match does not depend on the statement.
+_QUOTED = re.compile(
+    rb"""'(?:[^'\\]++|\\.|'')*+(?:'|\\?\Z)|"(?:[^"\\]++|\\.|"")*+(?:"|\\?\Z)|`[^`]*+`
+    |/\*.*?(?:\*/|\Z)|--(?=\s|\Z)[^\n]*+|\#[^\n]*+""",
     re.DOTALL | re.VERBOSE,
 )
 _SCHEMA = re.compile(
