Recognize a KILL in linear time, so that one statement cannot stop the process

Seen: one command of 120 KB, KILL 1 with spaces and a further character, took 102 s to read (measured, twice), during which the interpreter ran nothing else: no client got an answer. Cause: two adjacent repeats of white space, so that the time grew with the square of their length. Change: possessive repeats. Time bounds for the other expressions that read clients' bytes (time to live, table group) are tested too; they were linear before.

--- a/tealwing/mysql/statements.py
+++ b/tealwing/mysql/statements.py
@@ -15,7 +15,7 @@
 FIELDS = {"op", "call", "ttl", "org", "dedupe", "work", "heap_mb"}
 
 _HEAD = re.compile(rb"\s*/\*(.*?)\*/\s*", re.DOTALL)
-_KILL = re.compile(rb"\s*KILL\s+(?:(QUERY|CONNECTION)\s+)?(\d{1,10})\s*;?\s*\Z", re.IGNORECASE)
+_KILL = re.compile(rb"\s*+KILL\s++(?:(QUERY|CONNECTION)\s++)?(\d{1,10}+)\s*+;?\s*+\Z", re.IGNORECASE)
 _REQUEST_ID = re.compile(r"[0-9a-f]{16}\Z")
 _IDEMPOTENCY_KEY = re.compile(r"[0-9A-Za-z_.:-]{1,128}\Z")
 _NUMBER = re.compile(r"\d{1,12}(?:\.\d{1,9})?\Z", re.ASCII)
--- a/tests/test_statement_costs.py
+++ b/tests/test_statement_costs.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tealwing.mysql import statements
+from tealwing.mysql import overdue, statements
 
 SIZE = 120_000  # bytes; a command may have 128 KiB
 COPIES = 4  # of the statement that its parse may make
@@ -33,3 +33,52 @@
         assert tracemalloc.get_traced_memory()[1] <= COPIES * SIZE
     finally:
         tracemalloc.stop()
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"KILL 1" + b" " * SIZE + b"x",
+        b"KILL QUERY 1" + b" " * SIZE + b";" + b" " * SIZE + b"x",
+        b"KILL" + b" " * SIZE + b"x",
+        b" " * SIZE + b"KILL",
+    ],
+    ids=["after the number", "round a semicolon", "before the number", "ahead"],
+)
+def test_time_to_recognize_a_kill_does_not_hold_up_other_clients(text: bytes) -> None:
+    begun = time.monotonic()
+    assert statements.parse_kill(text) is None
+    assert time.monotonic() - begun < SOON
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"/* ttl=1" + b" " * SIZE,
+        b"/*" + b" ttl=1" * (SIZE // 6),
+        b"/* ttl=1" * (SIZE // 8),
+        b"/*" + b"ttl=" * (SIZE // 4),
+    ],
+)
+def test_time_to_find_the_time_to_live_does_not_hold_up_other_clients(text: bytes) -> None:
+    begun = time.monotonic()
+    assert overdue.time_to_live(text) is None
+    assert time.monotonic() - begun < SOON
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"from a" + b" " * SIZE,
+        b"from " + b"a" * SIZE,
+        b"from a " * (SIZE // 7),
+        b"from `" * (SIZE // 6),
+        b"from a_1" * (SIZE // 8),
+        b"''," * (SIZE // 3),
+        b"/*" * (SIZE // 2),
+    ],
+)
+def test_time_to_find_the_table_group_does_not_hold_up_other_clients(text: bytes) -> None:
+    begun = time.monotonic()
+    assert statements.table_group(text) == 0
+    assert time.monotonic() - begun < SOON
