Bound the memory of all clients' commands and results by one account

Seen: evidence of the incident, a process ended without a line while it had 16 to 33 threads; 62 to 69 MB with a limit of 32 where 341 clients stop half way through a statement, write it slowly, or stop within the login, 33 to 40 MB with whole statements of 120 KB. Cause: a bound for each client (128 KiB), multiplied by the clients that the descriptors allow. Nothing read the limit of memory. Class of failure: a resource that is bounded for each holder, and not in sum. Change: commands over 4 KiB and results reserve bytes of one account, a share of what the limit leaves beside the process. When it is full, the commands that have been incomplete for longest are refused (1226, nothing of them has run), then the one that asks. Before the login a message has 4 KiB at most. The statement is the one copy of a command while its request is open, an attempt is copied once when it is written, and the number of threads follows the limit too. A packet was never continued, as only one over the bound is, so that the parser keeps one buffer. Why it works: no thread holds bytes beyond 4 KiB a client without a reservation, and the sum of reservations has a bound.

--- a/tealwing/config.py
+++ b/tealwing/config.py
@@ -77,6 +77,7 @@
         """Maximum number of threads that serve clients: one for each command in progress, not for each client."""
         return min(
             self.max_clients,
+            self.memory.threads,
             max(MIN_THREADS, MAX_SHARE_MULTIPLE * DEPLOYMENT_THREADS // max(1, self.settings.gateway_count)),
         )
 
--- a/tealwing/exchange.py
+++ b/tealwing/exchange.py
@@ -23,6 +23,10 @@
     return False
 
 
+def _always_fits(size: int) -> bool:
+    return True
+
+
 @dataclass(frozen=True, slots=True)
 class Query:
     """A client's request; times are in seconds, memory is in megabytes, cls and tenant are indices in the settings."""
@@ -39,13 +43,16 @@
     received_at: float = 0.0  # monotonic time at which its last byte was read
     # whether the client has disconnected; must not block
     has_left: Callable[[], bool] = field(default=_never_left, compare=False)
+    # reserves further bytes for the request until its reply is sent; returns whether they were there
+    reserve: Callable[[int], bool] = field(default=_always_fits, compare=False)
 
-    def set_client_check(self, has_left: Callable[[], bool]) -> None:
-        """Set the check of whether the client has disconnected, before the request is shared between threads.
+    def set_client(self, has_left: Callable[[], bool], reserve: Callable[[int], bool]) -> None:
+        """Set the calls that concern the client's session, before the request is shared between threads.
 
-        It is set in place: a copy takes 8 microseconds, more than the rest of the handling of disconnects per request.
+        They are set in place: a copy takes 8 microseconds, more than the handling of disconnects per request.
         """
         object.__setattr__(self, "has_left", has_left)
+        object.__setattr__(self, "reserve", reserve)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tealwing/gateway/request_handler.py
+++ b/tealwing/gateway/request_handler.py
@@ -25,6 +25,7 @@
 CANCEL_GAP = 0.005  # s from a cancel to the next send: on another connection the send could overtake the cancel
 DECISION_OVERDUE = 0.1  # s past a request's deadline after which a missing decision is an error
 DEFAULT_PRIORITY = 1
+RESULT_COPIES = 2  # of a result that exist at once: its pages, and the packets made of them
 NO_RETRY_AFTER = 0.0  # s of a Retry-After: the client may retry at once
 PROGRESS_KINDS = {
     "frac": api.ProgressKind.PROGRESS,
@@ -38,6 +39,7 @@
 
     CLIENT_CANCELLED = "the client cancelled the request"
     SHUTDOWN = "the gateway shuts down"
+    MEMORY_SHORT = "no memory is left for the result"
 
 
 class RequestHandler:
@@ -269,13 +271,11 @@
             if answer.status == b"200":
                 sheets = messages.count(answer.fields.get("sheets", "1"), MAX_PAGES)
                 attempt.pages, attempt.requested_pages = [None] * max(sheets, 1), 1
-                attempt.store_page(0, checked_page(answer.body))
-                attempt.fetch_pages(answer.stream)
+                self._store_page(attempt, 0, answer)
             elif answer.status == b"chunk" and attempt.pages:
                 sheet = messages.count(answer.fields.get("sheet"), len(attempt.pages) - 1)
                 if attempt.pages[sheet] is None:  # otherwise a duplicate
-                    attempt.store_page(sheet, checked_page(answer.body))
-                    attempt.fetch_pages(answer.stream)
+                    self._store_page(attempt, sheet, answer)
             else:
                 raise messages.RespError(f"unexpected answer from an engine: status {answer.status[:20]!r}")
         except messages.RespError as error:
@@ -288,6 +288,15 @@
             answer.stream.close_result()
         return self._finish_stream(attempt, api.AttemptResult.OK)
 
+    def _store_page(self, attempt: Attempt, number: int, answer: Answer) -> None:
+        """Store a page and request the next ones; without memory for it, the request is failed by the next item."""
+        page = checked_page(answer.body)
+        if self._query.reserve(RESULT_COPIES * len(page)):
+            attempt.store_page(number, page)
+            attempt.fetch_pages(answer.stream)
+        else:
+            self._read_ahead.insert(0, Signal.MEMORY_SHORT)
+
     def _finish_stream(self, attempt: Attempt, result: api.AttemptResult) -> api.AttemptResult:
         if attempt.stream is not None:
             attempt.stream.finish()
--- a/tealwing/mysql/packets.py
+++ b/tealwing/mysql/packets.py
@@ -8,7 +8,8 @@
 
 VERSION = b"8.0.0-tealwing"
 MAX_PACKET_BYTES = 0xFFFFFF  # payload of one packet; a longer message continues in the next packet
-MAX_MESSAGE_BYTES = 128 * 1024  # max_allowed_packet; a third of the descriptors times this must fit in memory
+MAX_MESSAGE_BYTES = 128 * 1024  # max_allowed_packet
+MAX_LOGIN_BYTES = 4 * 1024  # of a client that has not logged in yet
 PLUGIN = b"mysql_native_password"
 
 # capability flags
@@ -44,29 +45,53 @@
 HEADER_BYTES = 4  # of a packet: three for the length, one for the sequence number
 
 
+@dataclass(slots=True)
+class Message:
+    """One message: the sequence number of its packet, and its payload until it is released."""
+
+    sequence: int
+    payload: bytes
+
+    @property
+    def command(self) -> int:
+        """The first byte of the payload; 0 if it is empty."""
+        return self.payload[0] if self.payload else 0
+
+    @property
+    def body(self) -> memoryview:
+        """The payload after its first byte, not copied."""
+        return memoryview(self.payload)[1:]
+
+    def release(self) -> None:
+        """Drop the payload, which may be large, while an answer to the message is prepared."""
+        self.payload = b""
+
+
 class Parser:
-    """Splits a byte stream into messages of bounded size, each with the sequence number of its last packet."""
+    """Splits a byte stream into messages of bounded size, each with its sequence number.
+
+    A message has one packet: only a packet of MAX_PACKET_BYTES is continued by the next one, and it is over the bound.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, max_message_bytes: int = MAX_MESSAGE_BYTES) -> None:
+        """Accept payloads up to this size."""
+        self.max_message_bytes = max_message_bytes
         self._data = bytearray()
-        self._message = bytearray()
-        self._continues = False  # the next packet continues the message
-        self._sequence = 0
 
     @property
     def begun(self) -> bool:
         """Whether part of a message has been received."""
-        return bool(self._data or self._message)
+        return bool(self._data)
 
     @property
     def held_bytes(self) -> int:
         """The number of bytes of an incomplete message that have been received."""
-        return len(self._data) + len(self._message)
+        return len(self._data)
 
     @property
     def unread(self) -> bytes:
         """The received part of an incomplete message."""
-        return bytes(self._message + self._data)
+        return bytes(self._data)
 
     @property
     def missing_bytes(self) -> int:
@@ -79,24 +104,25 @@
         """Add received bytes."""
         self._data += data
 
+    def clear(self) -> None:
+        """Drop what has been received of an incomplete message."""
+        self._data = bytearray()
+
     def next(self) -> tuple[int, bytes] | None:
         """Return the sequence number and payload of the next complete message; None if there is none."""
-        while len(self._data) >= 4:
-            length, sequence = int.from_bytes(self._data[:3], "little"), self._data[3]
-            if self._continues and sequence != (self._sequence + 1) % 256:
-                raise PacketError("Got packets out of order", 1156, "08S01", sequence)
-            if len(self._message) + length > MAX_MESSAGE_BYTES:  # checked before the payload is buffered
-                text = "Got a packet bigger than 'max_allowed_packet' bytes"
-                raise PacketError(text, 1153, "08S01", sequence)
-            if len(self._data) < 4 + length:
-                return None
-            self._message += self._data[4 : 4 + length]
-            del self._data[: 4 + length]
-            self._continues, self._sequence = length == MAX_PACKET_BYTES, sequence
-            if not self._continues:
-                message, self._message = bytes(self._message), bytearray()
-                return sequence, message
-        return None
+        if len(self._data) < HEADER_BYTES:
+            return None
+        length, sequence = int.from_bytes(self._data[:3], "little"), self._data[3]
+        if length > self.max_message_bytes:  # checked before the payload is buffered
+            text = "Got a packet bigger than 'max_allowed_packet' bytes"
+            raise PacketError(text, 1153, "08S01", sequence)
+        end = HEADER_BYTES + length
+        if len(self._data) < end:
+            return None
+        with memoryview(self._data) as view:
+            payload = bytes(view[HEADER_BYTES:end])
+        del self._data[:end]
+        return sequence, payload
 
 
 def packet(sequence: int, payload: bytes) -> bytes:
--- a/tealwing/mysql/server.py
+++ b/tealwing/mysql/server.py
@@ -87,6 +87,7 @@
         self._max_clients, self._reserved_places = max_clients, max(1, max_clients // RESERVE_DIVISOR)
         self._max_threads = min(max_clients, max_threads or max_clients)
         self._memory_limit, self._memory_peaks = memory_limit, memory.PeakLog(memory_limit)
+        self.account = memory.Account(memory.budget(memory_limit).account)  # of all clients together
         self._ids = _connection_ids(ONLY_PROCESS)
         self._forwarder: KillForwarder | None = None  # set while other processes may serve the same clients
         # its lock guards the sessions, lingering connections, armed descriptors and thread counts; notified when a
@@ -151,6 +152,8 @@
             "clients_incomplete": sum(session.held_bytes > 0 for session in sessions),
             "input_held_kb": sum(session.held_bytes for session in sessions) // 1024,
             "memory_kb": memory.resident_bytes() // 1024,
+            "memory_reserved_kb": self.account.taken // 1024,
+            "memory_reserved_peak_kb": self.account.peak // 1024,
         }
 
     def session(self, number: int) -> Session | None:
@@ -158,6 +161,23 @@
         with self._changed:
             return self._sessions.get(number)
 
+    def reserve(self, reservation: memory.Reservation, size: int) -> bool:
+        """Resize a session's reservation; return whether it fits.
+
+        While memory is short, the commands that have been incomplete for longest are rejected: the clients that wrote
+        them are slow or have stopped, and nothing of them has been run.
+        """
+        while not reservation.resize(size):
+            if not self._refuse_oldest_incomplete():
+                return False
+        return True
+
+    def _refuse_oldest_incomplete(self) -> bool:
+        with self._changed:
+            holders = [session for session in self._sessions.values() if session.has_reservation]
+        holders.sort(key=lambda session: session.incomplete_order)
+        return any(session.refuse_incomplete() for session in holders)
+
     def kill(self, statement: Kill) -> KillOutcome:
         """Apply a KILL of a connection of this process, or forward it to the process that owns the connection."""
         if self.apply_kill(statement):
--- a/tealwing/mysql/session.py
+++ b/tealwing/mysql/session.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from tealwing import log, threads
+from tealwing import log, memory, threads
 from tealwing.exchange import (
     AdmissionGate,
     Cancelled,
@@ -40,6 +40,9 @@
 MAX_PARSES = 3  # of one request: it is parsed again when the rules change meanwhile
 UNPARSED_WAIT = 1.0  # s that the gate may hold a request that cannot be parsed: its time to live is unknown
 OVERDUE_PUSHBACK = 0.2  # s of pushback for a request that no thread read in time
+MEMORY_PUSHBACK = 0.5  # s of pushback for a request that does not fit into memory
+COMMAND_COPIES = 2  # of a command that exist at once: as received or sent on, and while it is copied
+UNRESERVED_BYTES = 4 * 1024  # bytes of a command that need no reservation: a place in the budget of each client
 RULES_CHANGE_PUSHBACK = 0.2  # s of pushback for a request whose rules changed during each parse
 MAX_SERVE_RESERVE = 0.25  # s of a held request's time to live that are kept for serving it, at most
 SERVE_RESERVE_SHARE = 0.5  # share of a held request's time to live that is kept for serving it, up to MAX_SERVE_RESERVE
@@ -65,6 +68,10 @@
     open: OpenExchange
     gate: AdmissionGate | None
     on_unread_age: Callable[[float], None] | None
+    account: memory.Account
+
+    def reserve(self, reservation: memory.Reservation, size: int) -> bool:
+        """Resize a session's reservation, at the cost of other clients' incomplete commands; return whether it fits."""
 
     def kill(self, statement: statements.Kill) -> KillOutcome:
         """Apply a KILL of a connection of this gateway, whichever of its processes owns the connection."""
@@ -88,7 +95,8 @@
         self.descriptor = sock.fileno()  # valid while the session is open
         self._departure = departures.ClientDeparture(sock)
         prepare(sock, WRITE_LIMIT)
-        self._parser = packets.Parser()
+        self._parser = packets.Parser(packets.MAX_LOGIN_BYTES)
+        self._memory = memory.Reservation(server.account)  # for a large command, and for the reply to a request
         self._lock = threading.Lock()
         self._exchange: Exchange | None = None  # the open request's; under the lock
         self._last_answer_at = time.monotonic()  # monotonic; before the first answer, the time of the connect
@@ -161,6 +169,7 @@
         if new:
             if self._quit and linger.bytes_left == before and not self._parser.begun:
                 return False  # the client sent nothing after its QUIT
+            self._drop_input()
             self._end_sending()
             self.server.move_to_lingering(self, linger.until)
         return True
@@ -242,6 +251,7 @@
         """Remove the session from the server and close its socket."""
         self.server.remove(self)
         with self._lock:  # other threads must not shut down a reused descriptor
+            self._drop_input()
             self._sock.close()
 
     def end_linger(self) -> None:
@@ -325,6 +335,33 @@
             self._start_lingering()
         return True
 
+    def refuse_incomplete(self) -> bool:
+        """Reject the large command that the client has not sent whole, and end the session; return whether it did.
+
+        Any thread may call this. Commands that are whole, or that have unread input, are left to their own thread.
+        """
+        with self._lock:
+            if self._waiting is None or not self._memory.size or self._has_input():
+                return False
+            with contextlib.suppress(OSError):  # the client has left, or does not read
+                self._sock.send(encode_reply(Rejected(MEMORY_PUSHBACK)), socket.MSG_DONTWAIT)
+            log.client_event("command_refused", connection=self.number, reason="memory", held=self.held_bytes)
+            self._last_answer_at = time.monotonic()
+            lingers = self._end_waiting()
+        if lingers:
+            self._start_lingering()
+        return True
+
+    @property
+    def incomplete_order(self) -> float:
+        """Sort key: the session whose command has been incomplete for longest first."""
+        return self._incomplete_due
+
+    @property
+    def has_reservation(self) -> bool:
+        """Whether the session has reserved memory."""
+        return self._memory.size > 0
+
     def _has_input(self) -> bool:
         """Return whether there is unread input: bytes, or the end of the connection. Call under the lock.
 
@@ -345,12 +382,18 @@
         reset cannot destroy it: such a session does not linger; the thread that the shutdown wakes closes it.
         """
         self._idle, self._waiting = False, None
+        self._drop_input()
         linger = self._linger = lingering.Linger(0.0 if at_once else self._last_answer_at + lingering.LINGER_TIME)
         lingers = time.monotonic() < linger.until
         with contextlib.suppress(OSError):  # the client may have closed the connection
             self._sock.shutdown(socket.SHUT_WR if lingers else socket.SHUT_RDWR)
         return lingers
 
+    def _drop_input(self) -> None:
+        """Drop an incomplete command and release its memory; only the serving thread may, or any under the lock."""
+        self._parser.clear()
+        self._memory.release()
+
     def _start_lingering(self) -> None:
         if self._linger is not None:
             self.server.move_to_lingering(self, self._linger.until)
@@ -401,28 +444,47 @@
             return False
         self._parser.feed(buffer[:size])
         self._received_at = time.monotonic()
-        while not self._closes_after_command and (message := self._parser.next()) is not None:
+        while not self._closes_after_command and (message := self._next_message()) is not None:
             self._incomplete_due = 0.0
-            if not (self._answer(*message) if self._logged_in else self._login(*message)):
+            if not (self._answer(message) if self._logged_in else self._login(message)):
                 return False
             self._last_answer_at = time.monotonic()
-        return True
+        return self._reserve_incomplete()
+
+    def _next_message(self) -> packets.Message | None:
+        """Return the next message, to which nothing else refers, so that releasing it frees its payload."""
+        found = self._parser.next()
+        return packets.Message(*found) if found is not None else None
+
+    def _reserve_incomplete(self) -> bool:
+        """Reserve memory for the incomplete command; without it, reject the command and return False."""
+        held = self._parser.held_bytes
+        if self.server.reserve(self._memory, held if held > UNRESERVED_BYTES else 0):
+            return True
+        log.client_event("command_refused", connection=self.number, reason="memory", held=held)
+        self._send(encode_reply(Rejected(MEMORY_PUSHBACK)))
+        return False
+
+    def _reserve_more(self, size: int) -> bool:
+        """Reserve further bytes for the open request until its reply is sent; return whether they were there."""
+        return self.server.reserve(self._memory, self._memory.size + size)
 
-    def _answer(self, sequence: int, payload: bytes) -> bool:
+    def _answer(self, message: packets.Message) -> bool:
         """Answer one command; return whether the session continues."""
         self._first_due = 0.0
-        if sequence != 0:
-            raise packets.PacketError("Got packets out of order", 1156, "08S01", sequence)
-        if payload[:1] == bytes([QUIT]):
+        if message.sequence != 0:
+            raise packets.PacketError("Got packets out of order", 1156, "08S01", message.sequence)
+        if message.command == QUIT and message.payload:
             self._quit = True
             return False
         try:
-            reply = self._command(payload)
+            reply = self._command(message)
         except threads.ThreadUnavailableError:  # the request needed another thread; the client still gets an answer
             reply = packets.packet(1, FAILED)
         if not self._deadline.claim():  # answer_overdue has answered it
             return False
         self._send(reply)
+        self._memory.release()
         return True
 
     def _unread_age(self, busy_for: float) -> float:
@@ -439,27 +501,29 @@
     def _send(self, data: bytes) -> None:
         send_all(self._sock, data, WRITE_LIMIT)
 
-    def _login(self, sequence: int, payload: bytes) -> bool:
-        login = packets.login(payload)
+    def _login(self, message: packets.Message) -> bool:
+        login = packets.login(message.payload)
         answer = packets.ok()
         if login.user != USER or login.auth:
             user = login.user.decode("utf-8", "replace")
             answer = packets.error(1045, "28000", f"Access denied for user '{user}'")
         elif login.database not in (b"", DATABASE):
             answer = self._unknown_database(login.database)
-        self._send(packets.packet(sequence + 1, answer))
+        self._send(packets.packet(message.sequence + 1, answer))
         self._logged_in = answer == packets.ok()
+        self._parser.max_message_bytes = packets.MAX_MESSAGE_BYTES
         return self._logged_in
 
     def _unknown_database(self, name: bytes) -> bytes:
         return packets.error(1049, "42000", f"Unknown database '{name.decode('utf-8', 'replace')}'")
 
-    def _command(self, payload: bytes) -> bytes:
+    def _command(self, message: packets.Message) -> bytes:
         """Execute one command, and return its response packets."""
-        command, body = payload[0] if payload else 0, payload[1:]
+        command = message.command
         if command == QUERY:
-            kill = statements.parse_kill(body)
-            return packets.packet(1, self._kill(kill)) if kill else self._query(body)
+            kill = statements.parse_kill(message.body)
+            return packets.packet(1, self._kill(kill)) if kill else self._query(message)
+        body = bytes(message.body)
         if command in (PING, RESET_CONNECTION):
             return packets.packet(1, packets.ok())
         if command == INIT_DB:
@@ -476,11 +540,11 @@
                 self._killed = False
         return KILL_ANSWERS[outcome]
 
-    def _query(self, text: bytes) -> bytes:
+    def _query(self, message: packets.Message) -> bytes:
         with self._lock:
             self._may_have_unanswered_command = True
         try:
-            reply = self._run_request(text)
+            reply = self._run_request(message)
         finally:
             with self._lock:  # later KILLs and events do not concern this request
                 self._exchange, self._killed = None, False
@@ -489,14 +553,18 @@
             raise ConnectionAbortedError("the client left while its request was open")
         return reply
 
-    def _run_request(self, text: bytes) -> bytes:
-        """Run a request, and return its response packets."""
+    def _run_request(self, message: packets.Message) -> bytes:
+        """Run a request, and return its response packets; releases the message once its statement is copied."""
         if self._refusing:
             self._refusing = False
             return encode_reply(Rejected(OVERDUE_PUSHBACK))
+        size = len(message.payload)
+        if size > UNRESERVED_BYTES and not self.server.reserve(self._memory, COMMAND_COPIES * size):
+            log.client_event("request_refused", connection=self.number, reason="memory", size=size)
+            return encode_reply(Rejected(MEMORY_PUSHBACK))
         try:
             if self.server.gate is not None:
-                outcome = self._open_admitted(text, self.server.gate)
+                outcome = self._open_admitted(message.body, self.server.gate)
                 if isinstance(outcome, Deferred):
                     return encode_reply(Rejected(outcome.retry_after))
                 if isinstance(outcome, Cancelled):
@@ -504,11 +572,11 @@
                 query, exchange = outcome
             else:
                 settings = self.server.settings  # the same version for parsing and for the decision
-                query = statements.parse_query(text, settings, self._received_at)
+                query = statements.parse_query(message.body, settings, self._received_at)
                 if self._waited_unread:  # the ttl counts from the arrival; an overdue request is rejected at once
                     query = dataclasses.replace(query, ttl=query.ttl - self._waited_unread)
                 self._deadline.begin(query.received_at + query.ttl)
-                query.set_client_check(self.client_has_left)
+                query.set_client(self.client_has_left, self._reserve_more)
                 if self._killed or (self._waited_unread and self.client_has_left()):
                     return encode_reply(Cancelled())
                 exchange = self.server.open(query, settings)
@@ -517,6 +585,7 @@
             return packets.packet(1, packets.error(1210, "HY000", f"Incorrect arguments: {error}"))
         except Exception as error:
             return self._answer_internal_error(error)
+        message.release()
         with self._lock:
             self._exchange, killed = exchange, self._killed
         if killed:
@@ -544,7 +613,9 @@
         log.event("request_fault", connection=self.number, error=repr(error), trace=traceback.format_exc(limit=-3))
         return packets.packet(1, FAILED)
 
-    def _open_admitted(self, text: bytes, gate: AdmissionGate) -> tuple[Query, Exchange] | Deferred | Cancelled:
+    def _open_admitted(
+        self, text: bytes | memoryview, gate: AdmissionGate
+    ) -> tuple[Query, Exchange] | Deferred | Cancelled:
         """Open a request once the gate admits it, parsed under the version of the rules that decides it.
 
         A request that is killed, or whose client leaves, while the gate holds it is not opened. Raises
@@ -574,7 +645,7 @@
                 return Cancelled()
             if time_waited:  # the ttl counts from the arrival; an overdue request is rejected at once
                 query = dataclasses.replace(query, ttl=query.ttl - time_waited)
-            query.set_client_check(self.client_has_left)
+            query.set_client(self.client_has_left, self._reserve_more)
             try:
                 return query, self.server.open(query, settings)
             except SettingsChangedError as error:
--- a/tealwing/mysql/statements.py
+++ b/tealwing/mysql/statements.py
@@ -44,13 +44,13 @@
     query_only: bool
 
 
-def parse_kill(text: bytes) -> Kill | None:
+def parse_kill(text: bytes | memoryview) -> Kill | None:
     """Parse a KILL statement; return None for any other statement."""
     found = _KILL.match(text)
     return Kill(int(found[2]), (found[1] or b"").upper() == b"QUERY") if found else None
 
 
-def parse_query(text: bytes, settings: interface.Settings, received_at: float = 0.0) -> Query:
+def parse_query(text: bytes | memoryview, settings: interface.Settings, received_at: float = 0.0) -> Query:
     """Parse a statement and its leading comment, received at that monotonic time. Raises FieldError."""
     head = _HEAD.match(text)
     if head is None:
@@ -71,8 +71,8 @@
     ttl = fields.get("ttl", "")
     if not (ttl.isascii() and ttl.isdigit()) or not 0 < int(ttl[:12]) <= MAX_TTL_MS:
         raise FieldError(f"ttl is missing or out of range: {ttl!r}")
-    statement = text[head.end() :]
-    if not statement.strip():
+    statement = bytes(text[head.end() :])  # white space ahead of it belongs to the head
+    if not statement:
         raise FieldError("there is no statement")
     return Query(
         request_id=call.encode(),
--- a/tealwing/resp/connection.py
+++ b/tealwing/resp/connection.py
@@ -279,11 +279,11 @@
         While the engine reads nothing, get_fields is called again: it raises AttemptWithdrawnError if the attempt was
         withdrawn in the meantime.
         """
-        sent, until = 0, inf
+        sent, until, view = 0, inf, memoryview(data)
         try:
             while sent < len(data):
                 with contextlib.suppress(BlockingIOError):  # the engine read nothing for WRITE_CHECK_INTERVAL
-                    sent += self._sock.send(data[sent:])
+                    sent += self._sock.send(view[sent:])
                 if sent == len(data):
                     return
                 until = min(until, time.monotonic() + WRITE_TIMEOUT)
--- a/tealwing/resp/messages.py
+++ b/tealwing/resp/messages.py
@@ -16,7 +16,10 @@
 
 def encode(*parts: bytes) -> bytes:
     """Return the parts as one RESP array of bulk strings."""
-    return b"*%d\r\n" % len(parts) + b"".join(b"$%d\r\n%b\r\n" % (len(part), part) for part in parts)
+    out = [b"*%d\r\n" % len(parts)]
+    for part in parts:  # a part may be large, and is copied once
+        out += (b"$%d\r\n" % len(part), part, b"\r\n")
+    return b"".join(out)
 
 
 class Parser:
