Send nothing for a client whose end may be hidden behind unread input

Cause: the kernel reports the end of a connection only once all input before it has been received, and while the receive window is closed it can't be. The check before each send saw an open connection. Change: while the memory of unread input is over half of its limit (SO_MEMINFO), the window may be closed; a request is then refused (1226), and a further attempt is not begun. The window opens as these refusals use the input up, and then the end is seen.

--- a/tealwing/exchange.py
+++ b/tealwing/exchange.py
@@ -41,7 +41,7 @@
     memory_estimate: float = 0.0
     tables: int = 0  # its group of tables, which the routing table maps to sites
     received_at: float = 0.0  # monotonic time at which its last byte was read
-    # whether the client has disconnected; must not block
+    # whether the client has disconnected, or may have; must not block
     has_left: Callable[[], bool] = field(default=_never_left, compare=False)
     # reserves further bytes for the request until its reply is sent; returns whether they were there
     reserve: Callable[[int], bool] = field(default=_always_fits, compare=False)
--- a/tealwing/mysql/departures.py
+++ b/tealwing/mysql/departures.py
@@ -7,7 +7,7 @@
 import threading
 
 from tealwing.mysql import packets, statements
-from tealwing.sockets import is_short_of_memory
+from tealwing.sockets import is_short_of_memory, may_block_peer
 
 # epoll events that report a client's departure while its request is open. EPOLLIN is left out: pipelined input must not
 # wake a thread before the open request is answered. epoll always reports EPOLLHUP and EPOLLERR.
@@ -58,6 +58,10 @@
             self.has_departed = self.has_departed or has_left(self._sock, self._poll)
             return self.has_departed
 
+    def is_hidden(self) -> bool:
+        """Return whether the client may have left unseen: so much input is unread that its end may not have arrived."""
+        return may_block_peer(self._sock)
+
 
 def brief_commands_length(sock: socket.socket, logged_in: bool, buffer: memoryview) -> int | None:
     """Return the length of the unread input if it consists of complete commands that are answered without blocking.
--- a/tealwing/mysql/session.py
+++ b/tealwing/mysql/session.py
@@ -40,6 +40,7 @@
 MAX_PARSES = 3  # of one request: it is parsed again when the rules change meanwhile
 UNPARSED_WAIT = 1.0  # s that the gate may hold a request that cannot be parsed: its time to live is unknown
 OVERDUE_PUSHBACK = 0.2  # s of pushback for a request that no thread read in time
+UNREAD_PUSHBACK = 0.2  # s of pushback for a request ahead of too much unread input
 MEMORY_PUSHBACK = 0.5  # s of pushback for a request that does not fit into memory
 COMMAND_COPIES = 2  # of a command that exist at once: as received or sent on, and while it is copied
 UNRESERVED_BYTES = 4 * 1024  # bytes of a command that need no reservation: a place in the budget of each client
@@ -236,6 +237,10 @@
         """
         return self._departure.check()
 
+    def client_may_have_left(self) -> bool:
+        """Return whether the client of the open request has left, or may have left unseen: nothing is sent for it."""
+        return self._departure.check() or self._departure.is_hidden()
+
     def check_departure(self) -> None:
         """Cancel the open request if the client has left.
 
@@ -558,6 +563,9 @@
         if self._refusing:
             self._refusing = False
             return encode_reply(Rejected(OVERDUE_PUSHBACK))
+        if self._departure.is_hidden():  # more input follows, unread
+            log.client_event("request_refused", connection=self.number, reason="unread")
+            return encode_reply(Rejected(UNREAD_PUSHBACK))
         size = len(message.payload)
         if size > UNRESERVED_BYTES and not self.server.reserve(self._memory, COMMAND_COPIES * size):
             log.client_event("request_refused", connection=self.number, reason="memory", size=size)
@@ -576,7 +584,7 @@
                 if self._waited_unread:  # the ttl counts from the arrival; an overdue request is rejected at once
                     query = dataclasses.replace(query, ttl=query.ttl - self._waited_unread)
                 self._deadline.begin(query.received_at + query.ttl)
-                query.set_client(self.client_has_left, self._reserve_more)
+                query.set_client(self.client_may_have_left, self._reserve_more)
                 if self._killed or (self._waited_unread and self.client_has_left()):
                     return encode_reply(Cancelled())
                 exchange = self.server.open(query, settings)
@@ -645,7 +653,7 @@
                 return Cancelled()
             if time_waited:  # the ttl counts from the arrival; an overdue request is rejected at once
                 query = dataclasses.replace(query, ttl=query.ttl - time_waited)
-            query.set_client(self.client_has_left, self._reserve_more)
+            query.set_client(self.client_may_have_left, self._reserve_more)
             try:
                 return query, self.server.open(query, settings)
             except SettingsChangedError as error:
--- a/tealwing/sockets.py
+++ b/tealwing/sockets.py
@@ -56,19 +56,34 @@
     sock.setsockopt(socket.SOL_SOCKET, option, struct.pack("ll", int(whole), int(rest * 1e6)))
 
 
-SO_MEMINFO = 55  # Linux, socket(7); the first integer of its value is the memory of unread data
-UNREAD_MEMORY = struct.Struct("=I")
+SO_MEMINFO = 55  # Linux, socket(7)
+MEMINFO = struct.Struct("=II")  # the first values: the memory of unread data, and its limit (SO_RCVBUF)
 
 
-def has_unread(sock: socket.socket) -> bool:
-    """Return whether the kernel holds unread data of the socket; False if unknown.
+def _memory_of_unread(sock: socket.socket) -> tuple[int, int]:
+    """Return the kernel's memory of unread data in bytes, and its limit; zeros if unknown.
 
     Unlike a read, this call keeps the interpreter lock: no other thread runs between the check and the caller's action.
     """
     try:
-        return bool(UNREAD_MEMORY.unpack(sock.getsockopt(socket.SOL_SOCKET, SO_MEMINFO, UNREAD_MEMORY.size))[0])
+        used, limit = MEMINFO.unpack(sock.getsockopt(socket.SOL_SOCKET, SO_MEMINFO, MEMINFO.size))
     except (OSError, struct.error):
-        return False
+        return 0, 0
+    return used, limit
+
+
+def has_unread(sock: socket.socket) -> bool:
+    """Return whether the kernel holds unread data of the socket; False if unknown."""
+    return _memory_of_unread(sock)[0] > 0
+
+
+def may_block_peer(sock: socket.socket) -> bool:
+    """Return whether so much is unread that the peer may not be able to send more, not even the end of the connection.
+
+    The kernel closes the receive window only while less than half of it is free.
+    """
+    used, limit = _memory_of_unread(sock)
+    return 2 * used > limit
 
 
 LAST_RECV = struct.Struct("=52xI")  # tcpi_last_data_recv in struct tcp_info (linux/tcp.h), ms
