Read ahead of a request, so that a client that sends much at once is served

Change: up to 128 KiB of further input are read first, reserved from the account of all clients, and the client gets 5 ms to send more; only if the window may be closed still is the request refused.

--- a/tealwing/mysql/departures.py
+++ b/tealwing/mysql/departures.py
@@ -62,6 +62,12 @@
         """Return whether the client may have left unseen: so much input is unread that its end may not have arrived."""
         return may_block_peer(self._sock)
 
+    def wait(self, seconds: float) -> None:
+        """Wait until the client has left, for at most these seconds. Only the session's own thread may call this."""
+        end = select.poll()
+        end.register(self._sock, select.POLLRDHUP)
+        end.poll(seconds * 1e3)
+
 
 def brief_commands_length(sock: socket.socket, logged_in: bool, buffer: memoryview) -> int | None:
     """Return the length of the unread input if it consists of complete commands that are answered without blocking.
--- a/tealwing/mysql/session.py
+++ b/tealwing/mysql/session.py
@@ -40,6 +40,9 @@
 MAX_PARSES = 3  # of one request: it is parsed again when the rules change meanwhile
 UNPARSED_WAIT = 1.0  # s that the gate may hold a request that cannot be parsed: its time to live is unknown
 OVERDUE_PUSHBACK = 0.2  # s of pushback for a request that no thread read in time
+MAX_READ_AHEAD = 128 * 1024  # bytes of further input that are read while a request waits to be sent
+READ_AHEAD_SIZE = 16 * 1024  # bytes of each read
+ARRIVAL_TIME = 0.005  # s in which a client on the local network sends more after input has been read
 UNREAD_PUSHBACK = 0.2  # s of pushback for a request ahead of too much unread input
 MEMORY_PUSHBACK = 0.5  # s of pushback for a request that does not fit into memory
 COMMAND_COPIES = 2  # of a command that exist at once: as received or sent on, and while it is copied
@@ -470,6 +473,18 @@
         self._send(encode_reply(Rejected(MEMORY_PUSHBACK)))
         return False
 
+    def _read_ahead(self) -> bool:
+        """Read further input, so that the end of the connection can be seen; return whether it could be now."""
+        while self._departure.is_hidden():
+            held = self._parser.held_bytes
+            if held >= MAX_READ_AHEAD or not self.server.reserve(self._memory, held + READ_AHEAD_SIZE):
+                return False
+            data = self._sock.recv(READ_AHEAD_SIZE, socket.MSG_DONTWAIT)
+            self._parser.feed(data)
+            if not self._departure.is_hidden():
+                self._departure.wait(ARRIVAL_TIME)  # the client may send more now, and so close the window again
+        return True
+
     def _reserve_more(self, size: int) -> bool:
         """Reserve further bytes for the open request until its reply is sent; return whether they were there."""
         return self.server.reserve(self._memory, self._memory.size + size)
@@ -489,7 +504,8 @@
         if not self._deadline.claim():  # answer_overdue has answered it
             return False
         self._send(reply)
-        self._memory.release()
+        held = self._parser.held_bytes  # input that was read ahead
+        self._memory.resize(min(self._memory.size, held if held > UNRESERVED_BYTES else 0))
         return True
 
     def _unread_age(self, busy_for: float) -> float:
@@ -563,11 +579,11 @@
         if self._refusing:
             self._refusing = False
             return encode_reply(Rejected(OVERDUE_PUSHBACK))
-        if self._departure.is_hidden():  # more input follows, unread
+        if not self._read_ahead():
             log.client_event("request_refused", connection=self.number, reason="unread")
             return encode_reply(Rejected(UNREAD_PUSHBACK))
         size = len(message.payload)
-        if size > UNRESERVED_BYTES and not self.server.reserve(self._memory, COMMAND_COPIES * size):
+        if size > UNRESERVED_BYTES and not self._reserve_more(COMMAND_COPIES * size):
             log.client_event("request_refused", connection=self.number, reason="memory", size=size)
             return encode_reply(Rejected(MEMORY_PUSHBACK))
         try:
