Send no id to an engine twice, also at the other process of an upgrade

Cause: ids were known only while their request was open, and only to the process that had it. Class of failure: what one process knows while two serve, and what is forgotten while it may still run.

--- a/tealwing/descriptors.py
+++ b/tealwing/descriptors.py
@@ -17,7 +17,9 @@
 KILL_RELAY = 2  # this process's inbox, and that of another process while a KILL is forwarded to it
 ADMIN_LISTENING = 1
 ADMIN_THREADS = 8  # admin callers served at once, one by each thread: further ones wait in the backlog
-MARGIN = 16  # for files that the interpreter, libraries or a debugger open briefly, and connections being closed
+# for files that are opened briefly, by the interpreter, libraries, a debugger or the claim of a shared request id, and
+# for connections being closed
+MARGIN = 16
 CLIENT_DIVISOR = 3  # clients hold at most 1/3 of the descriptors in regular operation
 SPARE_DIVISOR = 10  # 1/10 of the clients' share more, for new clients while the longest idle one is evicted
 MIN_ENGINE_CONNECTIONS = 4  # connections to engines that remain at the smallest limit
--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -24,6 +24,7 @@
 from tealwing.gateway.host_load import HostLoadMonitor
 from tealwing.gateway.module_versions import InForce
 from tealwing.gateway.request_handler import RequestHandler, Signal
+from tealwing.gateway.sent_ids import SentIds
 from tealwing.resp.engine_pool import EnginePool
 
 if TYPE_CHECKING:  # at run time, imported only if the operators' file enables it
@@ -123,6 +124,10 @@
             found |= {"recovery_phase": phase, f"ready_{'yes' if is_ready else 'no'}.{name or 'no_replica'}": 1}
         return found
 
+    def share_sent_ids(self, sent_ids: SentIds) -> None:
+        """Share the record of sent request ids with other processes of this gateway. Call before `start`."""
+        self._decisions.sent_ids = sent_ids
+
     def readiness(self) -> tuple[bool, str]:
         """Return whether this gateway is ready for clients as far as the peer link is concerned, and the reason."""
         if self._peering is None:
--- a/tealwing/gateway/decisions.py
+++ b/tealwing/gateway/decisions.py
@@ -15,6 +15,7 @@
 from tealwing.coordinator.updates import Member
 from tealwing.exchange import InvalidRequestError
 from tealwing.gateway.module_versions import InForce, Module, ModuleVersions, WrapModule
+from tealwing.gateway.sent_ids import SentIds
 from tealwing.gateway.timers import Timers
 from tealwing.resp.engine_pool import EnginePool
 
@@ -33,6 +34,7 @@
         self.clock_offset = time.time() - time.monotonic()
         self._mailboxes: dict[int, Mailbox] = {}
         self._request_ids: set[bytes] = set()  # request ids that the clients gave, of the open requests
+        self.sent_ids = SentIds()  # ids of the requests sent to engines, ended ones included
         self._ids = itertools.count(1)
         self._shutdown_signal: object | None = None  # set once open requests must end
         self._list_faults = 0  # engine list events that a module could not apply completely
--- a/tealwing/gateway/request_handler.py
+++ b/tealwing/gateway/request_handler.py
@@ -15,6 +15,7 @@
 from tealwing.gateway.attempt import MAX_PAGES, Attempt, checked_page
 from tealwing.gateway.decisions import TIMER_GRANULARITY, Decisions, Mailbox
 from tealwing.gateway.host_load import HostLoadMonitor
+from tealwing.gateway.sent_ids import TableUnavailableError
 from tealwing.resp import messages
 from tealwing.resp.connection import Answer, StreamLost
 from tealwing.resp.engine_pool import EnginePool
@@ -40,6 +41,7 @@
     CLIENT_CANCELLED = "the client cancelled the request"
     SHUTDOWN = "the gateway shuts down"
     MEMORY_SHORT = "no memory is left for the result"
+    REPEATED_ID = "a request with this id was sent before, or may have been"
 
 
 class RequestHandler:
@@ -65,6 +67,7 @@
         self._id = decisions.register(query.request_id, self._mailbox, settings)
         self._retry_until = inf  # monotonic; end of the idempotency window, after which nothing is sent
         self._next_send_at = 0.0  # monotonic; when the cancel of the last attempt has reached its engine
+        self._is_claimed = False  # its id is recorded as sent
         self._read_ahead: list[object] = []  # items taken from the mailbox early, to see whether the request has ended
 
     def cancel(self) -> None:
@@ -247,6 +250,8 @@
         if query.has_left():  # its disconnect may not have been handled yet
             self._read_ahead.insert(0, Signal.CLIENT_CANCELLED)
             raise AttemptWithdrawnError("the client disconnected before the attempt was sent")
+        if not self._is_claimed:
+            self._claim_id()
         fields = b"lane=%b,ttl=%d" % (self._settings.classes[query.cls].name.encode(), ceil(left * 1e3))
         if query.idempotency_key:
             fields += b",dedupe=" + query.idempotency_key
@@ -254,6 +259,18 @@
             fields += b",urgency=%d" % priority
         return fields
 
+    def _claim_id(self) -> None:
+        """Record the request as sent, right before its first attempt is. Raises AttemptWithdrawnError for a repeat."""
+        call, problem = self._query.request_id, "a request with the same id was sent before"
+        try:
+            self._is_claimed = self._decisions.sent_ids.claim(call)
+        except TableUnavailableError as error:
+            problem = str(error)
+        if not self._is_claimed:
+            log.client_event("request_repeated", call=call.decode(), error=problem)
+            self._read_ahead.insert(0, Signal.REPEATED_ID)
+            raise AttemptWithdrawnError(problem)
+
     def _on_answer(self, attempt: Attempt, answer: Answer) -> api.AttemptResult | None:
         """Apply an engine's answer to the attempt; return the attempt's result, or None while it continues."""
         try:
--- a/tealwing/service.py
+++ b/tealwing/service.py
@@ -61,7 +61,7 @@
             lambda: daemon.readiness()[1],
         )
         admin.start()
-    relay = start_kill_relay(server, config) if server.shared else None
+    relay = join_processes(server, daemon, config) if server.shared else None
     daemon.start()
     server.start()
     serving.set()
@@ -119,16 +119,19 @@
     return cut_short
 
 
-def start_kill_relay(server: Server, config: Config) -> KillRelay | None:
+def join_processes(server: Server, daemon: Daemon, config: Config) -> KillRelay | None:
     """Join the other processes of this gateway, which share its clients; return None if the directory is unusable.
 
-    Without it the process serves, but a KILL that reaches it has an effect on its own connections alone.
+    Without it the process serves, but a KILL that reaches it has an effect on its own connections alone, and it does
+    not know which requests the other processes have sent.
     """
+    from tealwing.upgrade import shared_sent_ids
     from tealwing.upgrade.kill_relay import KillRelay
     from tealwing.upgrade.process_directory import ProcessDirectory, ProcessDirectoryError
 
     host, port = server.address
-    directory = ProcessDirectory(config.temporary_directory / f"tealwing-{host}-{port}")
+    path = config.temporary_directory / f"tealwing-{host}-{port}"
+    directory = ProcessDirectory(path)
     try:
         relay = KillRelay(directory, directory.register(), server.apply_kill)
         relay.start()
@@ -136,6 +139,10 @@
         log.event("kill_relay_unavailable", error=str(error))
         return None
     server.share_clients(relay.process, relay)
+    try:
+        daemon.share_sent_ids(shared_sent_ids.open_shared(path))
+    except OSError as error:
+        log.event("sent_ids_not_shared", error=str(error))
     log.event("kill_relay", process=relay.process)
     return relay
 
