Reject heads that are too long, and times to live with too many digits

Seen: a head of 30,000 fields was split into a list of all of them, and answered by a text that held all of a value; a ttl of 5,012 digits ended in an internal error (request_fault, answered as failed), at full speed 335 lines in 2 s. Cause: the fields were bounded by the size of a command alone, and only the first 12 digits of the ttl were checked. Change: the comment with the fields has 4 KiB at most, a ttl 12 digits.

--- a/tealwing/mysql/statements.py
+++ b/tealwing/mysql/statements.py
@@ -10,6 +10,8 @@
 from tealwing.exchange import InvalidRequestError, Query
 
 MAX_TTL_MS = 24 * 3600 * 1000
+MAX_TTL_DIGITS = 12
+MAX_HEAD_BYTES = 4 * 1024  # of the comment with the fields
 MAX_WORK_MS = 1e9
 MAX_MEMORY_MB = 1e9
 FIELDS = {"op", "call", "ttl", "org", "dedupe", "work", "heap_mb"}
@@ -55,6 +57,9 @@
     head = _HEAD.match(text)
     if head is None:
         raise FieldError("no comment with the fields stands ahead of the statement")
+    if head.end(1) - head.start(1) > MAX_HEAD_BYTES:
+        size = head.end(1) - head.start(1)
+        raise FieldError(f"the comment with the fields has {size} bytes, more than {MAX_HEAD_BYTES}")
     fields = _fields(head[1])
     names = [cls.name for cls in settings.classes]
     if fields.get("op") not in names:
@@ -69,7 +74,8 @@
     if (keyed or "dedupe" in fields) and not _IDEMPOTENCY_KEY.match(dedupe):
         raise FieldError(f"dedupe is missing or out of range: {dedupe!r}")
     ttl = fields.get("ttl", "")
-    if not (ttl.isascii() and ttl.isdigit()) or not 0 < int(ttl[:12]) <= MAX_TTL_MS:
+    is_number = ttl.isascii() and ttl.isdigit() and len(ttl) <= MAX_TTL_DIGITS
+    if not is_number or not 0 < int(ttl) <= MAX_TTL_MS:
         raise FieldError(f"ttl is missing or out of range: {ttl!r}")
     statement = bytes(text[head.end() :])  # white space ahead of it belongs to the head
     if not statement:
--- a/tests/test_statement_costs.py
+++ b/tests/test_statement_costs.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tealwing.mysql import overdue, statements
+from tests.build import make_settings
 
 SIZE = 120_000  # bytes; a command may have 128 KiB
 COPIES = 4  # of the statement that its parse may make
@@ -82,3 +83,21 @@
     begun = time.monotonic()
     assert statements.table_group(text) == 0
     assert time.monotonic() - begun < SOON
+
+
+@pytest.mark.parametrize("fields", [b"a=1," * (SIZE // 4), b"," * SIZE, b"op=" + b"x" * SIZE])
+def test_head_of_many_or_long_fields_is_rejected_without_a_list_of_them(fields: bytes) -> None:
+    text = b"/* " + fields + b" */ SELECT a"
+    tracemalloc.start()
+    try:
+        with pytest.raises(statements.FieldError, match="more than 4096"):
+            statements.parse_query(text, make_settings())
+        assert tracemalloc.get_traced_memory()[1] <= COPIES * SIZE
+    finally:
+        tracemalloc.stop()
+
+
+@pytest.mark.parametrize("ttl", ["0" * 11 + "1" + "9" * 5000, "0" * 12 + "9", "1" * 13])
+def test_time_to_live_with_too_many_digits_is_rejected(ttl: str) -> None:
+    with pytest.raises(statements.FieldError, match=r"ttl is missing or out of range|more than 4096"):
+        statements.parse_query(f"/* op=look,call={1:016x},ttl={ttl} */ SELECT a".encode(), make_settings())
