Send nothing for an engine at whose address a later one has come up

Played: where the list has a new engine at the address of one whose removal is not listed yet, attempts for the old one were sent on, to the new process. Cause: engines were kept by number alone. Two numbers at one address can't both run: one of them has gone, and the list says so later. Change: the pool knows the engine that came up last at each address; the other one is retired as if it were removed: attempts in flight may end, further ones fail before a byte is sent. engine_replaced is logged. Related paths, by reading and their tests: a new process of the same engine (up_since_ms) has connections of its own; a KILL for a connection of a dead process gets 1094; numbers of processes are given in turn. What cannot be told apart: a process that comes up at a listed address before any event names it, as no answer of the protocol names the engine.

--- a/tealwing/resp/engine_pool.py
+++ b/tealwing/resp/engine_pool.py
@@ -11,6 +11,7 @@
 from tealwing.resp.engine import Engine
 from tealwing.resp.errors import ConnectError
 from tealwing.resp.quota import UNBOUNDED, ConnectionQuota
+from tealwing.sockets import Address
 
 
 class EnginePool:
@@ -22,6 +23,7 @@
         self._quota = ConnectionQuota(max_connections, self._close_least_recently_used)
         self._lock = threading.Lock()
         self._engines: dict[int, tuple[Member, Engine]] = {}
+        self._by_address: dict[Address, int] = {}  # number of the engine that came up last at each address
         self._reader = ConnectionReader()
 
     def start(self) -> None:
@@ -42,7 +44,7 @@
         with self._lock:
             named = {member.entry.engine for member in members}
             gone = [number for number in self._engines if complete and number not in named]
-            retired += [self._engines.pop(number)[1] for number in gone]
+            retired += [self._remove(number) for number in gone]
             for member in members:  # in order: a removal may precede a start of the same engine
                 number, health = member.entry.engine, member.entry.health
                 before = self._engines.get(number)
@@ -51,11 +53,21 @@
                 engine = before[1] if before is not None and _is_same_process(before[0], member) else None
                 if before is not None and (engine is None or health is interface.Health.GONE):
                     # the address or the process is new: the old connections must not be used for it
-                    retired.append(self._engines.pop(number)[1])
-                if health is not interface.Health.GONE:
-                    engine = engine or self._create_engine(member)
-                    engine.set_draining(health is interface.Health.DRAINING)
-                    self._engines[number] = member, engine
+                    retired.append(self._remove(number))
+                if health is interface.Health.GONE:
+                    continue
+                other = self._other_at(member)
+                if other is not None:  # one of both has gone, though the list does not say so yet
+                    loser = number if self._engines[other][0].entry.started > member.entry.started else other
+                    if loser in self._engines:
+                        retired.append(self._remove(loser))
+                    log.event("engine_replaced", engine=loser, at=f"{member.host}:{member.port}")
+                    if loser == number:
+                        continue
+                engine = engine or self._create_engine(member)
+                engine.set_draining(health is interface.Health.DRAINING)
+                self._engines[number] = member, engine
+                self._by_address[member.host, member.port] = number
         for engine in retired:
             engine.retire()
 
@@ -76,6 +88,18 @@
         if found is not None:
             found[1].close_idle()
 
+    def _other_at(self, member: Member) -> int | None:
+        """Return the number of another engine at the member's address; None if there is none. Call under the lock."""
+        number = self._by_address.get((member.host, member.port))
+        return None if number == member.entry.engine else number
+
+    def _remove(self, number: int) -> Engine:
+        """Remove an engine, and return it for the caller to retire. Call under the lock."""
+        member, engine = self._engines.pop(number)
+        if self._by_address.get((member.host, member.port)) == number:
+            del self._by_address[member.host, member.port]
+        return engine
+
     def _close_least_recently_used(self) -> None:
         """Close the least recently used idle connection: another engine needs its descriptor."""
         with self._lock:
--- a/tests/test_engine_connections.py
+++ b/tests/test_engine_connections.py
@@ -668,6 +668,48 @@
     assert received.empty() and later.empty()
 
 
+def other_member(number: int, started: float, port: int) -> Member:
+    return Member(f"s-{number}", "127.0.0.1", port, entry(number, started=started))
+
+
+@pytest.mark.parametrize("order", [(7, 8), (8, 7)], ids=["old first", "new first"])
+def test_engine_whose_address_a_later_one_has_gets_no_attempt(fake_engine: FakeEngine, order: tuple[int, int]) -> None:
+    # guards against work for an engine that has gone, at the process that came up at its address before its removal
+    pool, port = make_pool(fake_engine), fake_engine.address[1]
+    received: Sink = SimpleQueue()
+    stream = pool.send(7, b"1", empty_fields, b"SELECT 1", received.put, LIMIT)
+    old_sock = fake_engine.accept()
+    read_message(old_sock)
+    stream.cancel()
+    read_message(old_sock)
+    started = {7: 0.0, 8: 5.0}
+    pool.update(tuple(other_member(number, started[number], port) for number in order), False)
+    assert read_message(old_sock) == []  # closed, as no attempt uses it
+    with pytest.raises(ConnectError):
+        pool.send(7, b"2", empty_fields, b"SELECT 1", received.put, LIMIT)
+    pool.send(8, b"3", empty_fields, b"SELECT 1", received.put, LIMIT)
+    sock = fake_engine.accept()
+    assert read_message(sock)[1] == b"3"
+    pool.update((member(health=api.Health.GONE, port=port),), False)  # the removal comes at last
+    say(sock, b"3", b"200", b"-", PAGE)
+    answer = received.get(timeout=LIMIT)
+    assert isinstance(answer, Answer) and answer.body == PAGE
+
+
+def test_attempt_in_flight_at_a_replaced_engine_may_end(fake_engine: FakeEngine) -> None:
+    pool, port = make_pool(fake_engine), fake_engine.address[1]
+    received: Sink = SimpleQueue()
+    stream = pool.send(7, b"1", empty_fields, b"SELECT 1", received.put, LIMIT)
+    sock = fake_engine.accept()
+    read_message(sock)
+    pool.update((other_member(8, 5.0, port),), False)
+    say(sock, b"1", b"200", b"-", PAGE)
+    answer = received.get(timeout=LIMIT)
+    assert isinstance(answer, Answer) and answer.stream is stream
+    stream.finish()
+    assert read_message(sock) == []
+
+
 # Failing writes
 
 
