Add crowds of slow writers and the least memory to the soak

The soak's process has 32 MB in its settings, and in two of five runs 60 clients write statements of 100 KB slowly or stop within them; resident memory over the limit is a finding. The crowd has a random source of its own, so that listed seeds keep their other faults.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 from tealwing.lab.standins.coordinator import Coordinator
+from tests.crowd import connect, peak_memory_mb, statement
 from tests.peers import LIMIT, Program, member
 from tests.soak.book import Drain, History
 from tests.soak.clients import LoadClient
@@ -24,6 +25,11 @@
 MIN_DRAIN = 2.0  # s from the announcement of a drain to the engine's earliest return
 STRICT_SHARE = 0.8  # probability that a drain and a watch outage are kept apart
 QUIET_PERIOD = (0.5, 2.0)  # s without a request, as a range
+LIMITS = {"sockets": 256, "memory_mb": 32}
+CROWD_SHARE = 0.4  # probability that a run has a crowd
+CROWD = 60  # clients that write large statements slowly, or stop within them
+CROWD_STATEMENT = 100_000  # bytes
+CROWD_PIECE, CROWD_INTERVAL = 4000, 0.1  # bytes of each write, and s between two
 WATCH_OUTAGE = (1.0, 4.0)  # s in which the coordinator sends nothing, as a range
 
 
@@ -38,6 +44,7 @@
         self.may_send.set()
         self.sigterm_at: float | None = None
         self._random = random.Random(seed)
+        self._crowd_random = random.Random(f"crowd {seed}")  # its own, so that a crowd does not change the other faults
         self.deadline = self._random.choice((0.2, 0.4, 1.0, 2.0, 4.0))
         self._failure_share = self._random.choice((0.05, 0.2, 0.5))
         self._engines = [self._engine(number) for number in range(ENGINES)]
@@ -45,7 +52,7 @@
         self._coordinator = Coordinator(list(self._members.values()))
         self._program = Program(
             folder, "127.0.0.1:1", self._coordinator.address, known=self._coordinator.known,
-            settings=settings(self.deadline, 0), limits={"sockets": 256},
+            settings=settings(self.deadline, 0), limits=LIMITS,
         )  # fmt: skip
 
     def _engine(self, number: int) -> Engine:
@@ -64,6 +71,8 @@
         lines.start()
         clients = [LoadClient(address, number, self) for number in range(self._random.choice((4, 12, 30)))]
         idle_clients = self._connect_idle_clients(address) if self._random.random() < 0.3 else []
+        if self._crowd_random.random() < CROWD_SHARE:
+            threading.Thread(target=self._run_crowd, args=(address,), daemon=True).start()
         until = time.monotonic() + seconds
         faults = {
             self._reload: 2.0, self._reload_bad: 2.0, self._pause_program: 2.0, self._drain: 3.0,
@@ -107,6 +116,29 @@
                 found.append(socket.create_connection(address, 1.0))
         return found
 
+    def _run_crowd(self, address: tuple[str, int]) -> None:
+        """Have clients write large statements slowly until the end; those that the gateway closes come again."""
+        crowd: dict[int, tuple[socket.socket, bytes]] = {}
+        while not self.finished.is_set():
+            for number in range(CROWD):
+                try:
+                    if number not in crowd:
+                        whole = statement(number, CROWD_STATEMENT, op="lookup")
+                        end = len(whole) - self._crowd_random.choice((1, CROWD_STATEMENT // 2))  # never whole
+                        crowd[number] = connect(address), whole[:end]
+                    sock, left = crowd[number]
+                    crowd[number] = sock, left[sock.send(left[:CROWD_PIECE], socket.MSG_DONTWAIT) if left else 0 :]
+                    if not sock.recv(4096, socket.MSG_DONTWAIT):
+                        raise ConnectionError("the gateway has closed the connection")
+                except BlockingIOError:
+                    continue
+                except OSError:
+                    if number in crowd:
+                        crowd.pop(number)[0].close()
+            self.finished.wait(CROWD_INTERVAL)
+        for sock, _ in crowd.values():
+            sock.close()
+
     # Faults
 
     def _signal(self, number: int) -> None:
@@ -185,6 +217,8 @@
 
     def _stop_program(self) -> None:
         """Send SIGTERM, in some runs more signals, and SIGKILL at the earliest allowed time."""
+        if (peak := peak_memory_mb(self._program)) > LIMITS["memory_mb"]:
+            self.history.add_finding(f"{peak:.1f} MB of resident memory, with a limit of {LIMITS['memory_mb']}")
         self.sigterm_at = time.monotonic()
         self._signal(signal.SIGTERM)
         for _ in range(self._random.choice((0, 0, 3))):
