Divide memory among the processes of an upgrade, and bound what engines send

Related paths of the incident's class, a resource bounded for each holder and not in sum: - two processes of an upgrade count together: each divides half of the limit; - an engine's message could have eight strings of 16 KiB on each of up to 16 connections: 20 KiB together now; - answers that wait in a request's mailbox had no bound: 128, then the connection ends.

--- a/tealwing/config.py
+++ b/tealwing/config.py
@@ -17,6 +17,7 @@
 DEFAULT_SOCKETS = 1024  # descriptors, if the file gives no limit
 MAX_CORES = 1024  # a higher limit is taken for a mistake
 DEFAULT_CORES = 1.0  # processor cores, if the file gives no limit
+UPGRADE_PROCESSES = 2  # that serve at once during an upgrade
 MAX_MEMORY_MB = 1024 * 1024  # MB; a higher limit is taken for a mistake
 # threads that serve commands in all gateways of one deployment, if they share one machine: a quarter of Linux's usual
 # kernel.pid_max of 32,768, as each gateway has further threads and other programs need theirs
@@ -62,10 +63,15 @@
         """The descriptor budget: how many descriptors each use may hold."""
         return descriptors.budget(self.sockets)
 
+    @property
+    def process_memory_limit(self) -> int:
+        """The limit in bytes of this process: processes that share clients have one limit together."""
+        return self.memory_limit if self.accept_fd is None else self.memory_limit // UPGRADE_PROCESSES
+
     @property
     def memory(self) -> memory.Budget:
         """The memory budget: what commands, results and threads may take."""
-        return memory.budget(self.memory_limit)
+        return memory.budget(self.process_memory_limit)
 
     @property
     def max_clients(self) -> int:
--- a/tealwing/gateway/request_handler.py
+++ b/tealwing/gateway/request_handler.py
@@ -12,7 +12,7 @@
 from tealwing import log
 from tealwing.admin import metrics as counters
 from tealwing.exchange import Cancelled, Failed, Query, Rejected, Reply, Served
-from tealwing.gateway.attempt import MAX_PAGES, Attempt, checked_page
+from tealwing.gateway.attempt import MAX_PAGES, PAGES_PER_FETCH, Attempt, checked_page
 from tealwing.gateway.decisions import TIMER_GRANULARITY, Decisions, Mailbox
 from tealwing.gateway.host_load import HostLoadMonitor
 from tealwing.gateway.sent_ids import TableUnavailableError
@@ -27,6 +27,7 @@
 DECISION_OVERDUE = 0.1  # s past a request's deadline after which a missing decision is an error
 DEFAULT_PRIORITY = 1
 RESULT_COPIES = 2  # of a result that exist at once: its pages, and the packets made of them
+MAX_WAITING_ITEMS = 2 * PAGES_PER_FETCH  # of a mailbox: the pages of one write, and what else an engine may send
 NO_RETRY_AFTER = 0.0  # s of a Retry-After: the client may retry at once
 PROGRESS_KINDS = {
     "frac": api.ProgressKind.PROGRESS,
@@ -320,7 +321,12 @@
         return result
 
     def _on_stream_item(self, attempt: Attempt, item: Answer | StreamLost) -> None:
-        """Handle a stream's item on the reader thread; progress, which is frequent, goes to the module directly."""
+        """Handle a stream's item on the reader thread; progress, which is frequent, goes to the module directly.
+
+        Raises RespError, which ends the connection, if the engine sends answers faster than the request takes them.
+        """
+        if isinstance(item, Answer) and self._mailbox.qsize() >= MAX_WAITING_ITEMS:
+            raise messages.RespError(f"the engine sent over {MAX_WAITING_ITEMS} answers that were not asked for")
         if isinstance(item, StreamLost) or item.status != b"status":
             self._mailbox.put(item)
         elif (kind := PROGRESS_KINDS.get(item.fields.get("why", ""))) is not None:
--- a/tealwing/mysql/session.py
+++ b/tealwing/mysql/session.py
@@ -18,21 +18,18 @@
     Cancelled,
     Deferred,
     Exchange,
-    Failed,
     InvalidRequestError,
     OpenExchange,
     Query,
     Rejected,
-    Reply,
-    Served,
     SettingsChangedError,
 )
-from tealwing.mysql import departures, lingering, overdue, packets, statements
+from tealwing.mysql import departures, lingering, overdue, packets, replies, statements
+from tealwing.mysql.command_parser import CommandParser
 from tealwing.mysql.kills import KillOutcome
 from tealwing.sockets import MEMORY_PAUSE, has_unread, is_short_of_memory, prepare, seconds_since_data, send_all
 
 USER, DATABASE = b"app", b"reports"
-COLUMNS = (b"column_1", b"column_2", b"column_3")  # engines send no column names
 FIRST_LIMIT = 2.0  # s from the connect to the first complete command, login included
 PACKET_LIMIT = 2.0  # s within which an incomplete command must be completed
 IDLE_LIMIT = 60.0  # s between commands
@@ -45,8 +42,6 @@
 ARRIVAL_TIME = 0.005  # s in which a client on the local network sends more after input has been read
 UNREAD_PUSHBACK = 0.2  # s of pushback for a request ahead of too much unread input
 MEMORY_PUSHBACK = 0.5  # s of pushback for a request that does not fit into memory
-COMMAND_COPIES = 2  # of a command that exist at once: as received or sent on, and while it is copied
-UNRESERVED_BYTES = 4 * 1024  # bytes of a command that need no reservation: a place in the budget of each client
 RULES_CHANGE_PUSHBACK = 0.2  # s of pushback for a request whose rules changed during each parse
 MAX_SERVE_RESERVE = 0.25  # s of a held request's time to live that are kept for serving it, at most
 SERVE_RESERVE_SHARE = 0.5  # share of a held request's time to live that is kept for serving it, up to MAX_SERVE_RESERVE
@@ -55,15 +50,6 @@
 
 QUIT, INIT_DB, QUERY, PROCESS_KILL, PING, RESET_CONNECTION = 0x01, 0x02, 0x03, 0x0C, 0x0E, 0x1F
 
-UNKNOWN_COMMAND = packets.error(1047, "08S01", "Unknown command")
-INTERRUPTED = packets.error(1317, "70100", "Query execution was interrupted")
-FAILED = packets.error(1105, "HY000", "The query failed; it may have run")
-KILL_ANSWERS = {
-    KillOutcome.APPLIED: packets.ok(),
-    KillOutcome.UNKNOWN_CONNECTION: packets.error(1094, "HY000", "Unknown thread id"),
-    KillOutcome.UNCONFIRMED: packets.error(1105, "HY000", "The KILL is not confirmed; close its connection instead"),
-}
-
 
 class SessionHost(Protocol):
     """The interface of the server that a session uses."""
@@ -99,8 +85,7 @@
         self.descriptor = sock.fileno()  # valid while the session is open
         self._departure = departures.ClientDeparture(sock)
         prepare(sock, WRITE_LIMIT)
-        self._parser = packets.Parser(packets.MAX_LOGIN_BYTES)
-        self._memory = memory.Reservation(server.account)  # for a large command, and for the reply to a request
+        self._parser = CommandParser(server.account, server.reserve)
         self._lock = threading.Lock()
         self._exchange: Exchange | None = None  # the open request's; under the lock
         self._last_answer_at = time.monotonic()  # monotonic; before the first answer, the time of the connect
@@ -173,7 +158,7 @@
         if new:
             if self._quit and linger.bytes_left == before and not self._parser.begun:
                 return False  # the client sent nothing after its QUIT
-            self._drop_input()
+            self._parser.drop()
             self._end_sending()
             self.server.move_to_lingering(self, linger.until)
         return True
@@ -226,7 +211,7 @@
             self._closes_after_command = True
             if self._exchange is not None:
                 self._exchange.cancel()  # before the answer: nothing may be sent to an engine after it
-            left = packets.packet(1, FAILED)
+            left = packets.packet(1, replies.FAILED)
             with contextlib.suppress(OSError):  # the client has left, or does not read
                 while left:
                     left = left[self._sock.send(left, socket.MSG_DONTWAIT) :]
@@ -259,7 +244,7 @@
         """Remove the session from the server and close its socket."""
         self.server.remove(self)
         with self._lock:  # other threads must not shut down a reused descriptor
-            self._drop_input()
+            self._parser.drop()
             self._sock.close()
 
     def end_linger(self) -> None:
@@ -349,10 +334,10 @@
         Any thread may call this. Commands that are whole, or that have unread input, are left to their own thread.
         """
         with self._lock:
-            if self._waiting is None or not self._memory.size or self._has_input():
+            if self._waiting is None or not self._parser.has_reservation or self._has_input():
                 return False
             with contextlib.suppress(OSError):  # the client has left, or does not read
-                self._sock.send(encode_reply(Rejected(MEMORY_PUSHBACK)), socket.MSG_DONTWAIT)
+                self._sock.send(replies.encode(Rejected(MEMORY_PUSHBACK)), socket.MSG_DONTWAIT)
             log.client_event("command_refused", connection=self.number, reason="memory", held=self.held_bytes)
             self._last_answer_at = time.monotonic()
             lingers = self._end_waiting()
@@ -368,7 +353,7 @@
     @property
     def has_reservation(self) -> bool:
         """Whether the session has reserved memory."""
-        return self._memory.size > 0
+        return self._parser.has_reservation
 
     def _has_input(self) -> bool:
         """Return whether there is unread input: bytes, or the end of the connection. Call under the lock.
@@ -390,18 +375,13 @@
         reset cannot destroy it: such a session does not linger; the thread that the shutdown wakes closes it.
         """
         self._idle, self._waiting = False, None
-        self._drop_input()
+        self._parser.drop()
         linger = self._linger = lingering.Linger(0.0 if at_once else self._last_answer_at + lingering.LINGER_TIME)
         lingers = time.monotonic() < linger.until
         with contextlib.suppress(OSError):  # the client may have closed the connection
             self._sock.shutdown(socket.SHUT_WR if lingers else socket.SHUT_RDWR)
         return lingers
 
-    def _drop_input(self) -> None:
-        """Drop an incomplete command and release its memory; only the serving thread may, or any under the lock."""
-        self._parser.clear()
-        self._memory.release()
-
     def _start_lingering(self) -> None:
         if self._linger is not None:
             self.server.move_to_lingering(self, self._linger.until)
@@ -452,32 +432,25 @@
             return False
         self._parser.feed(buffer[:size])
         self._received_at = time.monotonic()
-        while not self._closes_after_command and (message := self._next_message()) is not None:
+        while not self._closes_after_command and (message := self._parser.next_message()) is not None:
             self._incomplete_due = 0.0
             if not (self._answer(message) if self._logged_in else self._login(message)):
                 return False
             self._last_answer_at = time.monotonic()
         return self._reserve_incomplete()
 
-    def _next_message(self) -> packets.Message | None:
-        """Return the next message, to which nothing else refers, so that releasing it frees its payload."""
-        found = self._parser.next()
-        return packets.Message(*found) if found is not None else None
-
     def _reserve_incomplete(self) -> bool:
         """Reserve memory for the incomplete command; without it, reject the command and return False."""
-        held = self._parser.held_bytes
-        if self.server.reserve(self._memory, held if held > UNRESERVED_BYTES else 0):
+        if self._parser.reserve_held():
             return True
-        log.client_event("command_refused", connection=self.number, reason="memory", held=held)
-        self._send(encode_reply(Rejected(MEMORY_PUSHBACK)))
+        log.client_event("command_refused", connection=self.number, reason="memory", held=self.held_bytes)
+        self._send(replies.encode(Rejected(MEMORY_PUSHBACK)))
         return False
 
     def _read_ahead(self) -> bool:
         """Read further input, so that the end of the connection can be seen; return whether it could be now."""
         while self._departure.is_hidden():
-            held = self._parser.held_bytes
-            if held >= MAX_READ_AHEAD or not self.server.reserve(self._memory, held + READ_AHEAD_SIZE):
+            if self._parser.held_bytes >= MAX_READ_AHEAD or not self._parser.reserve_held(READ_AHEAD_SIZE):
                 return False
             data = self._sock.recv(READ_AHEAD_SIZE, socket.MSG_DONTWAIT)
             self._parser.feed(data)
@@ -485,10 +458,6 @@
                 self._departure.wait(ARRIVAL_TIME)  # the client may send more now, and so close the window again
         return True
 
-    def _reserve_more(self, size: int) -> bool:
-        """Reserve further bytes for the open request until its reply is sent; return whether they were there."""
-        return self.server.reserve(self._memory, self._memory.size + size)
-
     def _answer(self, message: packets.Message) -> bool:
         """Answer one command; return whether the session continues."""
         self._first_due = 0.0
@@ -500,12 +469,11 @@
         try:
             reply = self._command(message)
         except threads.ThreadUnavailableError:  # the request needed another thread; the client still gets an answer
-            reply = packets.packet(1, FAILED)
+            reply = packets.packet(1, replies.FAILED)
         if not self._deadline.claim():  # answer_overdue has answered it
             return False
         self._send(reply)
-        held = self._parser.held_bytes  # input that was read ahead
-        self._memory.resize(min(self._memory.size, held if held > UNRESERVED_BYTES else 0))
+        self._parser.end_request()
         return True
 
     def _unread_age(self, busy_for: float) -> float:
@@ -532,7 +500,7 @@
             answer = self._unknown_database(login.database)
         self._send(packets.packet(message.sequence + 1, answer))
         self._logged_in = answer == packets.ok()
-        self._parser.max_message_bytes = packets.MAX_MESSAGE_BYTES
+        self._parser.accept_commands()
         return self._logged_in
 
     def _unknown_database(self, name: bytes) -> bytes:
@@ -551,7 +519,7 @@
             return packets.packet(1, packets.ok() if body == DATABASE else self._unknown_database(body))
         if command == PROCESS_KILL and len(body) == 4:
             return packets.packet(1, self._kill(statements.Kill(int.from_bytes(body, "little"), False)))
-        return packets.packet(1, UNKNOWN_COMMAND)
+        return packets.packet(1, replies.UNKNOWN_COMMAND)
 
     def _kill(self, statement: statements.Kill) -> bytes:
         """Kill the session that the statement names; return the payload of the answer."""
@@ -559,7 +527,7 @@
         if statement.connection == self.number:  # a session that kills itself has no other open request
             with self._lock:
                 self._killed = False
-        return KILL_ANSWERS[outcome]
+        return replies.KILL_ANSWERS[outcome]
 
     def _query(self, message: packets.Message) -> bytes:
         with self._lock:
@@ -578,21 +546,21 @@
         """Run a request, and return its response packets; releases the message once its statement is copied."""
         if self._refusing:
             self._refusing = False
-            return encode_reply(Rejected(OVERDUE_PUSHBACK))
+            return replies.encode(Rejected(OVERDUE_PUSHBACK))
         if not self._read_ahead():
             log.client_event("request_refused", connection=self.number, reason="unread")
-            return encode_reply(Rejected(UNREAD_PUSHBACK))
+            return replies.encode(Rejected(UNREAD_PUSHBACK))
         size = len(message.payload)
-        if size > UNRESERVED_BYTES and not self._reserve_more(COMMAND_COPIES * size):
+        if not self._parser.reserve_command(size):
             log.client_event("request_refused", connection=self.number, reason="memory", size=size)
-            return encode_reply(Rejected(MEMORY_PUSHBACK))
+            return replies.encode(Rejected(MEMORY_PUSHBACK))
         try:
             if self.server.gate is not None:
                 outcome = self._open_admitted(message.body, self.server.gate)
                 if isinstance(outcome, Deferred):
-                    return encode_reply(Rejected(outcome.retry_after))
+                    return replies.encode(Rejected(outcome.retry_after))
                 if isinstance(outcome, Cancelled):
-                    return encode_reply(outcome)
+                    return replies.encode(outcome)
                 query, exchange = outcome
             else:
                 settings = self.server.settings  # the same version for parsing and for the decision
@@ -600,9 +568,9 @@
                 if self._waited_unread:  # the ttl counts from the arrival; an overdue request is rejected at once
                     query = dataclasses.replace(query, ttl=query.ttl - self._waited_unread)
                 self._deadline.begin(query.received_at + query.ttl)
-                query.set_client(self.client_may_have_left, self._reserve_more)
+                query.set_client(self.client_may_have_left, self._parser.reserve_more)
                 if self._killed or (self._waited_unread and self.client_has_left()):
-                    return encode_reply(Cancelled())
+                    return replies.encode(Cancelled())
                 exchange = self.server.open(query, settings)
         except InvalidRequestError as error:
             log.client_event("request_unusable", connection=self.number, error=str(error))
@@ -617,7 +585,7 @@
         self.server.watch_departure(self)
         begun = time.monotonic()
         try:
-            return encode_reply(exchange.run())
+            return replies.encode(exchange.run())
         except Exception as error:
             return self._answer_internal_error(error)
         finally:
@@ -635,7 +603,7 @@
         if isinstance(error, AssertionError | threads.ThreadUnavailableError):
             raise error
         log.event("request_fault", connection=self.number, error=repr(error), trace=traceback.format_exc(limit=-3))
-        return packets.packet(1, FAILED)
+        return packets.packet(1, replies.FAILED)
 
     def _open_admitted(
         self, text: bytes | memoryview, gate: AdmissionGate
@@ -669,7 +637,7 @@
                 return Cancelled()
             if time_waited:  # the ttl counts from the arrival; an overdue request is rejected at once
                 query = dataclasses.replace(query, ttl=query.ttl - time_waited)
-            query.set_client(self.client_may_have_left, self._reserve_more)
+            query.set_client(self.client_may_have_left, self._parser.reserve_more)
             try:
                 return query, self.server.open(query, settings)
             except SettingsChangedError as error:
@@ -682,20 +650,5 @@
     return ttl - min(SERVE_RESERVE_SHARE * ttl, MAX_SERVE_RESERVE)
 
 
-def encode_reply(reply: Reply) -> bytes:
-    """Encode a reply as response packets."""
-    match reply:
-        case Served(pages):
-            rows = (line.split(b"\t") for page in pages for line in page.split(b"\n")[:-1])
-            return packets.result_set(COLUMNS, rows, 1)
-        case Rejected(retry_after):
-            text = f"The query was refused, pushback={round(retry_after * 1e3)}"
-            return packets.packet(1, packets.error(1226, "42000", text))
-        case Failed():
-            return packets.packet(1, FAILED)
-        case Cancelled():
-            return packets.packet(1, INTERRUPTED)
-
-
 def _scramble() -> bytes:
     return bytes(1 + byte % 127 for byte in os.urandom(20))
--- a/tealwing/resp/messages.py
+++ b/tealwing/resp/messages.py
@@ -7,6 +7,7 @@
 
 MAX_PARTS = 8  # bulk strings in an array
 MAX_PART_BYTES = 16 * 1024  # of a received bulk string: a page has at most 6,000
+MAX_MESSAGE_BYTES = 20 * 1024  # of all bulk strings of a received array together: one page, and short fields
 MAX_LENGTH_LINE_BYTES = 16  # bytes of a length line, with its prefix and CRLF
 
 
@@ -30,6 +31,7 @@
         self._at = 0
         self._expected_parts = 0  # bulk strings that the incomplete array still lacks
         self._parts: list[bytes] = []
+        self._part_bytes = 0  # of `_parts`
         self.fault: RespError | None = None  # error in the bytes after the arrays that `feed` returned last
 
     @property
@@ -61,7 +63,7 @@
                 return None
             if not 1 <= count <= MAX_PARTS:
                 raise RespError(f"an array has {count} strings, not 1 to {MAX_PARTS}")
-            self._expected_parts, self._parts = count, []
+            self._expected_parts, self._parts, self._part_bytes = count, [], 0
         while self._expected_parts:
             start = self._at
             length = self._length(b"$")
@@ -69,6 +71,8 @@
                 return None
             if length > MAX_PART_BYTES:
                 raise RespError(f"a bulk string has {length} bytes, more than {MAX_PART_BYTES}")
+            if self._part_bytes + length > MAX_MESSAGE_BYTES:
+                raise RespError(f"an array has more than {MAX_MESSAGE_BYTES} bytes")
             end = self._at + length
             if len(self._data) < end + 2:
                 self._at = start
@@ -77,6 +81,7 @@
                 found = bytes(self._data[end : end + 2])
                 raise RespError(f"a bulk string of {length} bytes is followed by {found!r}, not CRLF")
             self._parts.append(bytes(self._data[self._at : end]))
+            self._part_bytes += length
             self._at, self._expected_parts = end + 2, self._expected_parts - 1
         return self._parts
 
--- a/tealwing/service.py
+++ b/tealwing/service.py
@@ -45,7 +45,7 @@
         daemon.open,
         config.accept_fd,
         config.max_threads,
-        config.memory_limit,
+        config.process_memory_limit,
     )
     daemon.server_gauges = server.gauges
     daemon.on_settings = lambda settings: apply_settings(server, config, settings)
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+from queue import SimpleQueue
+from typing import Any, cast
+
 import pytest
 
 from tealwing import log, memory
+from tealwing.gateway.attempt import Attempt
+from tealwing.gateway.request_handler import MAX_WAITING_ITEMS, RequestHandler
 from tealwing.memory import MIB
+from tealwing.resp.connection import Answer, Connection, Stream, StreamLost
+from tealwing.resp.messages import RespError
 
 
 @pytest.mark.parametrize("limit_mb", [1, 16, 32, 64, 192, 2048])
@@ -44,3 +51,17 @@
     assert limit.admit("other") == 0
     now[0] = 1.0
     assert [limit.admit("lost") for _ in range(2)] == [2, 0]
+
+
+def test_answers_that_wait_for_a_request_are_bounded() -> None:
+    # guards memory: an engine that sends answers without end fills the mailbox of a request whose thread waits
+    handler, mailbox = RequestHandler.__new__(RequestHandler), SimpleQueue[Any]()
+    handler._mailbox = mailbox
+    stream, attempt = Stream(cast(Connection, None), b"1", mailbox.put), Attempt(0, 1, 1.0)
+    answer = Answer(stream, b"200", {}, b"a\tb\tc\n")
+    for _ in range(MAX_WAITING_ITEMS):
+        handler._on_stream_item(attempt, answer)
+    with pytest.raises(RespError, match="not asked for"):
+        handler._on_stream_item(attempt, answer)
+    handler._on_stream_item(attempt, StreamLost(stream))  # the end of the connection still arrives
+    assert mailbox.qsize() == MAX_WAITING_ITEMS + 1
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -209,3 +209,11 @@
     line = updates.parse_line(orjson.dumps(data), make_settings())
     assert isinstance(line, updates.Update) and line.members == (two, one)
     assert one.entry.engine != two.entry.engine
+
+
+def test_resp_parser_rejects_an_array_whose_strings_are_too_long_together() -> None:
+    # guards memory: a bad engine may begin such an answer on each of its connections
+    page, parser = b"x" * (messages.MAX_PART_BYTES - 1), messages.Parser()
+    assert parser.feed(messages.encode(b"1", b"200", b"sheets=1", page)) == [[b"1", b"200", b"sheets=1", page]]
+    with pytest.raises(messages.RespError, match="more than"):
+        parser.feed(messages.encode(page, page, page, page))
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -15,6 +15,7 @@
 
 import pytest
 
+from tealwing import config
 from tealwing.mysql import packets
 from tests.peers import LIMIT, Client, Peer, Program, say
 from tests.test_program import PAGE
@@ -186,3 +187,11 @@
     assert kill(upgrades.client_of(program), client.id) == packets.ok()
     assert code(client.read()) == INTERRUPTED
     upgrades.end()
+
+
+def test_processes_that_share_clients_divide_the_memory_limit(tmp_path: Path) -> None:
+    program = Program(tmp_path, "127.0.0.1:1")
+    assert program.end() == ""
+    alone = config.load({"LB_CONFIG": str(program.path)})
+    shared = config.load({"LB_CONFIG": str(program.path), "LB_ACCEPT_FD": "7"})
+    assert 2 * shared.process_memory_limit == alone.process_memory_limit == alone.memory_limit
