Refuse a request whose further input can't be read yet, in place of losing it

Change: the request is refused then. A session that ends drops its input and sends no refusal for it.

--- a/tealwing/mysql/session.py
+++ b/tealwing/mysql/session.py
@@ -441,7 +441,7 @@
 
     def _reserve_incomplete(self) -> bool:
         """Reserve memory for the incomplete command; without it, reject the command and return False."""
-        if self._parser.reserve_held():
+        if self._closes_after_command or self._parser.reserve_held():  # a session that ends drops its input
             return True
         log.client_event("command_refused", connection=self.number, reason="memory", held=self.held_bytes)
         self._send(replies.encode(Rejected(MEMORY_PUSHBACK)))
@@ -452,8 +452,13 @@
         while self._departure.is_hidden():
             if self._parser.held_bytes >= MAX_READ_AHEAD or not self._parser.reserve_held(READ_AHEAD_SIZE):
                 return False
-            data = self._sock.recv(READ_AHEAD_SIZE, socket.MSG_DONTWAIT)
-            self._parser.feed(data)
+            try:
+                self._parser.feed(self._sock.recv(READ_AHEAD_SIZE, socket.MSG_DONTWAIT))
+            except OSError as error:
+                # what the kernel holds may lack its beginning, and is not readable yet
+                if isinstance(error, BlockingIOError) or is_short_of_memory(error):
+                    return False
+                raise
             if not self._departure.is_hidden():
                 self._departure.wait(ARRIVAL_TIME)  # the client may send more now, and so close the window again
         return True
--- a/tests/test_hidden_departures.py
+++ b/tests/test_hidden_departures.py
@@ -9,9 +9,10 @@
 
 import pytest
 
-from tealwing.mysql import packets
+from tealwing.mysql import departures, packets
 from tests.crowd import CrowdEngine, connect, start_gateway, statement
-from tests.peers import Program
+from tests.peers import Client, Program
+from tests.test_closes import Rig
 
 GRACE = 0.1 + 0.05  # s after a departure in which attempts may begin: the standing test, and the protocol for sockets
 TIMING_TOLERANCE = 0.05  # s; two processes on a busy machine
@@ -68,3 +69,15 @@
             while (message := parser.next()) is not None:
                 assert message[1][:1] != b"\xff"
                 ends += message[1] == packets.eof()
+
+
+def test_request_ahead_of_input_that_cannot_be_read_yet_is_refused(monkeypatch: pytest.MonkeyPatch) -> None:
+    # guards against a request without an answer, where the kernel holds input whose beginning has not arrived
+    monkeypatch.setattr(departures, "may_block_peer", lambda sock: True)
+    rig = Rig()
+    client = Client(rig.address)
+    client.ask()
+    assert client.error()[0] == 1226
+    assert not rig.opened
+    client.sock.close()
+    rig.wait_until_empty()
