--- a/tealwing/gateway/sent_ids.py
+++ b/tealwing/gateway/sent_ids.py
@@ -6,9 +6,7 @@
 
 from __future__ import annotations
 
-import contextlib
 import threading
-from collections.abc import Iterator
 from contextlib import AbstractContextManager
 from typing import Protocol
 
@@ -48,11 +46,16 @@
         self._bytes = bytearray(TABLE_BYTES)
         self._lock = threading.Lock()
 
-    @contextlib.contextmanager
-    def locked(self) -> Iterator[Table]:
+    def locked(self) -> AbstractContextManager[Table]:
         """Lock the table among the threads."""
-        with self._lock:
-            yield self
+        return self
+
+    def __enter__(self) -> Table:
+        self._lock.acquire()
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self._lock.release()
 
     def read(self, at: int) -> bytes:
         """Return the bucket at this offset."""
@@ -80,7 +83,15 @@
         at = number % BUCKETS * BUCKET_BYTES
         with self._table.locked() as table:
             bucket = table.read(at)
-            if entry in (bucket[start : start + ID_BYTES] for start in range(0, BUCKET_BYTES, ID_BYTES)):
+            if _holds(bucket, entry):
                 return False
             table.write(at, entry + bucket[:-ID_BYTES])
             return True
+
+
+def _holds(bucket: bytes, entry: bytes) -> bool:
+    """Return whether one of the bucket's places holds the entry."""
+    at = bucket.find(entry)
+    while at >= 0 and at % ID_BYTES:  # a match across two places is none
+        at = bucket.find(entry, at + 1)
+    return at >= 0
--- a/tealwing/mysql/command_parser.py
+++ b/tealwing/mysql/command_parser.py
@@ -38,6 +38,8 @@
     def reserve_held(self, further: int = 0) -> bool:
         """Reserve memory for what is held, and for this many further bytes; return whether it fits."""
         held = self.held_bytes + further
+        if held <= UNRESERVED_BYTES and not self._reservation.size:  # nearly always
+            return True
         return self._reserve(self._reservation, held if held > UNRESERVED_BYTES else 0)
 
     def reserve_command(self, size: int) -> bool:
@@ -50,6 +52,8 @@
 
     def end_request(self) -> None:
         """Release what the request had reserved; input that was read ahead keeps its part."""
+        if not self._reservation.size:
+            return
         held = self.held_bytes
         self._reservation.resize(min(self._reservation.size, held if held > UNRESERVED_BYTES else 0))
 
--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -98,6 +98,15 @@
     assert ids.claim(request_id(number)) and not ids.claim(request_id(number))
 
 
+def test_id_found_across_two_places_of_a_bucket_is_new() -> None:
+    ids = SentIds()
+    first, second = 0x0000_0000_0003_0003 - 1, 0xBBBB_0000_0000_0003 - 1  # the later one is stored first
+    assert ids.claim(request_id(first)) and ids.claim(request_id(second))
+    across = 0x0003_0000_0000_0003 - 1  # the end of the second entry and the beginning of the first
+    assert across % BUCKETS == first % BUCKETS == second % BUCKETS
+    assert ids.claim(request_id(across)) and not ids.claim(request_id(across))
+
+
 def test_two_threads_that_claim_one_id_get_it_once(tmp_path: Path) -> None:
     for ids in (SentIds(), shared_sent_ids.open_shared(tmp_path)):
         for number in range(50):
