--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -46,7 +46,7 @@
 
 
 def start_gateways(
-    names: tuple[str, ...], folder: Path, record: rig.Record, config: dict[str, Any]
+    names: tuple[str, ...], folder: Path, record: rig.Record, config: dict[str, Any], sections: str = ""
 ) -> tuple[list[rig.Gateway], list[int]]:
     """Start gateways that share a replicated state; return them and the ports of their control addresses."""
     links, controls = ([free_port() for _ in names] for _ in range(2))
@@ -54,7 +54,7 @@
     gateways = []
     for name, control in zip(names, controls, strict=True):
         conf = f"peers\n    name {name}\n{members}    control 127.0.0.1:{control}\n"
-        conf += f"replica\n    folder {folder / name / 'replica'}\n"
+        conf += f"replica\n    folder {folder / name / 'replica'}\n{sections}"
         gateway = rig.Gateway(name, folder, record, dict(config), conf)
         gateway.extra = {"PYTHONPATH": str(SITE)}
         gateways.append(gateway)
--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -149,7 +149,8 @@
             self._events.append(
                 {"index": number, "endpoints": {"revision": number, "complete": complete, "members": members}}
             )
-            self.record.add("coordinator", f"event {number} {[(m['id'], m['phase']) for m in members]}")
+            shown = [(member["id"], member["phase"]) for member in members[:8]]
+            self.record.add("coordinator", f"event {number} with {len(members)} members: {shown}")
             self._changed.notify_all()
 
     def _accept(self) -> None:
@@ -267,6 +268,7 @@
             self.conf.write_text(conf)
         self.process: subprocess.Popen[bytes] | None = None
         self.extra: dict[str, str] = {}
+        self.descriptors: tuple[int, ...] = ()  # that the process inherits
         self._seen = 0
 
     def write_config(self) -> None:
@@ -277,6 +279,11 @@
 
     def start(self) -> None:
         """Start the process and wait until it serves."""
+        self.launch()
+        self.wait_for("started", START_LIMIT)
+
+    def launch(self) -> None:
+        """Start the process."""
         environment = {"LB_CONFIG": str(self.path), "LB_NAME": self.name, "TMPDIR": str(self.folder)} | self.extra
         if self.has_conf:
             environment["TEALWING_CONF"] = str(self.conf)
@@ -284,11 +291,10 @@
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
                 ["/bin/sh", "-c", RUN], cwd=ROOT, env={"PATH": os.environ.get("PATH", "/bin:/usr/bin")} | environment,
-                stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+                stdin=subprocess.DEVNULL, stdout=log, stderr=log, pass_fds=self.descriptors,
             )  # fmt: skip
         RUNNING.append(self)
         self.record.add(self.name, f"started, process {self.process.pid}")
-        self.wait_for("started", START_LIMIT)
 
     def events(self) -> list[dict[str, Any]]:
         """Return the log's events since the last start."""
