--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -19,8 +19,7 @@
 sys.path[:0] = [str(rig.ROOT), str(SITE)]
 
 try:
-    import cryptography  # noqa: F401 - needed by the gateways that gossip
-    import xxhash  # noqa: F401 - needed by the gateways of a fleet
+    import xxhash  # noqa: F401 - the gateways of a fleet need it
 
     from tealwing.peers.control import RemoteCallError, call_control
 except ImportError as error:
