Review: build-2.sh gives up on a missing package registry soon

Need: the build of the cases must not wait for minutes where no package registry can be reached.

Change: pip tries once more and waits 10 s at most; then the stand-in of xxhash takes its place.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -13,7 +13,7 @@
 rm -rf "$here/site" "$here/deployed"
 mkdir -p "$here/site" "$here/deployed"
 if ! $python -c 'import xxhash' 2>/dev/null; then # else the gateways find it in .venv
-    $python -m pip -q install --target "$here/site" "$(grep -E '^xxhash==' requirements-dev.txt)" ||
+    $python -m pip -q install --retries 1 --timeout 10 --target "$here/site" "$(grep -E '^xxhash==' requirements-dev.txt)" ||
         cp "$here/checksum.py" "$here/site/xxhash.py"
 fi
 
