Keep one state of the engines for all versions of the settings

Seen: with settings that changed every 1.5 s before 3,200 engines, and a request open under each of them, a gateway went over 192 MB after 13 changes. With none open, memory grew as fast until a collection.

Cause: each version of the settings had a decision module with the state of all engines, 14 MB at 3,200 of them, and kept it while a request of it was open. A module without requests was cyclic garbage, because its table of handlers held methods that were bound to it.

Change: the new module takes the engines from the one before. Handlers are not bound to a module. Attempts refer to the engine that counts them, across restarts.

Why it works: what a version holds no longer depends on the number of engines, and the number of versions is bounded by that of open requests. No request is dropped, and each is decided by its own class, limits, zones and kinds.

Tests changed: test_watch.py read the engines that an older module held; it now reads the list that this module sees, and that a request of it is rejected while its only engine drains. test_gateway.py lists typing among the modules without I/O, clock or thread, for a Protocol.

--- a/tealwing/gateway/decisions.py
+++ b/tealwing/gateway/decisions.py
@@ -98,7 +98,7 @@
                 raise InvalidRequestError("call is that of an open request")
             version = self._versions.version
             if settings is not None and settings is not self._versions.settings:
-                self._restore_module(settings)
+                self._versions.restore(settings)
                 version = self._versions.version_of(settings)
             self._request_ids.add(request_id)
             number = next(self._ids)
@@ -145,13 +145,6 @@
                         self._handle(alone, (self._versions.version,))
             return self._versions.version
 
-    def _restore_module(self, settings: api.Settings) -> None:
-        """Restore a module for settings that were replaced after a request was parsed under them. Needs the lock."""
-        if (restored := self._versions.restore(settings)) is not None:
-            version, initial_events = restored
-            for event in initial_events:
-                self._handle(event, (version,))
-
     def shut_down(self, signal: object) -> int:
         """Put the signal into the mailbox of every open request, and first into that of each one registered later.
 
@@ -169,12 +162,11 @@
             self._versions.module = change(self._versions.module, time.monotonic() + self.clock_offset)
 
     def update_engine_list(self, kind: api.EngineListKind, number: int, members: tuple[Member, ...]) -> bool:
-        """Pass a watch update to each module, numbered by its settings; return whether all applied it completely."""
-        idle: list[int] = []
+        """Pass a watch update to the module that holds the engines; return whether it applied it completely."""
         with self._lock:
             faults = self._list_faults
-            for version, event in self._versions.engine_list_events(kind, number, members):
-                idle += self._handle(event, (version,))
+            event = self._versions.engine_list_event(kind, number, members)
+            idle = self._handle(event, (self._versions.version,))
             is_complete = self._list_faults == faults
         for engine in idle:
             self._engines.close_idle(engine)
@@ -208,8 +200,8 @@
             module = self._versions.module_at(version)
             if module is not None:
                 idle += self._decide(module, version, event)
-                if event.__class__ is api.EngineList:  # costs a quarter of isinstance, and runs on each event
-                    self._versions.share_slow_start(version)
+        if event.__class__ is api.EngineList:  # costs a quarter of isinstance, and runs on each event
+            self._versions.share_slow_start()
         return idle
 
     def _decide(self, module: Module, version: int, event: api.Event) -> list[int]:
--- a/tealwing/gateway/module_versions.py
+++ b/tealwing/gateway/module_versions.py
@@ -15,6 +15,7 @@
 from tealwing.coordinator.updates import Member
 from tealwing.exchange import SettingsChangedError
 from tealwing.policy import Gateway
+from tealwing.policy.engines import SlowStartSends
 
 if TYPE_CHECKING:  # at run time, imported only if the operators' file enables it
     from tealwing.routing.table import Table
@@ -47,7 +48,6 @@
 
 
 WrapModule = Callable[[Gateway], Module]  # wraps a new module
-SlowStartSends = deque[tuple[float, float]]  # time and work of each attempt sent to an engine in slow start
 
 
 def innermost_module(module: Module) -> Gateway | None:
@@ -57,14 +57,14 @@
 
 
 class ModuleVersions:
-    """The module of new requests, and those of earlier settings with open requests."""
+    """The module of new requests, which holds the state of the engines, and those of earlier settings.
+
+    An earlier module stays while it has open requests, and sees the engines through `_HeldEngines`.
+    """
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.module: Module = Gateway(settings, seed)  # decides new requests
-        self.in_force, self.version = InForce(settings), 0
-        self.ready_zones: frozenset[int] = frozenset()  # zones with a ready engine
         self._seed = seed
-        # The limits of slow start apply to the whole gateway, so all modules share these.
+        # The limits of slow start and of retries apply to the whole gateway, so all modules share these.
         self._request_times, self._retry_times = deque[float](), deque[float]()
         self._slow_start_sends: dict[tuple[int, float], SlowStartSends] = {}  # by engine number and start time
         self._numbers = itertools.count(1)  # of versions
@@ -77,7 +77,15 @@
         self._members: dict[int, Member] = {}
         self._list_version = 0
         self._health_estimates: api.EngineHealthEstimates | None = None  # the latest, passed to each new module
-        self.share_slow_start(0)
+        self.in_force, self.version = InForce(settings), 0
+        self.ready_zones: frozenset[int] = frozenset()  # zones with a ready engine
+        self.holder = self._new_gateway(settings, 0)  # holds the state of the engines
+        self.module: Module = self.holder  # decides new requests
+
+    def _new_gateway(self, settings: api.Settings, version: int) -> Gateway:
+        gateway = Gateway(settings, self._seed + version)
+        gateway.request_times, gateway.retry_times = self._request_times, self._retry_times
+        return gateway
 
     @property
     def settings(self) -> api.Settings:
@@ -87,7 +95,11 @@
     @property
     def engine_list(self) -> tuple[api.EngineListEntry, ...]:
         """The last engine list, numbered by the settings in force."""
-        return _entries_for(self._members.values(), self.settings)
+        return self.entries_for(self.settings)
+
+    def entries_for(self, settings: api.Settings) -> tuple[api.EngineListEntry, ...]:
+        """Return the last engine list numbered by the settings, without engines whose zone or kind they don't name."""
+        return _entries_for(self._members.values(), settings)
 
     @property
     def max_deadline(self) -> float:
@@ -127,47 +139,49 @@
 
     def replace_settings(self, in_force: InForce, wrap: WrapModule | None = None) -> list[api.Event]:
         """Replace the module of new requests, and return the initial events of the new one."""
+        replaced, earlier = self.settings, self.holder
         if self._open_requests.get(self.version):
-            self._older[self.version] = self.settings, self.module
-        self._replaced.append(self.settings)
+            is_held = innermost_module(self.module) is earlier  # no governor is needed: new requests go elsewhere
+            self._older[self.version] = replaced, earlier if is_held else self.module
+        self._replaced.append(replaced)
         self.version = next(self._numbers)
-        gateway = Gateway(in_force.settings, self._seed + self.version)
-        self.in_force, self.module = in_force, wrap(gateway) if wrap is not None else gateway
+        self.holder = self._new_gateway(in_force.settings, self.version)
+        self.in_force, self.module = in_force, wrap(self.holder) if wrap is not None else self.holder
+        self.holder.take_engines(earlier, self.engine_list)
+        earlier.retire(_HeldEngines(self, replaced))
         self._update_ready_zones()
-        return self._initial_events(in_force.settings)
+        return self._initial_events()
 
-    def restore(self, settings: api.Settings) -> tuple[int, list[api.Event]] | None:
-        """Restore a module of replaced settings; return its version and initial events.
+    def restore(self, settings: api.Settings) -> None:
+        """Restore a module of replaced settings, unless one exists or they were replaced too long ago.
 
-        Needed when the settings change between the parsing of a request and its opening. Returns None if a module of
-        these settings exists, or if they were replaced too long ago.
+        Needed when the settings change between the parsing of a request and its opening.
         """
         in_use = [self.settings, *(older for older, _ in self._older.values())]
         if any(one is settings for one in in_use) or not any(one is settings for one in self._replaced):
-            return None
-        version = next(self._numbers)
-        self._older[version] = settings, Gateway(settings, self._seed + version)
-        return version, self._initial_events(settings)
-
-    def share_slow_start(self, version: int) -> None:
-        """Let a version's module, which knows the engine list, share the slow-start accounting."""
-        module = self.module_at(version)
-        gateway = innermost_module(module) if module is not None else None
-        if gateway is None:
             return
-        gateway.request_times, gateway.retry_times = self._request_times, self._retry_times
-        for engine in gateway.engines.values():
+        version = next(self._numbers)
+        gateway = self._new_gateway(settings, version)
+        gateway.retire(_HeldEngines(self, settings))
+        self._older[version] = settings, gateway
+
+    def share_slow_start(self) -> None:
+        """Keep one record of what was sent to an engine since its start, also if the list names it anew."""
+        for engine in self.holder.engines.values():
             engine.slow_start_sends = self._slow_start_sends.setdefault(
                 (engine.id, engine.started), engine.slow_start_sends
             )
-        if version == self.version:  # engines that the current module does not know have left the list
-            known = {(engine.id, engine.started) for engine in gateway.engines.values()}
-            self._slow_start_sends = {key: sends for key, sends in self._slow_start_sends.items() if key in known}
-
-    def _initial_events(self, settings: api.Settings) -> list[api.Event]:
-        """Return the first events of a new module, with zones and kinds numbered by its settings."""
-        listed = _entries_for(self._members.values(), settings)
-        events: list[api.Event] = [api.EngineList(api.EngineListKind.FULL, self._list_version, listed)]
+        known = {(engine.id, engine.started) for engine in self.holder.engines.values()}
+        known.update((member.entry.engine, member.entry.started) for member in self._members.values())
+        self._slow_start_sends = {key: sends for key, sends in self._slow_start_sends.items() if key in known}
+
+    def slow_start_sends(self, entry: api.EngineListEntry) -> SlowStartSends:
+        """Return the record of what was sent to an engine since its start."""
+        return self._slow_start_sends.setdefault((entry.engine, entry.started), SlowStartSends())
+
+    def _initial_events(self) -> list[api.Event]:
+        """Return the first events of the module in force, with zones and kinds numbered by its settings."""
+        events: list[api.Event] = [api.EngineList(api.EngineListKind.FULL, self._list_version, self.engine_list)]
         return events + ([self._health_estimates] if self._health_estimates is not None else [])
 
     def versions_for(self, event: api.Event) -> tuple[int, ...]:
@@ -182,15 +196,10 @@
             self._health_estimates = event
         return self.version, *self._older
 
-    def engine_list_events(
-        self, kind: api.EngineListKind, number: int, members: tuple[Member, ...]
-    ) -> list[tuple[int, api.EngineList]]:
-        """Store a watch update; return its event for each version, numbered by that version's settings."""
+    def engine_list_event(self, kind: api.EngineListKind, number: int, members: tuple[Member, ...]) -> api.EngineList:
+        """Store a watch update; return its event for the module in force, which holds the engines."""
         self._store_list(kind, number, members)
-        in_use = [(self.version, self.settings), *((version, older[0]) for version, older in self._older.items())]
-        return [
-            (version, api.EngineList(kind, number, _entries_for(members, settings))) for version, settings in in_use
-        ]
+        return api.EngineList(kind, number, _entries_for(members, self.settings))
 
     def _store_list(self, kind: api.EngineListKind, number: int, members: Iterable[Member]) -> None:
         """Store the engine list for modules that are created later."""
@@ -208,15 +217,45 @@
         self.ready_zones = frozenset(entry.zone for entry in self.engine_list if entry.health is api.Health.READY)
 
 
+class _HeldEngines:
+    """The engines in the numbering of replaced settings; an `EngineSource` of the decision module."""
+
+    def __init__(self, versions: ModuleVersions, settings: api.Settings) -> None:
+        self._versions, self._settings = versions, settings
+
+    @property
+    def holder(self) -> Gateway:
+        """The module that holds the state of the engines."""
+        return self._versions.holder
+
+    def entries(self) -> tuple[api.EngineListEntry, ...]:
+        """Return the engine list, numbered by the replaced settings."""
+        return self._versions.entries_for(self._settings)
+
+    def slow_start_sends(self, entry: api.EngineListEntry) -> SlowStartSends:
+        """Return the record of what was sent to an engine since its start."""
+        return self._versions.slow_start_sends(entry)
+
+
 def _entries_for(members: Iterable[Member], settings: api.Settings) -> tuple[api.EngineListEntry, ...]:
     """Return the members' entries numbered by the settings, without members whose zone or kind these don't name."""
     found = []
     for member in members:
+        if _is_numbered_by(member, settings):
+            found.append(member.entry)
+            continue
         with contextlib.suppress(updates.UpdateError):
             found.append(updates.renumbered(member, settings).entry)
     return tuple(found)
 
 
+def _is_numbered_by(member: Member, settings: api.Settings) -> bool:
+    """Whether the settings give the member's zone and kind the numbers of its entry."""
+    zone, kind, kinds = member.entry.zone, member.entry.kind, settings.machine_kinds
+    is_zone = 0 <= zone < len(settings.zones) and settings.zones[zone] == member.zone
+    return is_zone and 0 <= kind < len(kinds) and kinds[kind].name == member.kind
+
+
 def _member_for(entry: api.EngineListEntry, settings: api.Settings) -> Member:
     """Return the member of an entry that is numbered by the settings."""
     return Member("", "", 0, entry, settings.zones[entry.zone], settings.machine_kinds[entry.kind].name)
--- a/tealwing/policy/attempts.py
+++ b/tealwing/policy/attempts.py
@@ -5,8 +5,9 @@
 from math import inf
 
 from tealwing import interface as api
-from tealwing.policy.engines import Attempt, Engine, RequestState
+from tealwing.policy.engines import Engine
 from tealwing.policy.placement import Placement
+from tealwing.policy.requests import Attempt, RequestState
 
 FULL_BACKOFF = 0.5  # s without new attempts to an engine that answered FULL
 CONNECTION_LOSS_WINDOW = 0.1  # s; a lost connection fails all attempts on it, and they count as one failure
@@ -25,13 +26,14 @@
         else:
             self._finish(state)
 
-    def _send(self, state: RequestState, engine: Engine) -> None:
+    def _send(self, state: RequestState, chosen: Engine) -> None:
+        engine = self._attempted(chosen)
         if state.attempts:
             self.retry_times.append(self.now)
         elif state.traffic.priority != api.DEFAULT_PRIORITY:
             self.actions.append(api.SetResources(state.request.id, state.traffic.priority, 0.0))
-        state.attempts.append(Attempt(engine, self.now))
-        engine.estimates[state.request.cls].unreported += 1
+        state.attempts.append(Attempt(engine, chosen.zone, self.now))
+        self._estimate(state, engine).unreported += 1
         self._count_attempt(state, engine, 1)
         if engine.warm_up_progress(self.now) < 1:
             engine.slow_start_sends.append((self.now, state.traffic.mean_work))
@@ -39,7 +41,8 @@
         if self.settings.limits.cancellation and self.settings.progress_interval > 0:
             self._expect_progress(state, SILENCE_PERIODS[0])
 
-    def _handle_outcome(self, event: api.AttemptOutcome) -> None:
+    def handle_outcome(self, event: api.AttemptOutcome) -> None:
+        """Handle the end of an attempt: retry, or give the final answer."""
         state = self.requests.get(event.id)
         if state is None or event.attempt >= len(state.attempts) or state.attempts[event.attempt].ended:
             return
@@ -60,19 +63,16 @@
 
     def _record_outcome(self, state: RequestState, attempt: Attempt, event: api.AttemptOutcome) -> None:
         """Release an attempt's counts and learn from its outcome, unless its engine has restarted since."""
-        engine = self.engines.get(attempt.engine.id, attempt.engine)
+        engine = attempt.engine.latest()
         self._count_attempt(state, engine, -1)
         if engine is not attempt.engine:
             return
-        estimate = engine.estimates[state.request.cls]
+        estimate = self._estimate(state, engine)
         if attempt.report_count == engine.report_count:
             estimate.unreported = max(0, estimate.unreported - 1)
-        self._apply_report(engine, event.report)
+        self.apply_report(engine, event.report)
         if event.result is api.AttemptResult.OK:
-            self.slowdown_estimate.completed, engine.slowdown_estimate.completed = (
-                self.slowdown_estimate.completed + 1,
-                engine.slowdown_estimate.completed + 1,
-            )
+            self._record_completion(engine)
             self.answers, engine.outcomes = self.answers + 1, engine.outcomes + 1
             estimate.record_latency(event.elapsed)
             state.traffic.record_answer(event.elapsed, event.cost)
@@ -98,9 +98,9 @@
         """
         self.answers, self.timeouts = self.answers + 1, self.timeouts + 1
         if self.settings.limits.cancellation:
-            state.traffic.losses += attempt.engine.estimates[state.request.cls].overload_share
+            state.traffic.losses += self._estimate(state, attempt.engine).overload_share
 
-    def _handle_progress(self, event: api.AttemptProgress) -> None:
+    def handle_progress(self, event: api.AttemptProgress) -> None:
         """Handle a progress update; cancel a straggler (a bad plan, a slow engine) once."""
         state = self.requests.get(event.id)
         if state is None or state.ended or event.attempt + 1 != len(state.attempts):
--- a/tealwing/policy/engines.py
+++ b/tealwing/policy/engines.py
@@ -1,8 +1,9 @@
-"""State per engine (reports, latencies, failures, slow start) and per open request."""
+"""State per engine: reports, latencies, failures, slow start."""
 
 from __future__ import annotations
 
 from collections import Counter, deque
+from collections.abc import Sequence
 from math import inf
 
 from tealwing import interface as api
@@ -24,7 +25,7 @@
 }  # reported values above which an engine is overloaded
 SLOWDOWN_AT_CAPACITY = 4.0  # slowdown taken as full capacity where no in-flight count is reported
 MIN_SUCCESS_SHARE = 0.05  # lower bound on an engine's success share: keeps its index finite
-BAD_QUERY_ENGINES = 2  # engines that fail the same query before the query is blamed, not the engines
+SlowStartSends = deque[tuple[float, float]]  # time and s of work of each attempt sent to an engine in slow start
 
 
 class SlowdownEstimate:
@@ -51,6 +52,21 @@
 class ClassEstimate:
     """One engine's estimates for one class: latency, attempts in flight, and the index."""
 
+    __slots__ = (
+        "capacity",
+        "draw_interval",
+        "drawn_at",
+        "in_flight",
+        "index",
+        "index_table",
+        "latency",
+        "overload_share",
+        "query_count",
+        "samples",
+        "sampling_key",
+        "unreported",
+    )
+
     def __init__(self, now: float) -> None:
         self.latency = 0.0
         self.samples = 0.0
@@ -82,21 +98,24 @@
         self.latency += (elapsed - self.latency) / self.samples
 
 
+def allows_place(cls: api.RequestClass, zone: int, kind: int, within: frozenset[int] | None = None) -> bool:
+    """Whether the class may go to engines of this zone and kind; within limits the zones, None allows all."""
+    placed = (cls.zones is None or zone in cls.zones) and (within is None or zone in within)
+    return placed and (cls.machine_kinds is None or kind in cls.machine_kinds)
+
+
 class Engine:
     """The state of one engine as this gateway knows it."""
 
     def __init__(self, entry: api.EngineListEntry, settings: api.Settings, now: float) -> None:
         self.id = entry.engine
-        self.zone = entry.zone
-        self.kind = entry.kind
-        self.cell = entry.cell
-        self.ready = entry.health is api.Health.READY
         self.started = entry.started
-        kind, self.rules = settings.machine_kinds[min(self.kind, len(settings.machine_kinds) - 1)], settings.rules
-        self.cores = kind.cores
-        self.ram = max(kind.memory, 1.0)
-        self.slow_start_until = self.started + self.rules.slow_start_time if self.started > 0 else -inf
+        self.apply_entry(entry, settings)
+        self.origin: Engine | None = None  # of a view: the engine that it shows under earlier settings
+        self.successor: Engine | None = None  # its state after a restart, which counts its attempts in flight
         self.estimates = [ClassEstimate(now) for _ in settings.classes]
+        # of all classes of earlier settings; it has no latencies and no attempts in flight
+        self.earlier_estimate: ClassEstimate | None = None
         self.report = dict[str, float]()
         self.report_values = tuple[float, ...]()
         self.report_count = 0  # distinct load reports
@@ -108,9 +127,10 @@
         self.memory_reserved = 0.0  # MB reserved by this gateway's attempts
         self.memory_utilization = 0.0  # share of its memory that all gateways reserve
         self.threads = self.queries = 0  # of this gateway's attempts
+        self.earlier_threads = 0  # of its attempts for requests of earlier settings
         self.load = 0.0  # threads per core
         self.indices_valid_until = -inf  # time until which load and indices are valid
-        self.slow_start_sends: deque[tuple[float, float]] = deque()  # (time, s of work) sent during slow start
+        self.slow_start_sends = SlowStartSends()
         self.outcomes = 0.0  # decayed count
         self.failures = 0.0  # decayed count
         self.failed_at = -inf  # time of the last failure
@@ -120,6 +140,56 @@
         self.lock_holders = Counter[float]()
         self.remote_locks_until = dict[float, float]()
 
+    def apply_entry(self, entry: api.EngineListEntry, settings: api.Settings) -> None:
+        """Take an entry of the engine list, which the settings number."""
+        self.zone = entry.zone
+        self.kind = entry.kind
+        self.cell = entry.cell
+        self.ready = entry.health is api.Health.READY
+        kind, self.rules = settings.machine_kinds[min(self.kind, len(settings.machine_kinds) - 1)], settings.rules
+        self.cores = kind.cores
+        self.ram = max(kind.memory, 1.0)
+        self.slow_start_until = self.started + self.rules.slow_start_time if self.started > 0 else -inf
+
+    def change_settings(self, settings: api.Settings, now: float) -> None:
+        """Drop what is counted by class, and keep what is known of the engine itself."""
+        self.estimates = [ClassEstimate(now) for _ in settings.classes]
+        self.slowdown_estimate, self.slowdown = SlowdownEstimate(now), 1.0
+        self.earlier_threads = self.threads
+        self.indices_valid_until = -inf
+
+    def forget_reports(self) -> None:
+        """Drop the load report, whose fields the settings in force do not have."""
+        self.report, self.report_values, self.other_queries = {}, (), 0.0
+
+    def latest(self) -> Engine:
+        """Return the state of this engine after its last restart, or itself."""
+        engine = self
+        while engine.successor is not None:
+            engine = engine.successor
+        return engine
+
+    def view(self, entry: api.EngineListEntry, settings: api.Settings, estimates: Sequence[ClassEstimate]) -> Engine:
+        """Return a copy that is numbered by earlier settings, with estimates of their classes."""
+        view = Engine.__new__(Engine)
+        view.__dict__.update(self.__dict__)
+        view.origin = self
+        view.apply_entry(entry, settings)
+        view.estimates = list(estimates)
+        view.earlier_threads = self.threads  # the view's estimates count no attempts in flight
+        view.indices_valid_until = -inf
+        return view
+
+    def count_attempt(self, request: api.Request, cls: api.RequestClass, change: int) -> None:
+        """Add `change` (1 or -1) to this gateway's attempts in flight."""
+        self.threads, self.queries = self.threads + change * cls.threads, self.queries + change
+        self.memory_reserved += change * request.memory_estimate
+        self.indices_valid_until = -inf
+        if cls.locks_tables:
+            self.lock_holders[request.dataset] += change
+            if self.lock_holders[request.dataset] <= 0:
+                del self.lock_holders[request.dataset]
+
     @property
     def success(self) -> float:
         """Share of successful outcomes, with one success as the prior."""
@@ -134,8 +204,7 @@
 
     def accepts(self, cls: api.RequestClass, within: frozenset[int] | None = None) -> bool:
         """Whether a request of the class may be placed on this engine; within limits the zones, None allows all."""
-        placed = (cls.zones is None or self.zone in cls.zones) and (within is None or self.zone in within)
-        return placed and (cls.machine_kinds is None or self.kind in cls.machine_kinds)
+        return allows_place(cls, self.zone, self.kind, within)
 
     def is_locked(self, group: float, now: float) -> bool:
         """Whether a bulk load is known to lock the group of tables on this engine."""
@@ -158,7 +227,7 @@
         self, cls: int, traffic: ClassTraffic, settings: api.Settings, capacity: float, unreported_weight: int = 1
     ) -> float:
         """Return the threads in use, by local counts and the load report, in queries of the class (the paper's j)."""
-        threads = self.other_queries * traffic.weighted_threads
+        threads = self.earlier_threads + self.other_queries * traffic.weighted_threads
         for estimate, other, weight in zip(self.estimates, settings.classes, traffic.thread_weights, strict=True):
             threads += (
                 (estimate.in_flight + (unreported_weight - 1) * min(estimate.unreported, estimate.in_flight))
@@ -182,49 +251,3 @@
             or self.slowdown > OVERLOAD_SLOWDOWN
         )
         return saturated or any(self.report.get(name, 0.0) > limit for name, limit in OVERLOAD_THRESHOLDS.items())
-
-
-class Attempt:
-    """One attempt of a request."""
-
-    def __init__(self, engine: Engine, sent_at: float) -> None:
-        self.engine = engine
-        self.sent_at = sent_at
-        self.report_count = engine.report_count  # the engine's number of load reports at the send
-        self.progress_due_at = inf  # time from which its next progress update is overdue
-        self.ended = False
-        self.may_have_run = True
-        self.blamed_failures = 0.0  # failures counted against its engine for an ERROR
-
-
-class RequestState:
-    """The state of a request, from its arrival until it has ended and no attempt is in flight."""
-
-    def __init__(self, request: api.Request, traffic: ClassTraffic, now: float, sampling_key: float) -> None:
-        self.request = request
-        self.traffic = traffic
-        self.cls = traffic.cls
-        self.deadline = now + request.time_remaining
-        self.key = request.key if traffic.cls.ordered else 0  # 0: no ordering
-        self.ended = False
-        self.attempts = list[Attempt]()
-        self.sampling_key = sampling_key  # uniform in [0, 1): keeps random decisions the same for one request
-
-    def in_flight(self) -> int:
-        """Return the number of attempts without an outcome."""
-        return sum(not attempt.ended for attempt in self.attempts)
-
-    def possibly_executed(self) -> list[Attempt]:
-        """Return the attempts that may have had an effect."""
-        return [attempt for attempt in self.attempts if attempt.may_have_run]
-
-    def is_bad_query(self) -> bool:
-        """Whether so many engines answered with errors that the query itself must be at fault."""
-        return len({attempt.engine.id for attempt in self.attempts if attempt.blamed_failures}) >= BAD_QUERY_ENGINES
-
-    def may_reject(self) -> bool:
-        """Whether a rejection is allowed: no attempt had an effect that a client's retry could double."""
-        discarded = (
-            self.cls.idempotency is api.Idempotency.KEYED and self.cls.idempotency_scope is api.IdempotencyScope.ALL
-        )
-        return discarded or self.cls.idempotency is api.Idempotency.IDEMPOTENT or not self.possibly_executed()
--- a/tealwing/policy/fleet.py
+++ b/tealwing/policy/fleet.py
@@ -5,7 +5,7 @@
 from math import exp, inf
 
 from tealwing import interface as api
-from tealwing.policy.engines import OVERLOAD_SLOWDOWN, OVERLOAD_THRESHOLDS, Engine, RequestState, SlowdownEstimate
+from tealwing.policy.engines import OVERLOAD_SLOWDOWN, OVERLOAD_THRESHOLDS, Engine, SlowdownEstimate
 from tealwing.policy.rates import (
     ARRIVAL_RATE_WEIGHT,
     BEST_LATENCY_DRIFT,
@@ -14,6 +14,7 @@
     REBUILD_INTERVAL,
     Rates,
 )
+from tealwing.policy.requests import RequestState
 from tealwing.policy.tables import interpolate
 
 LOCAL_COUNT_WEIGHT = 10.0  # weight of the reports against local counts in the fleet's load, in queries
@@ -34,6 +35,7 @@
         self.requests = dict[int, RequestState]()
         self.engines = dict[int, Engine]()
         self.ready = list[Engine]()
+        self.ready_count = 0
         self.cores = 0.0  # cores of the ready engines times their warm-up progress
         self.is_overloaded = False
         self.eligible_engines: list[list[Engine]] = [[] for _ in settings.classes]  # by class
@@ -59,7 +61,9 @@
                 if engine.warm_up_progress(self.now) >= 1:
                     engine.other_queries = self.mean_report.get("others", 0.0) * engine.cores
                 if known is not None:
+                    known.successor = engine
                     engine.threads = known.threads
+                    engine.earlier_threads = known.earlier_threads
                     engine.queries = known.queries
                     engine.memory_reserved = known.memory_reserved
                     for new, old in zip(engine.estimates, known.estimates, strict=True):
@@ -68,6 +72,7 @@
                 known.ready, known.delisted = entry.health is api.Health.READY, entry.health is api.Health.GONE
                 known.zone, known.kind, known.cell = entry.zone, entry.kind, entry.cell
         self.ready = [engine for engine in self.engines.values() if engine.ready]
+        self.ready_count = len(self.ready)
         self.cores = sum(engine.cores * engine.warm_up_progress(self.now) for engine in self.ready)
         self.eligible_engines = [[e for e in self.ready if e.accepts(cls)] for cls in self.settings.classes]
         self.planned_cores = self.planned_cores or sum(engine.cores for engine in self.ready)
@@ -145,7 +150,7 @@
         )
         engine.other_queries += REPORT_DECAY * (expected_queries - engine.other_queries)
 
-    def _apply_report(self, engine: Engine, values: tuple[float, ...]) -> None:
+    def apply_report(self, engine: Engine, values: tuple[float, ...]) -> None:
         """Store a load report and update the fleet's mean, weighted by the time since the last report."""
         if not engine.apply_report(self.settings.report_fields, values, self.now):
             return
@@ -165,6 +170,11 @@
             mean = self.mean_report.setdefault(name, value)
             self.mean_report[name] = mean + max(weight, 1 / self.report_count) * (value - mean)
 
+    def _record_completion(self, engine: Engine) -> None:
+        """Count an answer in the slowdowns."""
+        self.slowdown_estimate.completed += 1
+        engine.slowdown_estimate.completed += 1
+
     def _advance_slowdown(self, engine: Engine) -> None:
         pairs = zip(engine.estimates, self.class_traffic, strict=True)
         engine.slowdown_estimate.advance(
@@ -179,13 +189,7 @@
         self._advance_slowdown(engine)
         state.traffic.in_flight += change
         engine.estimates[state.request.cls].in_flight += change
-        engine.threads, engine.queries = engine.threads + change * state.cls.threads, engine.queries + change
-        engine.memory_reserved += change * state.request.memory_estimate
-        engine.indices_valid_until = -inf
-        if state.cls.locks_tables:
-            engine.lock_holders[state.request.dataset] += change
-            if engine.lock_holders[state.request.dataset] <= 0:
-                del engine.lock_holders[state.request.dataset]
+        engine.count_attempt(state.request, state.cls, change)
 
     def _refresh_indices(self, engine: Engine) -> None:
         """Compute the engine's load and indices: nu*(j) of the paper, or h/mu if it is not overloaded."""
@@ -221,7 +225,7 @@
         if not self.is_overloaded:
             return 0.0
         traffic = self.class_traffic[cls]
-        capacity = max(1.0, self.threads_per_core * self.cores / max(len(self.ready), 1) / traffic.cls.threads)
+        capacity = max(1.0, self.threads_per_core * self.cores / max(self.ready_count, 1) / traffic.cls.threads)
         weighted_threads = sum(
             f.in_flight * f.cls.threads * w for f, w in zip(self.class_traffic, traffic.thread_weights, strict=True)
         )
@@ -240,7 +244,7 @@
             factor
             * (weighted_threads + other_queries * traffic.weighted_threads)
             / traffic.cls.threads
-            / max(len(self.ready), 1)
+            / max(self.ready_count, 1)
         )
         table = traffic.index_table(1 / max(traffic.mean_latency, MIN_LATENCY), capacity, self.settings.gateway_count)
         return interpolate(table, count) if count + 1 > capacity else 0.0
--- a/tealwing/policy/gateway.py
+++ b/tealwing/policy/gateway.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any, ClassVar
 
 from tealwing import interface as api
 from tealwing.policy.attempts import Attempts
-from tealwing.policy.engines import RequestState
 from tealwing.policy.rates import ANSWER_WEIGHT, REBUILD_INTERVAL
+from tealwing.policy.requests import RequestState
 
 ADMISSION_KEY_SCALE = 65536.0  # admission uses the sampling key's lower digits, independent of other decisions
 
@@ -15,40 +16,25 @@
 class Gateway(Attempts):
     """The decision module of one gateway; the package's docstring lists the state of each base class."""
 
-    def __init__(self, settings: api.Settings, seed: int) -> None:
-        super().__init__(settings, seed)
-        self._handlers: dict[type, Callable[..., None]] = {
-            api.Request: self._handle_request,
-            api.AttemptOutcome: self._handle_outcome,
-            api.TimerFired: self._handle_timer,
-            api.EngineList: self._handle_engine_list,
-            api.ClientGone: self._handle_client_gone,
-            api.AttemptProgress: self._handle_progress,
-            api.ServiceLevel: self._handle_service_level,
-            api.EngineHealthEstimates: self._handle_health_estimates,
-            api.StreamStarted: self._ignore,
-            api.PeerMessage: self._ignore,
-            api.HealthCheckResult: self._ignore,
-        }
-
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         """Handle one event at time `now` (s) and return the actions in order; raise TypeError for another type."""
         self.now, self.actions = now, []
+        self._follow_holder()
         if not self.is_started:
             self.is_started = True
             self._set_timer(REBUILD_INTERVAL, 0)
             if self.settings.polls_discovery:
                 self.actions.append(api.Subscribe(True))
-        handler = self._handlers.get(type(event))
+        handler = self._HANDLERS.get(type(event))
         if handler is None:
             raise TypeError(f"expected an event of tealwing.interface, got {event!r}")
-        handler(event)
+        handler(self, event)
         return self.actions
 
     def _handle_engine_list(self, event: api.EngineList) -> None:
         if event.kind is api.EngineListKind.FAILED:
             self.actions.append(api.Subscribe(True))
-        else:
+        elif self.source is None:
             self._apply_engine_list(event)
 
     def _handle_service_level(self, event: api.ServiceLevel) -> None:
@@ -127,3 +113,18 @@
             self._finish(state)
         elif not state.attempts and self._is_in_order(state):
             self._place(state)
+
+    # by type of event; not bound to a module, which would then stay until a garbage collection
+    _HANDLERS: ClassVar[dict[type, Callable[[Gateway, Any], None]]] = {
+        api.Request: _handle_request,
+        api.AttemptOutcome: Attempts.handle_outcome,
+        api.TimerFired: _handle_timer,
+        api.EngineList: _handle_engine_list,
+        api.ClientGone: _handle_client_gone,
+        api.AttemptProgress: Attempts.handle_progress,
+        api.ServiceLevel: _handle_service_level,
+        api.EngineHealthEstimates: _handle_health_estimates,
+        api.StreamStarted: _ignore,
+        api.PeerMessage: _ignore,
+        api.HealthCheckResult: _ignore,
+    }
--- a/tealwing/policy/placement.py
+++ b/tealwing/policy/placement.py
@@ -6,9 +6,11 @@
 from math import ceil, exp, expm1, sqrt
 
 from tealwing import interface as api
-from tealwing.policy.engines import Engine, RequestState
-from tealwing.policy.fleet import COUNT_SPREAD, Fleet
+from tealwing.policy.engines import Engine
+from tealwing.policy.fleet import COUNT_SPREAD
 from tealwing.policy.rates import ClassTraffic
+from tealwing.policy.requests import RequestState
+from tealwing.policy.settings_change import SettingsChange
 
 DEADLINE_TICKS = 3  # ticks before the deadline at which a waiting request is answered
 NEAR_TIE = 0.1  # share of the smallest index within which engines count as equal
@@ -27,7 +29,7 @@
 RETRY_KEY_SCALE = 1e4  # a retry uses the sampling key's digits after these
 
 
-class Placement(Fleet):
+class Placement(SettingsChange):
     """Engine selection, the retry budget, ordering and slow start."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
@@ -41,7 +43,7 @@
 
     def _choose_engine(self, state: RequestState, failed: Engine | None) -> Engine | None:
         """Return the engine of the smallest index below the rejection cost; near-ties go to the least loaded."""
-        cls, traffic, zones = state.request.cls, state.traffic, state.request.zones
+        cls, traffic = state.request.cls, state.traffic
         candidates: list[tuple[float, Engine]] = []
         # With recent reports each query scales the count at random, so that not all avoid an engine at once. Without
         # reports, the gateways' own counts differ enough.
@@ -50,15 +52,13 @@
         uses_locks = state.cls.locks_tables or state.cls.waits_for_locks  # waiting for a lock costs delay_cost a second
         fleet_index = self._fleet_index(cls)
         traffic.placements += 1  # weighs the sampling of the slow-start budget
-        for engine in (
-            self.eligible_engines[cls] if zones is None else [e for e in self.eligible_engines[cls] if e.zone in zones]
-        ):
+        for engine in self._eligible(state, failed):
             if self.now >= engine.indices_valid_until:
                 self._refresh_indices(engine)
             index = engine.estimates[cls].index_at(count_factor)
             if self.now >= engine.slow_start_until:  # engines in slow start may have capacity when others have none
                 index = max(index, fleet_index)
-            if index < traffic.rejection_cost and engine is not failed and self._fits_slow_start_budget(state, engine):
+            if index < traffic.rejection_cost and self._fits_slow_start_budget(state, engine):
                 lock_chance = self._lock_chance(state, engine) if uses_locks else 0.0
                 candidates.append((index + lock_chance * traffic.delay_cost * self.lock_wait, engine))
         if not candidates and failed is not None:
@@ -127,7 +127,7 @@
             return True
         deduplicated = state.cls.idempotency_scope is api.IdempotencyScope.ALL or engine.cell == earlier.engine.cell
         deduplicated = deduplicated or (
-            state.cls.idempotency_scope is api.IdempotencyScope.ZONE and engine.zone == earlier.engine.zone
+            state.cls.idempotency_scope is api.IdempotencyScope.ZONE and engine.zone == earlier.zone
         )
         deduplicated = (
             deduplicated and self.now + 2 * self.settings.tick < earlier.sent_at + state.cls.idempotency_window
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -44,7 +44,15 @@
         self.handle(api.TimerFired(0), 1.0)
 
 
-PURE_MODULES = {"__future__", "bisect", "collections", "dataclasses", "math", "random"}  # no I/O, clock or thread
+PURE_MODULES = {
+    "__future__",
+    "bisect",
+    "collections",
+    "dataclasses",
+    "math",
+    "random",
+    "typing",
+}  # no I/O, clock or thread
 
 
 def test_decisions_import_no_io_clock_or_thread() -> None:
@@ -283,7 +291,7 @@
         bench.gateway = Gateway(bench.gateway.settings, seed)
         bench.handle(listing(*(entry(n) for n in range(10))))
         for engine in bench.gateway.engines.values():
-            bench.gateway._apply_report(engine, (1.0 + engine.id,))
+            bench.gateway.apply_report(engine, (1.0 + engine.id,))
         taken |= {s.engine for s in sends(bench.request())}
     assert len(taken) > 4
 
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -11,8 +11,8 @@
 from tealwing import interface as api
 from tealwing.lab import slow_start
 from tealwing.policy import Gateway
-from tealwing.policy.engines import RequestState
 from tealwing.policy.placement import BUDGET_RISK, BUDGET_SAFETY, BUDGET_SLACK, MIN_BUDGET_QUERIES
+from tealwing.policy.requests import RequestState
 from tests.build import entry, listing, make_settings, request_class
 
 CASES = {case.name: case for case in slow_start.CASES}
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -414,7 +414,8 @@
     send_events(sock, event(2, member("s-2", "127.0.0.1:1", **other)))  # settings with its zone and kind come later
     assert "locality" in log_events.next("engine_unusable")["why"] and set(engine_health(daemon)) == {ONE}
     old = daemon._decisions.settings
-    held = daemon._decisions.register(b"1" * 16, SimpleQueue(), old)  # a request stays open under the old settings
+    mailbox = SimpleQueue[Any]()
+    held = daemon._decisions.register(b"1" * 16, mailbox, old)  # a request stays open under the old settings
     reconfigure(daemon, tmp_path, **MORE_PLACES)
     sock, _ = coordinator.watch()  # SIGHUP renews the watch
     places = {entry.engine: (entry.zone, entry.kind) for entry in daemon.engine_list}
@@ -424,7 +425,10 @@
     modules = [daemon._decisions.module, daemon._decisions._versions.module_at(0)]
     new, older = [module for module in modules if isinstance(module, Gateway)]
     assert {e.id: (e.zone, e.kind) for e in new.ready} == {TWO: (0, 0), THREE: (0, 0)}
-    assert set(older.engines) == {ONE} and older.engines[ONE].zone == 0 and not older.ready
+    assert older.source is not None  # the older module sees the engines in the numbering of its own settings
+    assert {e.engine: (e.zone, e.health) for e in older.source.entries()} == {ONE: (0, api.Health.DRAINING)}
+    daemon._decisions.submit(api.Request(held, 0, LIMIT))
+    assert isinstance(mailbox.get_nowait(), api.Reject)  # its only engine drains
     send_events(sock, event(4))
     # the update was parsed under the new settings
     assert not {"engine_unusable", "decision_failed"} & set(log_events.wait_for_update(4))
