Give an engine that is listed without a cell a cell of its own

Cause: a member without `cell` counted as one of cell 0, together with all others that lack it. A keyed class whose engines drop repeats within their cell could be repeated among all of them.

Change: without the key the cell is a number that no other engine has, so that a request which may have run there goes to that engine alone.

Measured: test_member_without_a_cell_shares_none_with_another, which failed with the sources before (there both were of cell 0).

--- a/tealwing/coordinator/updates.py
+++ b/tealwing/coordinator/updates.py
@@ -99,7 +99,7 @@
         engine=engine_number(name),
         zone=-1,
         kind=-1,
-        cell=_integer(data.get("cell", 0), "cell"),
+        cell=_integer(data["cell"], "cell") if "cell" in data else -1 - engine_number(name),  # unknown: its own
         health=STATES[state],
         weight=_number(data.get("size", 1), "size"),
         started=_number(data.get("up_since_ms", 0), "up_since_ms") / 1e3,
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -21,7 +21,7 @@
 from hypothesis import strategies as st
 
 from tealwing import interface as api
-from tealwing import log
+from tealwing import log, wire
 from tealwing.admin.metrics import Metrics
 from tealwing.config import load
 from tealwing.coordinator import updates
@@ -436,6 +436,17 @@
     daemon._decisions.forget(held)
 
 
+def test_member_without_a_cell_shares_none_with_another() -> None:
+    # Guards against engines of unknown cells that all count as one, in which a keyed request may be repeated.
+    listed = [member(name, "127.0.0.1:1") for name in ("s-1", "s-2")]
+    for one in listed:
+        del one["cell"]
+    line = json.dumps(event(1, *listed)).encode()
+    update = updates.parse_line(line, wire.parse_settings(json.dumps(SETTINGS).encode()))
+    assert isinstance(update, updates.Update)
+    assert len({found.entry.cell for found in update.members}) == len(update.members) == 2
+
+
 def test_update_parsed_under_old_settings_is_applied_under_new_ones(
     tmp_path: Path, coordinator: Coordinator, log_events: LogRecorder, monkeypatch: pytest.MonkeyPatch
 ) -> None:
