Turn down a file that lacks a key of the configuration in force

Seen: a file at SIGHUP lacked Group of a keyed class whose engines drop repeats within their cell.

Some defaults allowed the most that the key can allow.

Change: at SIGHUP a file that lacks an unmarked key which the configuration in force has is turned down with its name; classes and accounts may come and go (wire/setting_keys.py). At a start too, a keyed class needs Group and WindowNs, an account Share and QuotaRps, and a retry budget has its three keys or none.

Rejected: all unmarked keys required at a start. The settings in the platform's own tests and the recorded input of an earlier version lack some of them.

--- a/tealwing/config.py
+++ b/tealwing/config.py
@@ -15,6 +15,7 @@
 
 DEFAULT_TEMPORARY_DIRECTORY = "/tmp"  # if TMPDIR is not set
 DEFAULT_SOCKETS = 1024  # descriptors, if the file gives no limit
+LIMIT_KEYS = ("cores", "memory_mb", "sockets")  # of the file's object `limits`
 MAX_CORES = 1024  # a higher limit is taken for a mistake
 DEFAULT_CORES = 1.0  # processor cores, if the file gives no limit
 UPGRADE_PROCESSES = 2  # that serve at once during an upgrade
@@ -53,6 +54,7 @@
     settings: interface.Settings
     known: tuple[updates.Update, ...]
     index: int
+    setting_keys: frozenset[str] = frozenset()  # that belong to every file, and are in this one
     memory_limit: int = memory.DEFAULT_LIMIT  # bytes
     accept_fd: int | None = None  # the listening socket for clients, inherited from the platform
     admin: Address | None = None  # the admin address, for operators
@@ -102,6 +104,10 @@
     return data
 
 
+def _limit_keys(limits: dict[str, Any]) -> frozenset[str]:
+    return frozenset(f"limits.{name}" for name in LIMIT_KEYS if limits.get(name) is not None)
+
+
 def load(environ: Mapping[str, str]) -> Config:
     """Read the configuration; LB_NAME, LB_LISTEN and LB_ADMIN override the file's keys. Raises ConfigError."""
     if not environ.get("LB_CONFIG"):
@@ -154,6 +160,7 @@
         cores=float(cores),
         memory_limit=int(memory_mb * memory.MIB),
         settings=settings,
+        setting_keys=wire.unmarked_keys(settings_data) | _limit_keys(limits),
         known=events,
         index=index,
         accept_fd=int(inherited) if inherited is not None else None,
--- a/tealwing/gateway/daemon.py
+++ b/tealwing/gateway/daemon.py
@@ -53,6 +53,7 @@
     def __init__(self, config: Config) -> None:
         self._settings, self._cores = config.settings, config.cores
         self._configured_settings = config.settings  # the settings of the last configuration file
+        self._configured_keys = config.setting_keys  # its keys
         self.on_settings: Callable[[api.Settings], None] = lambda settings: None  # applies new settings to the server
         self.server_gauges: Callable[[], dict[str, int]] = dict  # returns the gauges of clients and memory by name
         self._gossip: GossipService | None = None  # if gossip is on
@@ -185,11 +186,14 @@
         """Apply a changed configuration: the coordinator, whose event numbers continue, and the settings.
 
         New settings bind new requests; open ones keep theirs. Returns the settings in force. Raises ConfigError,
-        with nothing changed, if the settings change while service levels or gossip are on, or if they forbid the
-        peer link that is on. Raises ConfigRejectedError, with the new coordinator in use, if the settings change
-        while a version of the rules is in force.
+        with nothing changed, if the configuration lacks a key that the one before has, if the settings change while
+        service levels or gossip are on, or if they forbid the peer link that is on. Raises ConfigRejectedError, with
+        the new coordinator in use, if the settings change while a version of the rules is in force.
         """
         with self._changing:
+            if lacking := wire.lacking_keys(config.setting_keys, self._configured_keys):
+                where = "limits" if all(key.startswith("limits.") for key in lacking) else "settings"
+                raise ConfigError(f"{where}: lacks what the configuration in force has, {', '.join(lacking)}; add it")
             changed = config.settings not in (self._settings, self._configured_settings)
             if changed and self.agreed_version:
                 self._watch.move_to(config.coordinator)
@@ -205,6 +209,7 @@
             if changed:  # unchanged settings must not replace a version that the fleet agreed on
                 self._apply_settings(config.settings)
                 self._configured_settings = config.settings
+            self._configured_keys = config.setting_keys
         log.event("reconfigured", coordinator=config.coordinator)
         return self._settings
 
--- a/tealwing/wire/__init__.py
+++ b/tealwing/wire/__init__.py
@@ -13,4 +13,6 @@
 from tealwing.wire.encoder import encode as encode
 from tealwing.wire.encoder import reply as reply
 from tealwing.wire.errors import WireError as WireError
+from tealwing.wire.setting_keys import lacking_keys as lacking_keys
+from tealwing.wire.setting_keys import unmarked_keys as unmarked_keys
 from tealwing.wire.settings import parse_settings as parse_settings
--- a/tealwing/wire/settings.py
+++ b/tealwing/wire/settings.py
@@ -13,6 +13,7 @@
 from tealwing.wire.errors import WireError
 
 NS = 1_000_000_000  # nanoseconds in a second
+RETRY_BUDGET_KEYS = ("ExtraFree", "ExtraPerRequest", "BudgetSpanNs")
 IDEMPOTENCY = {
     "repeatable": api.Idempotency.IDEMPOTENT,
     "by_key": api.Idempotency.KEYED,
@@ -46,6 +47,10 @@
             raise ValueError(f"invalid setting {where}: {value!r}, expected a finite number")
         return value
 
+    def has(self, name: str) -> bool:
+        """Whether the key is present."""
+        return self.data.get(name) is not None
+
     def seconds(self, name: str, *default: float) -> float:
         """Return a duration in seconds; the key has nanoseconds."""
         value: float = self.get(name, float, *(d * NS for d in default))
@@ -72,8 +77,24 @@
         return frozenset(values)
 
 
-def _class(document: SettingsObject, threads: int, locks: bool, waits: bool) -> api.RequestClass:
+def _idempotency(document: SettingsObject) -> tuple[api.Idempotency, api.IdempotencyScope, float]:
+    """Return a class's effect, and the scope and window (s) in which repeats of its requests are discarded.
+
+    A class whose requests have keys must name scope and window. Other classes don't use them, unless rules give them
+    another effect: without the keys they then allow the least.
+    """
     groups = {group.value: group for group in api.IdempotencyScope}
+    effect: api.Idempotency = document.choice("Effect", IDEMPOTENCY)
+    is_keyed = effect is api.Idempotency.KEYED
+    scope = api.IdempotencyScope.CELL
+    if is_keyed or document.has("Group"):
+        scope = document.choice("Group", groups)
+    window = document.seconds("WindowNs") if is_keyed else document.seconds("WindowNs", 0.0)
+    return effect, scope, window
+
+
+def _class(document: SettingsObject, threads: int, locks: bool, waits: bool) -> api.RequestClass:
+    effect, scope, window = _idempotency(document)
     return api.RequestClass(
         name=document.get("Name", str),
         latency_objective=document.seconds("TargetNs"),
@@ -81,9 +102,9 @@
         deadline=document.seconds("DeadlineNs"),
         priority_weight=document.get("Credit", float),
         late_weight_share=document.get("LateShare", float, 0.0),
-        idempotency=document.choice("Effect", IDEMPOTENCY),
-        idempotency_scope=document.choice("Group", groups) if "Group" in document.data else api.IdempotencyScope.ALL,
-        idempotency_window=document.seconds("WindowNs", 0.0),
+        idempotency=effect,
+        idempotency_scope=scope,
+        idempotency_window=window,
         ordered=document.get("FifoByKey", bool, False),
         threads=threads,
         zones=document.indices("ConfinedTo"),
@@ -94,7 +115,7 @@
 
 
 def _account(document: SettingsObject) -> api.TenantQuota:
-    share, rate = document.get("Share", float, 1.0), document.get("QuotaRps", float, 0.0)
+    share, rate = document.get("Share", float), document.get("QuotaRps", float)
     return api.TenantQuota(document.get("Name", str), share, rate)
 
 
@@ -105,6 +126,17 @@
     return values
 
 
+def _retry_budget(document: SettingsObject) -> tuple[float | None, float, float]:
+    """Return the retry budget's floor, share and window in s; the floor is None if there is no budget.
+
+    Its three keys are present together or not at all: without one of them the others would bound nothing.
+    """
+    if not any(document.has(name) for name in RETRY_BUDGET_KEYS):
+        return None, 0.0, 0.0
+    floor, share = document.get("ExtraFree", float), document.get("ExtraPerRequest", float)
+    return floor, share, document.seconds("BudgetSpanNs")
+
+
 def parse_settings(text: bytes) -> api.Settings:
     """Return the settings of an instance from their JSON text; raise WireError or ValueError if they are invalid."""
     try:
@@ -115,6 +147,7 @@
     prices, report = document.sub("Prices"), document.sub("Report")
     grades, kinds = document.get("Grades", list), document.get("Kinds", list)
     accounts = document.get("Accounts", list, [])
+    budget_floor, budget_share, budget_window = _retry_budget(rules)
     threads = _number_list(family, "WidthByClass", len(grades))
     cores = _number_list(family, "CoresByKind", len(kinds))
     memory = _number_list(family, "RamOfKindMb", len(kinds))
@@ -159,9 +192,9 @@
             overload_multiple=rules.get("FallMultiple", float),
             overload_time=rules.seconds("TipAfterNs"),
             ordering_settle_time=rules.seconds("SettleAfterDoubtNs", 0.0),
-            retry_budget_floor=rules.get("ExtraFree", float, None),
-            retry_budget_share=rules.get("ExtraPerRequest", float, 0.0),
-            retry_budget_window=rules.seconds("BudgetSpanNs", 0.0),
+            retry_budget_floor=budget_floor,
+            retry_budget_share=budget_share,
+            retry_budget_window=budget_window,
         ),
         prices=api.Prices(
             prices.get("CrossZone", float, 0.0),
