Count live engines and modules of the test alone, and name the new keys' tests plainly

Need: the test of one engine state counted all engines in the process. In the whole run a thread of another test could change that number.

Change: it counts engines of its own numbers and modules of its own settings; the asserts ask for the same numbers.

--- a/tealwing/policy/settings_change.py
+++ b/tealwing/policy/settings_change.py
@@ -1,4 +1,4 @@
-"""What a change of settings does to the decision modules: the state of the engines moves to the new module.
+"""Moves the state of the engines to the module of new settings, and shows it to the modules of earlier ones.
 
 A module whose settings were replaced decides its open requests until their end, by its own classes. It holds no
 engines any more: for each decision it makes views of those that the module in force holds, which are dropped after it.
@@ -121,7 +121,7 @@
         return None
 
     def _attempted(self, chosen: Engine) -> Engine:
-        """Return the engine whose state an attempt changes that is sent to the chosen engine or view."""
+        """Return the engine that counts an attempt which is sent to the chosen engine or view."""
         if chosen.origin is None or self.source is None:
             return chosen
         if self.source.holder.engines.get(chosen.id) is not chosen.origin:
--- a/tealwing/wire/setting_keys.py
+++ b/tealwing/wire/setting_keys.py
@@ -9,8 +9,8 @@
 from collections.abc import Iterable
 from typing import Any
 
-# Unmarked keys of each object; "[]" stands for the items of a list, which have names. The page marks the others: "may
-# be absent" AimStretch; "optional" FifoByKey and Prices.Fleet; "if present" BoundTo, ConfinedTo, ExtraFree,
+# Unmarked keys of each object; "[]" marks a list, whose items have names. The page marks the other keys: "may be
+# absent" AimStretch; "optional" FifoByKey and Prices.Fleet; "if present" BoundTo, ConfinedTo, ExtraFree,
 # ExtraPerRequest, BudgetSpanNs and SettleAfterDoubtNs; a site can have no Accounts.
 UNMARKED_KEYS: dict[str, tuple[str, ...]] = {
     "": (
@@ -43,7 +43,7 @@
 
 
 def unmarked_keys(settings: dict[str, Any]) -> frozenset[str]:
-    """Return the paths of the unmarked keys that the settings have; an item of a list stands there by its name."""
+    """Return the paths of the unmarked keys that the settings have; a path names an item of a list by its name."""
     found = set[str]()
     for place, names in UNMARKED_KEYS.items():
         for prefix, item in _objects_at(settings, place):
@@ -66,7 +66,7 @@
 def lacking_keys(keys: Iterable[str], in_force: Iterable[str]) -> list[str]:
     """Return the keys of the settings in force that new settings lack.
 
-    Those of an object that is absent are not named beside it, and items of lists, such as classes, may go.
+    Of an absent object only its own key is returned. Items of lists, such as classes, may be dropped.
     """
     present = frozenset(keys)
     lacking = frozenset(in_force) - present
--- a/tests/test_setting_keys.py
+++ b/tests/test_setting_keys.py
@@ -111,7 +111,7 @@
 
 
 @pytest.mark.parametrize("name", ["Group", "WindowNs"])
-def test_keyed_class_must_say_which_engines_drop_repeats_and_how_long(name: str) -> None:
+def test_keyed_class_without_scope_or_window_of_repeats_is_rejected(name: str) -> None:
     grade = GRADE | {"Name": "load", "Effect": "by_key", "Group": "cell", "WindowNs": 10**9}
     del grade[name]
     with pytest.raises(ValueError, match=name):
@@ -119,7 +119,7 @@
 
 
 @pytest.mark.parametrize("name", ["Share", "QuotaRps"])
-def test_account_must_have_its_share_and_quota(name: str) -> None:
+def test_account_without_share_or_quota_is_rejected(name: str) -> None:
     with pytest.raises(ValueError, match=name):
         sites.parse(without(complete_settings(), f"Accounts[].{name}"))
 
--- a/tests/test_settings_change.py
+++ b/tests/test_settings_change.py
@@ -29,6 +29,7 @@
 from tests.peers import LIMIT, SETTINGS
 
 ENGINES = 40
+FIRST_ENGINE = 1 << 30  # no other test has engines of such numbers
 CHANGES = 25
 PROCESS_ENGINES = 200  # a fleet before which each version of the settings held some 0.75 MB
 PROCESS_CHANGES = 40
@@ -37,9 +38,15 @@
 ZONES, KINDS = ("a", "b", "c"), (api.MachineKind("big", 8, 16384.0), api.MachineKind("small", 4, 8192.0))
 
 
-def count_alive(cls: type) -> int:
-    """Count the objects of a class that are in use, or wait for a garbage collection."""
-    return sum(type(one) is cls for one in gc.get_objects())
+def count_engines() -> int:
+    """Count the engines of this test that are in use, or wait for a garbage collection."""
+    return sum(type(one) is Engine and one.id >= FIRST_ENGINE for one in gc.get_objects())
+
+
+def count_modules(versions: list[api.Settings]) -> int:
+    """Count the decision modules of these settings that are in use, or wait for a garbage collection."""
+    alive = [one for one in gc.get_objects() if type(one) is Gateway]
+    return sum(any(one.settings is settings for settings in versions) for one in alive)
 
 
 @pytest.fixture
@@ -54,10 +61,9 @@
 def test_changes_of_settings_leave_one_state_of_the_engines(without_collections: None, is_open: bool) -> None:
     # Guards against an engine state for each version of the settings: with open requests all were held at once, and
     # without any they waited for a garbage collection. A gateway went over its memory limit (review/8).
-    engines, gateways = count_alive(Engine), count_alive(Gateway)
     versions = [make_settings(max_attempts=2 + number) for number in range(CHANGES)]
     decisions = Decisions(versions[0], 1, EnginePool(versions[0].limits))
-    decisions.submit(api.EngineList(api.EngineListKind.FULL, 1, tuple(entry(n) for n in range(ENGINES))))
+    decisions.submit(api.EngineList(api.EngineListKind.FULL, 1, tuple(entry(FIRST_ENGINE + n) for n in range(ENGINES))))
     requests = []
     for number, changed in enumerate(versions):
         if number:
@@ -69,8 +75,8 @@
             end_request(decisions, requests[-1][0], mailbox.get_nowait().engine)
             decisions.unregister(*requests[-1])
             decisions.forget(requests[-1][0])
-    assert count_alive(Engine) - engines == ENGINES
-    assert count_alive(Gateway) - gateways == (CHANGES if is_open else 1)
+    assert count_engines() == ENGINES
+    assert count_modules(versions) == (CHANGES if is_open else 1)
 
 
 def end_request(decisions: Decisions, number: int, engine: int, attempt: int = 0) -> None:
