Number a test's engines above those that names of engines give

Cause: the test counts engines from 2^30 on as its own, but numbers of engines are hashes of 32 bits, so engines that earlier tests of the run still held counted too.

Change: its engines have numbers from 2^40 on; the asserts are as they were.

--- a/tests/test_settings_change.py
+++ b/tests/test_settings_change.py
@@ -29,7 +29,7 @@
 from tests.peers import LIMIT, SETTINGS
 
 ENGINES = 40
-FIRST_ENGINE = 1 << 30  # no other test has engines of such numbers
+FIRST_ENGINE = 1 << 40  # above the numbers that names of engines give, which have 32 bits
 CHANGES = 25
 PROCESS_ENGINES = 200  # a fleet before which each version of the settings held some 0.75 MB
 PROCESS_CHANGES = 40
